--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './Logger.js';
--- a/packages/types/src/controlChannel.ts
+++ b/packages/types/src/controlChannel.ts
@@ -1,4 +1,4 @@
-import type { NodeIdentity } from './nodeIdentity.js';
+import type { NodeIdentity, SocketAddress } from './nodeIdentity.js';
 import type { Result } from './result.js';
 
 /** Why a control call has no reply. After `timeout` the call may have been handled. */
@@ -19,6 +19,11 @@
     body: unknown,
     timeoutMilliseconds: number,
   ): Promise<Result<unknown, ControlCallError>>;
+  /** Opens a connection to an address, if there is none, and tells which node answers there. */
+  connect(
+    address: SocketAddress,
+    timeoutMilliseconds: number,
+  ): Promise<Result<NodeIdentity, ControlCallError>>;
   /** Registers the handler of a kind of call. A second handler for a name replaces the first. */
   handle(name: string, handler: ControlHandler): void;
 }
