Add membership and the coordination parts it stands on

The node is wired on Membership: announcements, records of all nodes, heartbeats to the reporters of the failure domain, rosters under a fenced lease, store watchers, dissemination by push and digest, the deployment register, verdicts and the bootstrap of a restarted node. A simulated clock, store and network in coordination drive the tests without real time.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,1 +1,9 @@
-export {};
+export * from './conditionalStore.js';
+export * from './conditionalUpdate.js';
+export * from './Disseminator.js';
+export * from './FencedLease.js';
+export * from './FencedWriter.js';
+export * from './MonotonicRegister.js';
+export * from './TokenBucket.js';
+export * from './VersionedTable.js';
+export * from './simulation/index.js';
--- /dev/null
+++ b/packages/coordination/src/simulation/SimulatedClock.ts
@@ -0,0 +1,114 @@
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import type { Clock } from '@hickorybridge/utils';
+
+interface Sleeper {
+  readonly dueAt: number;
+  readonly order: number;
+  wake(): void;
+}
+
+/** Wall-clock time at the start, in milliseconds since the Unix epoch: 2026-01-01. */
+const startOfWallTime = 1_767_225_600_000;
+
+/** A clock that moves only when it is told to, so that a test of hours takes seconds. */
+export class SimulatedClock implements Clock {
+  /** Binary heap, the earliest first. */
+  readonly #heap: Sleeper[] = [];
+
+  #now = 0;
+
+  #order = 0;
+
+  now(): number {
+    return this.#now;
+  }
+
+  wallTime(): number {
+    return startOfWallTime + this.#now;
+  }
+
+  async sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted) return;
+    await new Promise<void>((resolve) => {
+      const wake = () => {
+        signal?.removeEventListener('abort', wake);
+        resolve();
+      };
+      signal?.addEventListener('abort', wake, { once: true });
+      this.#push({ dueAt: this.#now + Math.max(0, milliseconds), order: this.#order, wake });
+      this.#order += 1;
+    });
+  }
+
+  /** Moves time on and runs everything that falls due on the way, in order. */
+  async advance(milliseconds: number): Promise<void> {
+    const end = this.#now + milliseconds;
+    await nextTurn();
+    for (;;) {
+      const next = this.#heap[0];
+      if (next === undefined || next.dueAt > end) break;
+      this.#now = Math.max(this.#now, next.dueAt);
+      while (this.#heap[0] !== undefined && this.#heap[0].dueAt <= this.#now) this.#pop()?.wake();
+      await nextTurn();
+    }
+    this.#now = end;
+  }
+
+  /** Moves time on in steps until a condition holds; gives the time taken, or `undefined`. */
+  async advanceUntil(
+    condition: () => boolean,
+    limitMilliseconds: number,
+    stepMilliseconds = 10,
+  ): Promise<number | undefined> {
+    const startedAt = this.#now;
+    while (!condition()) {
+      if (this.#now - startedAt >= limitMilliseconds) return undefined;
+      await this.advance(stepMilliseconds);
+    }
+    return this.#now - startedAt;
+  }
+
+  #push(sleeper: Sleeper): void {
+    const heap = this.#heap;
+    let child = heap.push(sleeper) - 1;
+    while (child > 0) {
+      const parent = Math.floor((child - 1) / 2);
+      if (!this.#isBefore(child, parent)) return;
+      this.#swap(child, parent);
+      child = parent;
+    }
+  }
+
+  #pop(): Sleeper | undefined {
+    const heap = this.#heap;
+    const first = heap[0];
+    const last = heap.pop();
+    if (heap.length === 0 || last === undefined) return first;
+    heap[0] = last;
+    let parent = 0;
+    for (;;) {
+      const left = parent * 2 + 1;
+      if (left >= heap.length) return first;
+      const right = left + 1;
+      const child = right < heap.length && this.#isBefore(right, left) ? right : left;
+      if (!this.#isBefore(child, parent)) return first;
+      this.#swap(child, parent);
+      parent = child;
+    }
+  }
+
+  #isBefore(first: number, second: number): boolean {
+    const one = this.#heap[first];
+    const other = this.#heap[second];
+    if (one === undefined || other === undefined) return false;
+    return one.dueAt < other.dueAt || (one.dueAt === other.dueAt && one.order < other.order);
+  }
+
+  #swap(first: number, second: number): void {
+    const one = this.#heap[first];
+    const other = this.#heap[second];
+    if (one === undefined || other === undefined) return;
+    this.#heap[first] = other;
+    this.#heap[second] = one;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/simulation/SimulatedStore.ts
@@ -0,0 +1,163 @@
+import { fail, type Result, succeed } from '@hickorybridge/types';
+import type { Clock } from '@hickorybridge/utils';
+import type {
+  ConditionalStore,
+  ConditionalWriteOutcome,
+  StoreFailure,
+  VersionedObject,
+} from '../conditionalStore.js';
+
+/** Objects that changed since a revision. */
+export interface SimulatedWatchResult {
+  readonly revision: number;
+  readonly changed: readonly VersionedObject[];
+}
+
+interface HeldObject extends VersionedObject {
+  readonly revision: number;
+}
+
+/** An object store in memory with delays, outages and lost answers. */
+export class SimulatedStore implements ConditionalStore, AsyncDisposable {
+  /** While true, calls fail after the delay. */
+  down = false;
+
+  /** Time of one call in milliseconds. */
+  delayMilliseconds = 2;
+
+  /** Answers to writes that are lost although the write takes effect. */
+  answersToLose = 0;
+
+  readonly #clock: Clock;
+
+  readonly #objects = new Map<string, HeldObject>();
+
+  readonly #waiting = new Set<() => void>();
+
+  readonly #callTimes: number[] = [];
+
+  #revision = 0;
+
+  #writes = 0;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Calls so far, failed ones included. */
+  get calls(): number {
+    return this.#callTimes.length;
+  }
+
+  /** Writes that took effect so far. */
+  get writes(): number {
+    return this.#writes;
+  }
+
+  /** Gives the highest number of calls in any one second that starts at or after a time. */
+  highestCallsPerSecond(sinceMilliseconds = 0): number {
+    let highest = 0;
+    let first = 0;
+    for (let last = 0; last < this.#callTimes.length; last += 1) {
+      while ((this.#callTimes[last] ?? 0) - (this.#callTimes[first] ?? 0) >= 1000) first += 1;
+      if ((this.#callTimes[first] ?? 0) < sinceMilliseconds) continue;
+      highest = Math.max(highest, last - first + 1);
+    }
+    return highest;
+  }
+
+  /** Gives an object at once, without a call. */
+  peek(key: string): VersionedObject | undefined {
+    return this.#objects.get(key);
+  }
+
+  /** Writes an object at once, without a call, as another client would. */
+  put(key: string, value: string): void {
+    this.#revision += 1;
+    this.#writes += 1;
+    const version = (this.#objects.get(key)?.version ?? 0) + 1;
+    this.#objects.set(key, { key, value, version, revision: this.#revision });
+    for (const wake of this.#waiting) wake();
+  }
+
+  async read(key: string): Promise<Result<VersionedObject | undefined, StoreFailure>> {
+    if (!(await this.#answer())) return unavailable(`reading ${key}`);
+    return succeed(this.#objects.get(key));
+  }
+
+  async list(prefix: string): Promise<Result<readonly VersionedObject[], StoreFailure>> {
+    if (!(await this.#answer())) return unavailable(`listing ${prefix}`);
+    return succeed(this.#changedSince(prefix, 0));
+  }
+
+  async writeConditional(
+    key: string,
+    value: string,
+    expectedVersion: number,
+  ): Promise<ConditionalWriteOutcome> {
+    const detail = `writing ${key}`;
+    if (!(await this.#answer())) return { type: 'unknown', detail };
+    const current = this.#objects.get(key);
+    if ((current?.version ?? 0) !== expectedVersion) return { type: 'refused', current };
+    this.put(key, value);
+    if (this.answersToLose > 0) {
+      this.answersToLose -= 1;
+      return { type: 'unknown', detail };
+    }
+    return { type: 'done', version: expectedVersion + 1 };
+  }
+
+  async watch(
+    prefix: string,
+    afterRevision: number,
+    waitMilliseconds: number,
+    signal?: AbortSignal,
+  ): Promise<Result<SimulatedWatchResult, StoreFailure>> {
+    const detail = `watching ${prefix}`;
+    const endsAt = this.#clock.now() + waitMilliseconds;
+    if (!(await this.#answer())) return unavailable(detail);
+    for (;;) {
+      if (this.down) return unavailable(detail);
+      const changed = this.#changedSince(prefix, afterRevision);
+      const over = this.#clock.now() >= endsAt || signal?.aborted === true;
+      if (changed.length > 0 || over) return succeed({ revision: this.#revision, changed });
+      await this.#waitForChange(endsAt - this.#clock.now(), signal);
+    }
+  }
+
+  /** Begins or ends an outage; pending watches end with a failure. */
+  setDown(down: boolean): void {
+    this.down = down;
+    for (const wake of this.#waiting) wake();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#waiting.clear();
+  }
+
+  async #answer(): Promise<boolean> {
+    this.#callTimes.push(this.#clock.now());
+    await this.#clock.sleep(this.delayMilliseconds);
+    return !this.down;
+  }
+
+  async #waitForChange(milliseconds: number, signal?: AbortSignal): Promise<void> {
+    const ended = new AbortController();
+    const wake = () => ended.abort();
+    this.#waiting.add(wake);
+    signal?.addEventListener('abort', wake, { once: true });
+    await this.#clock.sleep(milliseconds, ended.signal);
+    signal?.removeEventListener('abort', wake);
+    this.#waiting.delete(wake);
+  }
+
+  #changedSince(prefix: string, revision: number): VersionedObject[] {
+    return [...this.#objects.values()]
+      .filter((object) => object.key.startsWith(prefix) && object.revision > revision)
+      .sort((first, second) => (first.key < second.key ? -1 : 1));
+  }
+}
+
+function unavailable(doing: string): { readonly ok: false; readonly error: StoreFailure } {
+  return fail({ type: 'store-unavailable', detail: `${doing}: the simulated store is down` });
+}
--- /dev/null
+++ b/packages/membership/src/Bootstrap.ts
@@ -0,0 +1,180 @@
+import type { Logger } from '@hickorybridge/logger';
+import type { PlatformStore, StoredObject } from '@hickorybridge/store';
+import {
+  type ControlChannel,
+  type Location,
+  type NodeIdentity,
+  type SocketAddress,
+} from '@hickorybridge/types';
+import type { Clock, RandomSource } from '@hickorybridge/utils';
+import type { NodeIndex } from './NodeIndex.js';
+import { rosterPrefix } from './RosterWriter.js';
+
+/** Key of the accepted deployment in the store. */
+export const currentDeploymentKey = 'deployment/current';
+
+const verdictPrefix = 'verdicts/';
+const statusCallName = 'membership/number';
+const callTimeoutMilliseconds = 1000;
+const retryMilliseconds = 500;
+
+/** One peer alone may be old; three that know a deployment are enough. */
+const neededAnswers = 3;
+
+/** Settings of the bootstrap. */
+export interface BootstrapOptions {
+  readonly identity: NodeIdentity;
+  readonly location: Location;
+  readonly seeds: readonly SocketAddress[];
+  readonly store: PlatformStore;
+  readonly channel: ControlChannel;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly index: NodeIndex;
+  /** Number of the deployment in effect here; 0 when there is none. */
+  readonly deploymentNumber: () => number;
+  /** Takes objects of the store. */
+  readonly onObjects: (objects: readonly StoredObject[]) => void;
+  /** Makes this node's state and a peer's equal; false when the peer does not answer. */
+  readonly exchangeWith: (nodeId: string) => Promise<boolean>;
+  /** Called after the first exchange with a peer, when this node knows others. */
+  readonly onJoined: () => void;
+}
+
+/**
+ * Fills the empty memory of a started node, from the store and from peers at the same time. It is
+ * finished when a deployment is known and either the store has confirmed it or three peers have
+ * (or all that answer), so that a single old peer does not decide.
+ */
+export class Bootstrap {
+  readonly #options: BootstrapOptions;
+
+  readonly #confirmedBy = new Set<string>();
+
+  readonly #asked = new Set<string>();
+
+  #storeAnswered = false;
+
+  #finished = false;
+
+  #joined = false;
+
+  constructor(options: BootstrapOptions) {
+    this.#options = options;
+    options.channel.handle(statusCallName, () => ({ number: options.deploymentNumber() }));
+  }
+
+  /** Whether this node may serve with the deployment that it has found. */
+  get finished(): boolean {
+    this.#finished ||= this.#isConfirmed() && this.#options.deploymentNumber() > 0;
+    return this.#finished;
+  }
+
+  /** Asks the store until it has answered once. */
+  async askStore(signal: AbortSignal): Promise<void> {
+    const { store, logger, onObjects, clock } = this.#options;
+    while (!signal.aborted) {
+      const deployment = await store.read(currentDeploymentKey);
+      if (signal.aborted) return;
+      if (!deployment.ok) {
+        logger.debug('bootstrap-store-failed', 'the store did not answer; asking again', {
+          detail: deployment.error.detail,
+        });
+        await clock.sleep(retryMilliseconds, signal);
+        continue;
+      }
+      if (deployment.value !== undefined) onObjects([deployment.value]);
+      const rosters = await store.list(rosterPrefix);
+      const verdicts = await store.list(verdictPrefix);
+      if (!rosters.ok || !verdicts.ok) continue;
+      onObjects([...verdicts.value, ...rosters.value]);
+      this.#storeAnswered = true;
+      return;
+    }
+  }
+
+  /** Asks peers until a deployment is confirmed and, when there are others, one has answered. */
+  async askPeers(signal: AbortSignal): Promise<void> {
+    const { clock, seeds } = this.#options;
+    while (!signal.aborted) {
+      if (!this.#joined) await this.#joinSeeds();
+      await this.#askKnownPeers(signal);
+      const alone = seeds.length === 0 && this.#storeAnswered && this.#peers().length === 0;
+      if (this.finished && (this.#joined || alone)) return;
+      await clock.sleep(retryMilliseconds, signal);
+    }
+  }
+
+  async #joinSeeds(): Promise<void> {
+    const { seeds, channel } = this.#options;
+    const results = await Promise.all(
+      seeds.map((seed) => channel.connect(seed, callTimeoutMilliseconds)),
+    );
+    for (const result of results) {
+      if (!result.ok || result.value.nodeId === this.#options.identity.nodeId) continue;
+      await this.#ask(result.value.nodeId);
+    }
+  }
+
+  /** Asks up to three peers at a time, of different failure domains first. */
+  async #askKnownPeers(signal: AbortSignal): Promise<void> {
+    let candidates = this.#unasked();
+    while (candidates.length > 0 && !this.#hasEnoughAnswers() && !signal.aborted) {
+      await Promise.all(candidates.slice(0, neededAnswers).map((peer) => this.#ask(peer)));
+      candidates = this.#unasked();
+    }
+    // Whoever did not answer is asked again in the next round.
+    if (!this.#hasEnoughAnswers()) this.#asked.clear();
+  }
+
+  async #ask(peer: string): Promise<void> {
+    const { channel, exchangeWith, deploymentNumber, onJoined } = this.#options;
+    this.#asked.add(peer);
+    const result = await channel.call(peer, statusCallName, {}, callTimeoutMilliseconds);
+    if (!result.ok) return;
+    const number = parseNumber(result.value);
+    const exchanged = await exchangeWith(peer);
+    if (!exchanged) return;
+    if (number > 0 && deploymentNumber() >= number) this.#confirmedBy.add(peer);
+    if (this.#joined) return;
+    this.#joined = true;
+    onJoined();
+  }
+
+  #hasEnoughAnswers(): boolean {
+    return this.#confirmedBy.size >= neededAnswers;
+  }
+
+  #isConfirmed(): boolean {
+    if (this.#storeAnswered || this.#hasEnoughAnswers()) return true;
+    return this.#confirmedBy.size > 0 && this.#unasked().length === 0;
+  }
+
+  #peers(): string[] {
+    const { index, identity } = this.#options;
+    return index.all().flatMap(({ nodeId }) => (nodeId === identity.nodeId ? [] : [nodeId]));
+  }
+
+  #unasked(): string[] {
+    const { index, random, location } = this.#options;
+    const rest = this.#peers().filter((peer) => !this.#asked.has(peer));
+    const shuffled = rest
+      .map((peer) => ({ peer, order: random.next() }))
+      .sort((first, second) => first.order - second.order)
+      .map(({ peer }) => peer);
+    const domainsSeen = new Set<string>([location.failureDomain]);
+    const first = shuffled.filter((peer) => {
+      const domain = index.get(peer)?.failureDomain ?? '';
+      if (domainsSeen.has(domain)) return false;
+      domainsSeen.add(domain);
+      return true;
+    });
+    return [...first, ...shuffled.filter((peer) => !first.includes(peer))];
+  }
+}
+
+function parseNumber(body: unknown): number {
+  const number = (body as { readonly number?: unknown } | null)?.number;
+  return Number.isSafeInteger(number) ? (number as number) : 0;
+}
--- /dev/null
+++ b/packages/membership/src/LivenessTracker.ts
@@ -0,0 +1,192 @@
+import type { ControlChannel, Location, NodeIdentity } from '@hickorybridge/types';
+import type { Clock } from '@hickorybridge/utils';
+import {
+  encodeHeartbeatReply,
+  heartbeatCallName,
+  type HeartbeatMessage,
+  parseHeartbeat,
+} from './Heartbeats.js';
+import type { NodeIndex } from './NodeIndex.js';
+import type { NodeRecord } from './NodeRecord.js';
+import { type RoleAssignment, RoleName } from './RoleAssignment.js';
+
+/** Time without a heartbeat after which a node is removed. */
+export const heartbeatExpiryMilliseconds = 10_000;
+
+const checkIntervalMilliseconds = 1000;
+
+/** A check that comes this late means that this process was paused. */
+const pauseMilliseconds = 3 * checkIntervalMilliseconds;
+
+/** Without an answer from anyone for this time, this node is taken to be cut off itself. */
+const isolationMilliseconds = 6000;
+
+const callTimeoutMilliseconds = 1000;
+const lastHeardCallName = 'membership/last-heard';
+
+/** Settings of the tracker. */
+export interface LivenessTrackerOptions {
+  readonly identity: NodeIdentity;
+  readonly location: Location;
+  readonly channel: ControlChannel;
+  readonly clock: Clock;
+  readonly index: NodeIndex;
+  readonly roles: RoleAssignment;
+  /** Number of the deployment in effect here. */
+  readonly deploymentNumber: () => number;
+  /** Monotonic time of the last answer of any peer or of the store. */
+  readonly lastContactAt: () => number | undefined;
+  /** Removes nodes from which there is no heartbeat. */
+  readonly onExpired: (records: readonly NodeRecord[]) => void;
+}
+
+interface Heard {
+  readonly at: number;
+  readonly message: HeartbeatMessage;
+}
+
+/** The reporter's side of the heartbeats: removes the nodes of its failure domain that are gone. */
+export class LivenessTracker {
+  readonly #options: LivenessTrackerOptions;
+
+  readonly #heard = new Map<string, Heard>();
+
+  #reporterSince: number | undefined;
+
+  #checkedAt: number;
+
+  constructor(options: LivenessTrackerOptions) {
+    this.#options = options;
+    this.#checkedAt = options.clock.now();
+    const { channel } = options;
+    channel.handle(heartbeatCallName, (body, from) => this.#handleHeartbeat(body, from));
+    channel.handle(lastHeardCallName, (body) => this.#handleLastHeard(body));
+  }
+
+  /** Gives the deployment number of a node's last heartbeat, when this node receives them. */
+  deploymentNumberOf(nodeId: string): number | undefined {
+    return this.#heard.get(nodeId)?.message.number;
+  }
+
+  /** Gives the monotonic time of the last sign of life, in milliseconds. */
+  lastHeardAt(nodeId: string): number | undefined {
+    return this.#heard.get(nodeId)?.at;
+  }
+
+  /** A new record is a sign of life as well. */
+  noteRecord(record: NodeRecord): void {
+    if (record.failureDomain !== this.#options.location.failureDomain) return;
+    const number = this.#heard.get(record.nodeId)?.message.number ?? 0;
+    this.#heard.set(record.nodeId, {
+      at: this.#options.clock.now(),
+      message: { number, sequence: record.sequence },
+    });
+  }
+
+  /** Drops what is known about a node that was removed. */
+  forget(nodeId: string): void {
+    this.#heard.delete(nodeId);
+  }
+
+  /** Checks for expired nodes each second, while this node is a reporter. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
+    while (!signal.aborted) {
+      await clock.sleep(checkIntervalMilliseconds, signal);
+      if (!signal.aborted) await this.#check();
+    }
+  }
+
+  async #check(): Promise<void> {
+    const { clock, roles, onExpired } = this.#options;
+    const now = clock.now();
+    const paused = now - this.#checkedAt > pauseMilliseconds;
+    this.#checkedAt = now;
+    if (!roles.holds(RoleName.reporter)) {
+      this.#reporterSince = undefined;
+      return;
+    }
+    // Heartbeats that arrived during a pause may still be unread: everyone gets a new term.
+    if (paused || this.#reporterSince === undefined) this.#reporterSince = now;
+    if (this.#isIsolated(now) || this.#expired(now).length === 0) return;
+    await this.#askOtherReporter(this.#expired(now));
+    const expired = this.#expired(clock.now());
+    if (expired.length > 0) onExpired(expired);
+  }
+
+  #expired(now: number): NodeRecord[] {
+    const { index, location, identity } = this.#options;
+    const since = this.#reporterSince ?? now;
+    return index.inFailureDomain(location.failureDomain).filter(({ nodeId }) => {
+      if (nodeId === identity.nodeId) return false;
+      const heardAt = Math.max(since, this.#heard.get(nodeId)?.at ?? 0);
+      return now - heardAt > heartbeatExpiryMilliseconds;
+    });
+  }
+
+  /** A node that hears from nobody must not remove everyone else. */
+  #isIsolated(now: number): boolean {
+    const lastContactAt = this.#options.lastContactAt() ?? 0;
+    const lastHeardAt = Math.max(0, ...[...this.#heard.values()].map(({ at }) => at));
+    return now - Math.max(lastContactAt, lastHeardAt) > isolationMilliseconds;
+  }
+
+  /** The other reporter may hear a node that a cut separates from this one. */
+  async #askOtherReporter(records: readonly NodeRecord[]): Promise<void> {
+    const { channel, roles, identity, clock } = this.#options;
+    const expired = new Set(records.map(({ nodeId }) => nodeId));
+    const other = roles
+      .holders(RoleName.reporter)
+      .find((nodeId) => nodeId !== identity.nodeId && !expired.has(nodeId));
+    if (other === undefined) return;
+    const body = { nodeIds: [...expired] };
+    const result = await channel.call(other, lastHeardCallName, body, callTimeoutMilliseconds);
+    if (!result.ok) return;
+    const now = clock.now();
+    for (const { nodeId, ageMilliseconds } of parseAges(result.value)) {
+      if (!expired.has(nodeId) || ageMilliseconds > heartbeatExpiryMilliseconds) continue;
+      const message = this.#heard.get(nodeId)?.message ?? { number: 0, sequence: 0 };
+      this.#heard.set(nodeId, { at: now - ageMilliseconds, message });
+    }
+  }
+
+  #handleHeartbeat(body: unknown, from: NodeIdentity): readonly number[] {
+    const { index, clock, deploymentNumber } = this.#options;
+    const message = parseHeartbeat(body);
+    const record = index.get(from.nodeId);
+    if (record === undefined || record.incarnation <= from.incarnation) {
+      this.#heard.set(from.nodeId, { at: clock.now(), message });
+    }
+    const known = record?.incarnation === from.incarnation && record.sequence === message.sequence;
+    return encodeHeartbeatReply({ number: deploymentNumber(), known });
+  }
+
+  #handleLastHeard(body: unknown): { readonly ages: readonly HeardAge[] } {
+    const now = this.#options.clock.now();
+    const ages = parseNodeIds(body).flatMap((nodeId) => {
+      const heard = this.#heard.get(nodeId);
+      return heard === undefined ? [] : [{ nodeId, ageMilliseconds: now - heard.at }];
+    });
+    return { ages };
+  }
+}
+
+interface HeardAge {
+  readonly nodeId: string;
+  readonly ageMilliseconds: number;
+}
+
+function parseNodeIds(body: unknown): string[] {
+  const nodeIds = (body as { readonly nodeIds?: unknown } | null)?.nodeIds;
+  if (!Array.isArray(nodeIds)) return [];
+  return nodeIds.filter((item): item is string => typeof item === 'string');
+}
+
+function parseAges(body: unknown): HeardAge[] {
+  const ages = (body as { readonly ages?: unknown } | null)?.ages;
+  if (!Array.isArray(ages)) return [];
+  return ages.filter((item): item is HeardAge => {
+    const age = item as Partial<HeardAge> | null;
+    return typeof age?.nodeId === 'string' && typeof age.ageMilliseconds === 'number';
+  });
+}
