--- a/packages/coordination/src/simulation/SimulatedClock.ts
+++ b/packages/coordination/src/simulation/SimulatedClock.ts
@@ -1,10 +1,10 @@
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import type { Clock } from '@hickorybridge/utils';
 
-interface Sleeper {
+interface Timer {
   readonly dueAt: number;
   readonly order: number;
-  wake(): void;
+  callback: (() => void) | undefined;
 }
 
 /** Wall-clock time at the start, in milliseconds since the Unix epoch: 2026-01-01. */
@@ -13,7 +13,7 @@
 /** A clock that moves only when it is told to, so that a test of hours takes seconds. */
 export class SimulatedClock implements Clock {
   /** Binary heap, the earliest first. */
-  readonly #heap: Sleeper[] = [];
+  readonly #heap: Timer[] = [];
 
   #now = 0;
 
@@ -35,11 +35,21 @@
         resolve();
       };
       signal?.addEventListener('abort', wake, { once: true });
-      this.#push({ dueAt: this.#now + Math.max(0, milliseconds), order: this.#order, wake });
-      this.#order += 1;
+      this.after(milliseconds, wake);
     });
   }
 
+  /** Calls back after a time, unless the returned function is called before. */
+  after(milliseconds: number, callback: () => void): () => void {
+    const dueAt = this.#now + Math.max(0, milliseconds);
+    const timer: Timer = { dueAt, order: this.#order, callback };
+    this.#order += 1;
+    this.#push(timer);
+    return () => {
+      timer.callback = undefined;
+    };
+  }
+
   /** Moves time on and runs everything that falls due on the way, in order. */
   async advance(milliseconds: number): Promise<void> {
     const end = this.#now + milliseconds;
@@ -48,7 +58,8 @@
       const next = this.#heap[0];
       if (next === undefined || next.dueAt > end) break;
       this.#now = Math.max(this.#now, next.dueAt);
-      while (this.#heap[0] !== undefined && this.#heap[0].dueAt <= this.#now) this.#pop()?.wake();
+      while (this.#heap[0] !== undefined && this.#heap[0].dueAt <= this.#now)
+        this.#pop()?.callback?.();
       await nextTurn();
     }
     this.#now = end;
@@ -68,9 +79,9 @@
     return this.#now - startedAt;
   }
 
-  #push(sleeper: Sleeper): void {
+  #push(timer: Timer): void {
     const heap = this.#heap;
-    let child = heap.push(sleeper) - 1;
+    let child = heap.push(timer) - 1;
     while (child > 0) {
       const parent = Math.floor((child - 1) / 2);
       if (!this.#isBefore(child, parent)) return;
@@ -79,7 +90,7 @@
     }
   }
 
-  #pop(): Sleeper | undefined {
+  #pop(): Timer | undefined {
     const heap = this.#heap;
     const first = heap[0];
     const last = heap.pop();
--- a/packages/coordination/src/simulation/SimulatedNetwork.ts
+++ b/packages/coordination/src/simulation/SimulatedNetwork.ts
@@ -8,7 +8,8 @@
   type SocketAddress,
   succeed,
 } from '@hickorybridge/types';
-import type { Clock, RandomSource } from '@hickorybridge/utils';
+import type { RandomSource } from '@hickorybridge/utils';
+import type { SimulatedClock } from './SimulatedClock.js';
 import type { SimulatedProcess } from './SimulatedProcess.js';
 import { SimulatedTraffic } from './SimulatedTraffic.js';
 
@@ -17,7 +18,7 @@
 
 /** Settings of a simulated network. */
 export interface SimulatedNetworkOptions {
-  readonly clock: Clock;
+  readonly clock: SimulatedClock;
   readonly random: RandomSource;
 }
 
@@ -48,13 +49,15 @@
 
   readonly #nodes = new Map<string, ConnectedNode>();
 
+  readonly #ended = new WeakSet<ConnectedNode>();
+
   #isCut: CutPredicate | undefined;
 
   constructor(options: SimulatedNetworkOptions) {
     this.#options = options;
   }
 
-  /** Connects a node; an earlier one with the same name is replaced. */
+  /** Connects a node. An earlier one with the same name can still call, but is not called. */
   connect(node: SimulatedNode): ControlChannel {
     const traffic = new SimulatedTraffic();
     const connected: ConnectedNode = { ...node, handlers: new Map(), traffic };
@@ -74,7 +77,9 @@
   /** Takes a node off the network, as the end of its process does. */
   disconnect(identity: NodeIdentity): void {
     const node = this.#nodes.get(identity.nodeId);
-    if (node?.identity.incarnation === identity.incarnation) this.#nodes.delete(identity.nodeId);
+    if (node?.identity.incarnation !== identity.incarnation) return;
+    this.#nodes.delete(identity.nodeId);
+    this.#ended.add(node);
   }
 
   /** Gives the traffic of a node: names and bodies of calls and replies as JSON. */
@@ -89,11 +94,8 @@
     body: unknown,
     timeoutMilliseconds: number,
   ): Promise<Result<unknown, ControlCallError>> {
-    const limit = new AbortController();
-    const timeout = this.#timeOut(timeoutMilliseconds, limit.signal);
     const exchange = this.#exchange(from, nodeId, name, JSON.stringify(body ?? null));
-    const result = await Promise.race([exchange, timeout]);
-    limit.abort();
+    const result = await this.#limit(exchange, timeoutMilliseconds);
     await from.process.running();
     return result;
   }
@@ -103,16 +105,16 @@
     nodeId: string,
     name: string,
     text: string,
-  ): Promise<Result<unknown, ControlCallError>> {
+  ): Promise<Result<unknown, ControlCallError> | undefined> {
     const to = this.#nodes.get(nodeId);
     // A host that is gone refuses the connection; a lost message has no answer at all.
     if (to === undefined) return this.#refuse(nodeId);
-    if (!(await this.#deliver(from, to, name.length + text.length))) return never();
+    if (!(await this.#deliver(from, to, name.length + text.length))) return undefined;
     const handler = to.handlers.get(name);
     if (handler === undefined) return fail({ type: 'rejected', detail: `no handler for ${name}` });
     const reply = (await handler(JSON.parse(text) as unknown, from.identity)) ?? null;
     const replyText = JSON.stringify(reply);
-    if (!(await this.#deliver(to, from, replyText.length))) return never();
+    if (!(await this.#deliver(to, from, replyText.length))) return undefined;
     return succeed(JSON.parse(replyText) as unknown);
   }
 
@@ -125,14 +127,11 @@
       (node) => node.address.host === address.host && node.address.port === address.port,
     );
     if (to === undefined) return this.#refuse(`${address.host}:${address.port}`);
-    const limit = new AbortController();
     const both = async () =>
       (await this.#deliver(from, to, 0)) && (await this.#deliver(to, from, 0))
         ? succeed(to.identity)
-        : never();
-    const result = await Promise.race([both(), this.#timeOut(timeoutMilliseconds, limit.signal)]);
-    limit.abort();
-    return result;
+        : undefined;
+    return this.#limit(both(), timeoutMilliseconds);
   }
 
   async #deliver(from: ConnectedNode, to: ConnectedNode, bytes: number): Promise<boolean> {
@@ -142,7 +141,7 @@
     const jitter = this.jitterMilliseconds * random.next();
     await clock.sleep(this.delayMilliseconds + jitter);
     const cut = this.#isCut?.(from.identity.nodeId, to.identity.nodeId) ?? false;
-    if (lost || cut || this.#nodes.get(to.identity.nodeId) !== to) return false;
+    if (lost || cut || this.#ended.has(from) || this.#ended.has(to)) return false;
     await to.process.running();
     to.traffic.countReceived(bytes);
     return true;
@@ -153,15 +152,20 @@
     return fail({ type: 'unreachable', detail });
   }
 
-  async #timeOut(
+  /** Gives the outcome of an exchange; a lost one (`undefined`) ends only by the time limit. */
+  #limit<Value>(
+    exchange: Promise<Result<Value, ControlCallError> | undefined>,
     milliseconds: number,
-    signal: AbortSignal,
-  ): Promise<{ ok: false; error: ControlCallError }> {
-    await this.#options.clock.sleep(milliseconds, signal);
-    return fail({ type: 'timeout' });
+  ): Promise<Result<Value, ControlCallError>> {
+    return new Promise((resolve) => {
+      const cancel = this.#options.clock.after(milliseconds, () =>
+        resolve(fail({ type: 'timeout' })),
+      );
+      exchange.then((result) => {
+        if (result === undefined) return;
+        cancel();
+        resolve(result);
+      });
+    });
   }
 }
-
-function never(): Promise<never> {
-  return new Promise(() => {});
-}
--- a/packages/coordination/src/simulation/SimulatedStore.ts
+++ b/packages/coordination/src/simulation/SimulatedStore.ts
@@ -1,11 +1,11 @@
 import { fail, type Result, succeed } from '@hickorybridge/types';
-import type { Clock } from '@hickorybridge/utils';
 import type {
   ConditionalStore,
   ConditionalWriteOutcome,
   StoreFailure,
   VersionedObject,
 } from '../conditionalStore.js';
+import type { SimulatedClock } from './SimulatedClock.js';
 
 /** Objects that changed since a revision. */
 export interface SimulatedWatchResult {
@@ -28,7 +28,7 @@
   /** Answers to writes that are lost although the write takes effect. */
   answersToLose = 0;
 
-  readonly #clock: Clock;
+  readonly #clock: SimulatedClock;
 
   readonly #objects = new Map<string, HeldObject>();
 
@@ -40,7 +40,7 @@
 
   #writes = 0;
 
-  constructor(clock: Clock) {
+  constructor(clock: SimulatedClock) {
     this.#clock = clock;
   }
 
@@ -141,14 +141,19 @@
     return !this.down;
   }
 
-  async #waitForChange(milliseconds: number, signal?: AbortSignal): Promise<void> {
-    const ended = new AbortController();
-    const wake = () => ended.abort();
-    this.#waiting.add(wake);
-    signal?.addEventListener('abort', wake, { once: true });
-    await this.#clock.sleep(milliseconds, ended.signal);
-    signal?.removeEventListener('abort', wake);
-    this.#waiting.delete(wake);
+  #waitForChange(milliseconds: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      let cancel = () => {};
+      const wake = () => {
+        cancel();
+        signal?.removeEventListener('abort', wake);
+        this.#waiting.delete(wake);
+        resolve();
+      };
+      cancel = this.#clock.after(milliseconds, wake);
+      this.#waiting.add(wake);
+      signal?.addEventListener('abort', wake, { once: true });
+    });
   }
 
   #changedSince(prefix: string, revision: number): VersionedObject[] {
--- a/packages/membership/src/__tests__/fleet.ts
+++ b/packages/membership/src/__tests__/fleet.ts
@@ -1,3 +1,4 @@
+import assert from 'node:assert/strict';
 import {
   SimulatedClock,
   SimulatedNetwork,
@@ -65,12 +66,12 @@
   }
 
   /** Ends a node without any word to its peers. */
-  async kill(index: number): Promise<void> {
+  kill(index: number): void {
     const node = this.nodes.get(`n${index}`);
     if (node === undefined) return;
     this.network.disconnect(node.identity);
     this.nodes.delete(`n${index}`);
-    await node.membership[Symbol.asyncDispose]();
+    node.membership[Symbol.asyncDispose]();
   }
 
   memberships(): Membership[] {
@@ -117,3 +118,13 @@
     .sort()
     .join();
 }
+
+/** Starts nodes with deployment 1 and waits until they agree. */
+export async function startedFleet(seed: number, count: number, domains = 2): Promise<Fleet> {
+  const fleet = new Fleet(seed, domains);
+  fleet.applyDeployment(1);
+  fleet.startAll(count);
+  await fleet.clock.advance(15_000);
+  assert.ok(fleet.agrees(), 'the started fleet did not agree within 15 s');
+  return fleet;
+}
