Claims on a quorum of holders: client, holder, view keeper

Cause: a keyed request of a non-idempotent kind must run at most once, also with the store down and when a holder fails.

Change: ClaimClient wins a key with two grants of three holders of one view. ViewKeeper replaces holders by seal, pull of all records and conditional write. Two lost holders that may only be out of reach freeze the view first, so that a new view grants nothing that the former holders may still grant. Tests run on simulated time, network and store.

--- /dev/null
+++ b/packages/idempotency/src/ClaimClient.ts
@@ -0,0 +1,156 @@
+import { randomBytes } from 'node:crypto';
+
+import type { ControlChannel, Location } from '@hickorybridge/types';
+import { distanceBetween } from '@hickorybridge/types';
+import type { Clock } from '@hickorybridge/utils';
+
+import { ClaimHandle } from './ClaimHandle.js';
+import { ClaimRound, RoundResult } from './ClaimRound.js';
+import type { RoundOutcome } from './ClaimRound.js';
+import { RecordUpdater } from './RecordUpdater.js';
+import type { ViewRegister } from './ViewRegister.js';
+import { deriveClaimKey, shortenFingerprint } from './claimKey.js';
+import type { StoredAnswer } from './claimRecord.js';
+import type { ShardView } from './claimView.js';
+import type { ClaimMessage } from './messages.js';
+
+/** A keyed request that wants to run. */
+export interface ClaimRequest {
+  readonly service: string;
+  readonly key: string;
+  /** Digest or text of what makes two requests the same, of any length. */
+  readonly fingerprint: string;
+  /** For diagnosis only; the client makes its own unique name for the attempt. */
+  readonly requestId: string;
+  /** Monotonic time at which the request's deadline passes, in milliseconds. */
+  readonly deadline: number;
+}
+
+/** How a claim ended. */
+export type ClaimOutcome =
+  /** The attempt may run. The handle must be told how it ended. */
+  | { readonly type: 'granted'; readonly claim: ClaimHandle }
+  /** An earlier attempt has finished with this answer. */
+  | { readonly type: 'finished'; readonly answer: StoredAnswer }
+  /** Another attempt holds the key: it may run, or has run and its answer is not kept. */
+  | { readonly type: 'claimed-elsewhere' }
+  /** The key was used with another fingerprint. */
+  | { readonly type: 'key-reuse' }
+  /** No quorum: this attempt does not run, but an earlier one may have. */
+  | { readonly type: 'record-unavailable'; readonly detail: string };
+
+/** Settings and surroundings of a client. */
+export interface ClaimClientOptions {
+  readonly channel: ControlChannel;
+  readonly views: ViewRegister;
+  readonly clock: Clock;
+  /** Where this router stands; the nearest holders are asked first. */
+  readonly location: Location;
+  readonly retentionMilliseconds: number;
+  /** Longest time to try for a quorum, in milliseconds; half of the time to the deadline counts. */
+  readonly patienceMilliseconds?: number;
+  /** Makes unique names of attempts; replaced in tests that have to be repeatable. */
+  readonly nameAttempt?: () => string;
+}
+
+const defaultPatienceMilliseconds = 3_000;
+const attemptBytes = 12;
+
+/** First and longest pause between two rounds, in milliseconds. */
+const firstPauseMilliseconds = 10;
+const longestPauseMilliseconds = 200;
+
+/** Claims keys for the requests of a router. */
+export class ClaimClient {
+  readonly #options: ClaimClientOptions;
+
+  readonly #clock: Clock;
+
+  readonly #updater: RecordUpdater;
+
+  readonly #nameAttempt: () => string;
+
+  constructor(options: ClaimClientOptions) {
+    this.#options = options;
+    this.#clock = options.clock;
+    this.#updater = new RecordUpdater(options);
+    this.#nameAttempt = options.nameAttempt ?? randomAttempt;
+  }
+
+  /** Tries to win the key for one attempt. Ends before the deadline and never throws. */
+  async claim(request: ClaimRequest): Promise<ClaimOutcome> {
+    const startedAt = this.#clock.now();
+    const attempt = this.#nameAttempt();
+    const key = deriveClaimKey(request.service, request.key);
+    const fingerprint = shortenFingerprint(request.fingerprint);
+    const claim = { ...key, fingerprint, attempt };
+    const result = await this.#tryRounds(claim, this.#giveUpAt(startedAt, request.deadline));
+    if (result.type === RoundResult.granted) {
+      return { type: 'granted', claim: this.#makeHandle(claim, startedAt) };
+    }
+    this.#updater.release(claim).catch(() => {});
+    return toOutcome(result);
+  }
+
+  #giveUpAt(startedAt: number, deadline: number): number {
+    const patience = this.#options.patienceMilliseconds ?? defaultPatienceMilliseconds;
+    return startedAt + Math.min(patience, (deadline - startedAt) / 2);
+  }
+
+  /** Repeats the round while the holders are changing and time is left. */
+  async #tryRounds(
+    claim: Omit<ClaimMessage, 'viewId' | 'viewNumber'>,
+    giveUpAt: number,
+  ): Promise<RoundOutcome> {
+    let pause = firstPauseMilliseconds;
+    for (;;) {
+      const outcome = await this.#tryRound(claim, giveUpAt);
+      if (outcome.type !== RoundResult.unavailable || outcome.isFinal) return outcome;
+      if (this.#clock.now() + pause >= giveUpAt) return outcome;
+      await this.#clock.sleep(pause);
+      pause = Math.min(pause * 2, longestPauseMilliseconds);
+    }
+  }
+
+  async #tryRound(
+    claim: Omit<ClaimMessage, 'viewId' | 'viewNumber'>,
+    giveUpAt: number,
+  ): Promise<RoundOutcome> {
+    const view = this.#options.views.shard(claim.shard);
+    if (view === undefined) {
+      return { type: RoundResult.unavailable, isFinal: false, detail: 'no view of the holders' };
+    }
+    const round = new ClaimRound({
+      ...this.#options,
+      message: { ...claim, viewId: view.id, viewNumber: view.number },
+      holders: this.#nearestFirst(view),
+      giveUpAt,
+    });
+    return round.run();
+  }
+
+  #nearestFirst(view: ShardView): ShardView['holders'] {
+    const { location } = this.#options;
+    return [...view.holders].sort(
+      (first, second) => distanceBetween(location, first) - distanceBetween(location, second),
+    );
+  }
+
+  #makeHandle(claim: Omit<ClaimMessage, 'viewId' | 'viewNumber'>, startedAt: number): ClaimHandle {
+    return new ClaimHandle({
+      claim,
+      updater: this.#updater,
+      clock: this.#clock,
+      validUntil: startedAt + this.#options.retentionMilliseconds,
+    });
+  }
+}
+
+function randomAttempt(): string {
+  return randomBytes(attemptBytes).toString('base64url');
+}
+
+function toOutcome(result: Exclude<RoundOutcome, { type: 'granted' }>): ClaimOutcome {
+  if (result.type !== RoundResult.unavailable) return result;
+  return { type: 'record-unavailable', detail: result.detail };
+}
--- /dev/null
+++ b/packages/idempotency/src/RecordUpdater.ts
@@ -0,0 +1,79 @@
+import type { ControlChannel } from '@hickorybridge/types';
+import type { Clock } from '@hickorybridge/utils';
+
+import type { ViewRegister } from './ViewRegister.js';
+import type { StoredAnswer } from './claimRecord.js';
+import { quorumSize } from './claimView.js';
+import { ClaimCall } from './messages.js';
+import type { ClaimMessage, FinishMessage, RecordReply, ReleaseMessage } from './messages.js';
+
+/** The attempt of a claim, without a view. */
+export type ClaimedAttempt = Omit<ClaimMessage, 'viewId' | 'viewNumber'>;
+
+/** What an updater works with. */
+export interface RecordUpdaterOptions {
+  readonly channel: ControlChannel;
+  readonly views: ViewRegister;
+  readonly clock: Clock;
+}
+
+const callTimeoutMilliseconds = 1_000;
+
+/** Pauses before repeated tries, in milliseconds: long enough to outlast a change of view. */
+const pausesMilliseconds = [100, 500, 2_000, 5_000];
+
+/** Tells holders how an attempt ended, and repeats this while the holders change. */
+export class RecordUpdater {
+  readonly #options: RecordUpdaterOptions;
+
+  constructor(options: RecordUpdaterOptions) {
+    this.#options = options;
+  }
+
+  /** Stores the end of an attempt at a quorum. Returns whether this succeeded. */
+  finish(claim: ClaimedAttempt, answer: StoredAnswer | undefined): Promise<boolean> {
+    const { shard, digest, attempt, fingerprint } = claim;
+    const message = { shard, digest, attempt, fingerprint, ...(answer && { answer }) };
+    return this.#repeat(ClaimCall.finish, message);
+  }
+
+  /** Gives the key free at a quorum. Returns whether this succeeded. */
+  release(claim: ClaimedAttempt): Promise<boolean> {
+    const { shard, digest, attempt } = claim;
+    return this.#repeat(ClaimCall.release, { shard, digest, attempt });
+  }
+
+  async #repeat(
+    name: string,
+    message: Omit<FinishMessage, 'viewId'> | Omit<ReleaseMessage, 'viewId'>,
+  ): Promise<boolean> {
+    if (await this.#tellHolders(name, message)) return true;
+    for (const pause of pausesMilliseconds) {
+      await this.#options.clock.sleep(pause);
+      if (await this.#tellHolders(name, message)) return true;
+    }
+    return false;
+  }
+
+  async #tellHolders(
+    name: string,
+    message: Omit<FinishMessage, 'viewId'> | Omit<ReleaseMessage, 'viewId'>,
+  ): Promise<boolean> {
+    const view = this.#options.views.shard(message.shard);
+    if (view === undefined) return false;
+    const body = { ...message, viewId: view.id };
+    const stored = await Promise.all(
+      view.holders.map((holder) => this.#tell(holder.nodeId, name, body)),
+    );
+    return stored.filter(Boolean).length >= quorumSize;
+  }
+
+  async #tell(nodeId: string, name: string, body: unknown): Promise<boolean> {
+    const { channel, views } = this.#options;
+    const reply = await channel.call(nodeId, name, body, callTimeoutMilliseconds);
+    if (!reply.ok) return false;
+    const value = reply.value as RecordReply;
+    if (value.type === 'inactive' && value.current) views.applyShard(value.current);
+    return value.type === 'stored';
+  }
+}
--- /dev/null
+++ b/packages/idempotency/src/ViewKeeper.ts
@@ -0,0 +1,288 @@
+import { silentLogger } from '@hickorybridge/logger';
+import type { Logger } from '@hickorybridge/logger';
+import type { PlatformStore } from '@hickorybridge/store';
+import type { ControlChannel } from '@hickorybridge/types';
+import type { Clock } from '@hickorybridge/utils';
+
+import { defaultConfirmationLimitMilliseconds } from './ClaimHolder.js';
+import { ShardRepair } from './ShardRepair.js';
+import type { RepairOutcome } from './ShardRepair.js';
+import type { ViewRegister } from './ViewRegister.js';
+import { countFailureDomains } from './chooseHolders.js';
+import { isSameNode, parseView, serializeView, shardCount, viewStoreKey } from './claimView.js';
+import type { ClaimView, HolderCandidate, ShardView } from './claimView.js';
+import { ClaimCall } from './messages.js';
+import type { StatusReply } from './messages.js';
+
+/** The lease under which a keeper acts. */
+export interface KeeperLease {
+  /** The fencing token while this process holds the lease. */
+  held(): { readonly fencingToken: number } | undefined;
+}
+
+/** Settings and surroundings of a keeper. */
+export interface ViewKeeperOptions {
+  readonly store: PlatformStore;
+  readonly channel: ControlChannel;
+  readonly clock: Clock;
+  readonly lease: KeeperLease;
+  readonly views: ViewRegister;
+  /** Nodes that may hold shards; those that are leaving are not on the list. */
+  readonly liveNodes: () => readonly HolderCandidate[];
+  readonly confirmationLimitMilliseconds?: number;
+  readonly intervalMilliseconds?: number;
+  readonly logger?: Logger;
+  /** Makes unique names of views; replaced in tests that have to be repeatable. */
+  readonly nameView?: () => string;
+}
+
+/** How a round of the keeper ended. */
+export type KeeperRound =
+  | { readonly type: 'no-lease' }
+  | { readonly type: 'store-unavailable' }
+  | { readonly type: 'unchanged' }
+  | { readonly type: 'written'; readonly shards: readonly number[] }
+  | { readonly type: 'postponed'; readonly detail: string }
+  | { readonly type: 'superseded' }
+  | { readonly type: 'write-unknown' };
+
+const defaultIntervalMilliseconds = 1_000;
+const statusTimeoutMilliseconds = 1_000;
+
+/** Rounds between two questions for the state of all holders. */
+const roundsPerStatus = 30;
+
+/** Shards repaired in one round, so that one write is not held up by many transfers. */
+const shardsPerRound = 16;
+
+/** Shards moved in one round only for a better spread. */
+const movesPerRound = 2;
+
+/** Allowance for clocks that run at different rates. */
+const clockRateAllowance = 1.01;
+
+/** Makes the first view and replaces holders that are no longer live, under a lease. */
+export class ViewKeeper {
+  readonly #options: ViewKeeperOptions;
+
+  readonly #logger: Logger;
+
+  /** Monotonic time at which this keeper first saw each frozen view, by its name. */
+  readonly #frozenSince = new Map<string, number>();
+
+  /** Shards whose holders are not all ready, from the last question for their state. */
+  #impaired = new Map<number, readonly HolderCandidate[]>();
+
+  #round = 0;
+
+  #lastToken: number | undefined;
+
+  constructor(options: ViewKeeperOptions) {
+    this.#options = options;
+    this.#logger = options.logger ?? silentLogger;
+  }
+
+  /** Runs rounds until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const interval = this.#options.intervalMilliseconds ?? defaultIntervalMilliseconds;
+    while (!signal.aborted) {
+      const round = await this.runOnce();
+      if (round.type === 'written') continue;
+      await this.#options.clock.sleep(interval, signal);
+    }
+  }
+
+  /** Looks at all shards once and writes at most one new view. */
+  async runOnce(): Promise<KeeperRound> {
+    const token = this.#options.lease.held()?.fencingToken;
+    if (token === undefined) return { type: 'no-lease' };
+    const read = await this.#options.store.read(viewStoreKey);
+    if (!read.ok) return { type: 'store-unavailable' };
+    if (read.value === undefined) return this.#makeFirst(token);
+    const view = parseView(read.value.value, read.value.version);
+    if (view === undefined) return this.#reportUnreadable(read.value.version);
+    if (view.fencingToken > token) return { type: 'superseded' };
+    this.#options.views.apply(view);
+    this.#noteFrozen(view);
+    await this.#askStatus(view, token);
+    return this.#repair(view, token);
+  }
+
+  #reportUnreadable(version: number): KeeperRound {
+    const detail = `object ${viewStoreKey} at version ${version} is not a claim view`;
+    this.#logger.error('claim-view-unreadable', detail, { version });
+    return { type: 'postponed', detail };
+  }
+
+  async #makeFirst(token: number): Promise<KeeperRound> {
+    const repair = this.#makeRepair();
+    const shards = Array.from({ length: shardCount }, (_, shard) => shard);
+    const outcomes = await Promise.all(shards.map((shard) => repair.makeFirst(shard)));
+    const postponed = outcomes.find((outcome) => outcome.type === 'postponed');
+    if (postponed?.type === 'postponed') return this.#postpone(postponed.detail);
+    return this.#write(outcomes.flatMap(viewOf), token, 0, shards);
+  }
+
+  async #repair(view: ClaimView, token: number): Promise<KeeperRound> {
+    const due = this.#shardsToRepair(view);
+    if (due.length === 0) return { type: 'unchanged' };
+    const repair = this.#makeRepair();
+    const outcomes = await Promise.all(
+      due.map((entry) => repair.replace(entry, this.#holdersToKeep(entry))),
+    );
+    const changed = new Map(outcomes.flatMap(viewOf).map((entry) => [entry.shard, entry]));
+    if (changed.size === 0) return this.#postpone(outcomes.map(detailOf).join('; '));
+    const shards = view.shards.map((entry) => changed.get(entry.shard) ?? entry);
+    return this.#write(shards, token, view.version, [...changed.keys()]);
+  }
+
+  #shardsToRepair(view: ClaimView): readonly ShardView[] {
+    const broken = view.shards.filter((entry) => this.#isBroken(entry));
+    if (broken.length > 0) return rotate(broken, this.#round).slice(0, shardsPerRound);
+    return view.shards.filter((entry) => this.#canSpread(entry)).slice(0, movesPerRound);
+  }
+
+  #isBroken(entry: ShardView): boolean {
+    if (entry.frozen || this.#impaired.has(entry.shard)) return true;
+    return this.#liveHolders(entry).length < entry.holders.length;
+  }
+
+  #canSpread(entry: ShardView): boolean {
+    const domains = countFailureDomains(entry.holders);
+    return (
+      domains < entry.holders.length && domains < countFailureDomains(this.#options.liveNodes())
+    );
+  }
+
+  #holdersToKeep(entry: ShardView): readonly HolderCandidate[] {
+    const impaired = this.#impaired.get(entry.shard) ?? [];
+    const usable = this.#liveHolders(entry).filter(
+      (holder) => !impaired.some((other) => isSameNode(other, holder)),
+    );
+    if (!this.#canSpread(entry)) return usable;
+    return usable.filter(
+      (holder, index) =>
+        usable.findIndex((other) => other.failureDomain === holder.failureDomain) === index,
+    );
+  }
+
+  #liveHolders(entry: ShardView): readonly HolderCandidate[] {
+    const live = this.#options.liveNodes();
+    return entry.holders.filter((holder) => live.some((node) => isSameNode(node, holder)));
+  }
+
+  /** The unknown outcome needs no care here: the next round reads what stands in the store. */
+  async #write(
+    shards: readonly ShardView[],
+    fencingToken: number,
+    expectedVersion: number,
+    changed: readonly number[],
+  ): Promise<KeeperRound> {
+    if (this.#options.lease.held()?.fencingToken !== fencingToken) return { type: 'no-lease' };
+    const text = serializeView({ fencingToken, shards });
+    const outcome = await this.#options.store.writeConditional(viewStoreKey, text, expectedVersion);
+    if (outcome.type === 'refused') return { type: 'superseded' };
+    if (outcome.type === 'unknown') return { type: 'write-unknown' };
+    for (const shard of changed) this.#impaired.delete(shard);
+    const view = { version: outcome.version, fencingToken, shards };
+    this.#options.views.apply(view);
+    this.#noteFrozen(view);
+    this.#logger.info('claim-view-written', 'wrote a new claim view', {
+      version: view.version,
+      shards: changed.join(','),
+    });
+    return { type: 'written', shards: changed };
+  }
+
+  /** Finds sealed shards that a former keeper left, and holders without records. */
+  async #askStatus(view: ClaimView, token: number): Promise<void> {
+    this.#round += 1;
+    const isNew = token !== this.#lastToken;
+    if (!isNew && this.#round % roundsPerStatus !== 0) return;
+    this.#lastToken = token;
+    const nodeIds = new Set(
+      view.shards.flatMap((entry) => entry.holders).map((node) => node.nodeId),
+    );
+    const replies = new Map<string, StatusReply>();
+    await Promise.all(
+      [...nodeIds].map(async (nodeId) => {
+        const reply = await this.#options.channel.call(
+          nodeId,
+          ClaimCall.status,
+          {},
+          statusTimeoutMilliseconds,
+        );
+        if (reply.ok) replies.set(nodeId, reply.value as StatusReply);
+      }),
+    );
+    this.#impaired = findImpaired(view, replies);
+  }
+
+  #noteFrozen(view: ClaimView): void {
+    const now = this.#options.clock.now();
+    const frozen = new Set(view.shards.filter((entry) => entry.frozen).map((entry) => entry.id));
+    for (const id of frozen) if (!this.#frozenSince.has(id)) this.#frozenSince.set(id, now);
+    for (const id of this.#frozenSince.keys()) if (!frozen.has(id)) this.#frozenSince.delete(id);
+  }
+
+  #isFreezeOver(view: ShardView): boolean {
+    const since = this.#frozenSince.get(view.id);
+    const limit =
+      this.#options.confirmationLimitMilliseconds ?? defaultConfirmationLimitMilliseconds;
+    return since !== undefined && this.#options.clock.now() - since > limit * clockRateAllowance;
+  }
+
+  #makeRepair(): ShardRepair {
+    const { channel, clock, liveNodes, nameView } = this.#options;
+    return new ShardRepair({
+      channel,
+      clock,
+      live: liveNodes(),
+      isFreezeOver: (view) => this.#isFreezeOver(view),
+      ...(nameView && { nameView }),
+    });
+  }
+
+  #postpone(detail: string): KeeperRound {
+    this.#logger.warn('claim-view-postponed', 'could not replace holders of claims', { detail });
+    return { type: 'postponed', detail };
+  }
+}
+
+function viewOf(outcome: RepairOutcome): ShardView[] {
+  return outcome.type === 'postponed' ? [] : [outcome.view];
+}
+
+function detailOf(outcome: RepairOutcome): string {
+  return outcome.type === 'postponed' ? outcome.detail : outcome.type;
+}
+
+/** Starts at another shard each round, so that shards that cannot be repaired hold up no others. */
+function rotate<Item>(items: readonly Item[], round: number): readonly Item[] {
+  const start = (round * shardsPerRound) % items.length;
+  return [...items.slice(start), ...items.slice(0, start)];
+}
+
+/** Lists, for each shard that needs a new view, the holders that have no records. */
+function findImpaired(
+  view: ClaimView,
+  replies: ReadonlyMap<string, StatusReply>,
+): Map<number, readonly HolderCandidate[]> {
+  const impaired = new Map<number, readonly HolderCandidate[]>();
+  for (const entry of view.shards) {
+    const empty = entry.holders.filter((holder) => isEmpty(entry, replies.get(holder.nodeId)));
+    const isSealed = entry.holders.some((holder) =>
+      replies
+        .get(holder.nodeId)
+        ?.shards.some((one) => one.shard === entry.shard && one.sealedThrough >= entry.number),
+    );
+    if (isSealed || empty.length > 0) impaired.set(entry.shard, empty);
+  }
+  return impaired;
+}
+
+function isEmpty(entry: ShardView, reply: StatusReply | undefined): boolean {
+  if (reply === undefined) return false;
+  const status = reply.shards.find((one) => one.shard === entry.shard);
+  return status === undefined || !status.viewIds.includes(entry.id);
+}
--- /dev/null
+++ b/packages/idempotency/src/__tests__/SimulatedProcess.ts
@@ -0,0 +1,52 @@
+import type { ControlHandler } from '@hickorybridge/types';
+import type { Clock } from '@hickorybridge/utils';
+
+import type { HolderCandidate } from '../claimView.js';
+import type { SimulatedTime } from './SimulatedTime.js';
+
+/** One run of a simulated process. A paused one neither receives messages nor runs timers. */
+export class SimulatedProcess {
+  readonly clock: Clock;
+
+  readonly handlers = new Map<string, ControlHandler>();
+
+  isAlive = true;
+
+  #pausedUntil = 0;
+
+  constructor(
+    readonly identity: HolderCandidate,
+    readonly time: SimulatedTime,
+  ) {
+    this.clock = {
+      now: () => time.now,
+      wallTime: () => 1_700_000_000_000 + time.now,
+      sleep: (milliseconds, signal) => this.#sleep(milliseconds, signal),
+    };
+  }
+
+  pause(milliseconds: number): void {
+    this.#pausedUntil = Math.max(this.#pausedUntil, this.time.now + milliseconds);
+  }
+
+  /** Runs a step now, or when the process is resumed; never after its end. */
+  whenRunning(step: () => void): void {
+    if (!this.isAlive) return;
+    if (this.time.now >= this.#pausedUntil) step();
+    else this.time.after(this.#pausedUntil - this.time.now, () => this.whenRunning(step));
+  }
+
+  #sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (signal?.aborted) {
+        resolve();
+        return;
+      }
+      const timer = this.time.after(milliseconds, () => this.whenRunning(resolve));
+      signal?.addEventListener('abort', () => {
+        this.time.cancel(timer);
+        this.whenRunning(resolve);
+      });
+    });
+  }
+}
--- a/packages/idempotency/src/index.ts
+++ b/packages/idempotency/src/index.ts
@@ -1,1 +1,12 @@
-export {};
+export * from './ClaimClient.js';
+export * from './ClaimHandle.js';
+export * from './ClaimHolder.js';
+export * from './LoopbackChannel.js';
+export * from './RecordBudget.js';
+export * from './ViewKeeper.js';
+export * from './ViewRegister.js';
+export * from './ViewTasks.js';
+export * from './chooseHolders.js';
+export * from './claimRecord.js';
+export * from './claimView.js';
+export * from './messages.js';
