Tests of claims under faults; a loss of history waits out late grants

Cause: a grant is counted at the router and may be younger than its record, so a new view after a loss of history could grant within the retention.

Change: records and the wait after a loss last 10 s longer than the retention, and a claim ends within 10 s. Only holders that were asked hear how an attempt ended. The first view waits 5 s for three failure domains.

--- a/packages/idempotency/src/ClaimClient.ts
+++ b/packages/idempotency/src/ClaimClient.ts
@@ -8,11 +8,12 @@
 import { ClaimRound, RoundResult } from './ClaimRound.js';
 import type { RoundOutcome } from './ClaimRound.js';
 import { RecordUpdater } from './RecordUpdater.js';
+import type { AskedHolders, ClaimedAttempt } from './RecordUpdater.js';
 import type { ViewRegister } from './ViewRegister.js';
 import { deriveClaimKey, shortenFingerprint } from './claimKey.js';
 import type { StoredAnswer } from './claimRecord.js';
+import { longestClaimMilliseconds } from './claimView.js';
 import type { ShardView } from './claimView.js';
-import type { ClaimMessage } from './messages.js';
 
 /** A keyed request that wants to run. */
 export interface ClaimRequest {
@@ -60,6 +61,20 @@
 const firstPauseMilliseconds = 10;
 const longestPauseMilliseconds = 200;
 
+/** What came of the rounds of a claim. */
+interface TriedRounds {
+  readonly outcome: RoundOutcome;
+  /** Holders asked in the last round. */
+  readonly asked: AskedHolders;
+  readonly mayHaveLeftRecords: boolean;
+}
+
+const withoutView: TriedRounds = {
+  outcome: { type: RoundResult.unavailable, isFinal: false, detail: 'no view of the holders' },
+  asked: { viewId: '', nodeIds: [] },
+  mayHaveLeftRecords: false,
+};
+
 /** Claims keys for the requests of a router. */
 export class ClaimClient {
   readonly #options: ClaimClientOptions;
@@ -80,53 +95,51 @@
   /** Tries to win the key for one attempt. Ends before the deadline and never throws. */
   async claim(request: ClaimRequest): Promise<ClaimOutcome> {
     const startedAt = this.#clock.now();
-    const attempt = this.#nameAttempt();
     const key = deriveClaimKey(request.service, request.key);
     const fingerprint = shortenFingerprint(request.fingerprint);
-    const claim = { ...key, fingerprint, attempt };
-    const result = await this.#tryRounds(claim, this.#giveUpAt(startedAt, request.deadline));
-    if (result.type === RoundResult.granted) {
-      return { type: 'granted', claim: this.#makeHandle(claim, startedAt) };
+    const claim = { ...key, fingerprint, attempt: this.#nameAttempt() };
+    const giveUpAt = this.#giveUpAt(startedAt, request.deadline);
+    const result = await this.#tryRounds(claim, giveUpAt);
+    const { outcome, asked } = result;
+    if (outcome.type === RoundResult.granted) {
+      return { type: 'granted', claim: this.#makeHandle(claim, asked, startedAt) };
     }
-    this.#updater.release(claim).catch(() => {});
-    return toOutcome(result);
+    if (result.mayHaveLeftRecords) this.#updater.release(claim, asked).catch(() => {});
+    return toOutcome(outcome);
   }
 
   #giveUpAt(startedAt: number, deadline: number): number {
     const patience = this.#options.patienceMilliseconds ?? defaultPatienceMilliseconds;
-    return startedAt + Math.min(patience, (deadline - startedAt) / 2);
+    const remaining = (deadline - startedAt) / 2;
+    return startedAt + Math.min(patience, remaining, longestClaimMilliseconds);
   }
 
   /** Repeats the round while the holders are changing and time is left. */
-  async #tryRounds(
-    claim: Omit<ClaimMessage, 'viewId' | 'viewNumber'>,
-    giveUpAt: number,
-  ): Promise<RoundOutcome> {
+  async #tryRounds(claim: ClaimedAttempt, giveUpAt: number): Promise<TriedRounds> {
     let pause = firstPauseMilliseconds;
+    let mayHaveLeftRecords = false;
     for (;;) {
-      const outcome = await this.#tryRound(claim, giveUpAt);
-      if (outcome.type !== RoundResult.unavailable || outcome.isFinal) return outcome;
-      if (this.#clock.now() + pause >= giveUpAt) return outcome;
+      const tried = await this.#tryRound(claim, giveUpAt);
+      mayHaveLeftRecords ||= tried.mayHaveLeftRecords;
+      const isLast = !canRepeat(tried.outcome) || this.#clock.now() + pause >= giveUpAt;
+      if (isLast) return { ...tried, mayHaveLeftRecords };
       await this.#clock.sleep(pause);
       pause = Math.min(pause * 2, longestPauseMilliseconds);
     }
   }
 
-  async #tryRound(
-    claim: Omit<ClaimMessage, 'viewId' | 'viewNumber'>,
-    giveUpAt: number,
-  ): Promise<RoundOutcome> {
+  async #tryRound(claim: ClaimedAttempt, giveUpAt: number): Promise<TriedRounds> {
     const view = this.#options.views.shard(claim.shard);
-    if (view === undefined) {
-      return { type: RoundResult.unavailable, isFinal: false, detail: 'no view of the holders' };
-    }
+    if (view === undefined) return withoutView;
     const round = new ClaimRound({
       ...this.#options,
       message: { ...claim, viewId: view.id, viewNumber: view.number },
       holders: this.#nearestFirst(view),
       giveUpAt,
     });
-    return round.run();
+    const outcome = await round.run();
+    const asked = { viewId: view.id, nodeIds: round.asked };
+    return { outcome, asked, mayHaveLeftRecords: round.mayHaveLeftRecords };
   }
 
   #nearestFirst(view: ShardView): ShardView['holders'] {
@@ -136,9 +149,10 @@
     );
   }
 
-  #makeHandle(claim: Omit<ClaimMessage, 'viewId' | 'viewNumber'>, startedAt: number): ClaimHandle {
+  #makeHandle(claim: ClaimedAttempt, asked: AskedHolders, startedAt: number): ClaimHandle {
     return new ClaimHandle({
       claim,
+      asked,
       updater: this.#updater,
       clock: this.#clock,
       validUntil: startedAt + this.#options.retentionMilliseconds,
@@ -150,6 +164,10 @@
   return randomBytes(attemptBytes).toString('base64url');
 }
 
+function canRepeat(outcome: RoundOutcome): boolean {
+  return outcome.type === RoundResult.unavailable && !outcome.isFinal;
+}
+
 function toOutcome(result: Exclude<RoundOutcome, { type: 'granted' }>): ClaimOutcome {
   if (result.type !== RoundResult.unavailable) return result;
   return { type: 'record-unavailable', detail: result.detail };
--- a/packages/idempotency/src/ClaimHandle.ts
+++ b/packages/idempotency/src/ClaimHandle.ts
@@ -1,12 +1,13 @@
 import type { Clock } from '@hickorybridge/utils';
 
-import type { ClaimedAttempt, RecordUpdater } from './RecordUpdater.js';
+import type { AskedHolders, ClaimedAttempt, RecordUpdater } from './RecordUpdater.js';
 import { answerBytes, maximumAnswerBytes } from './claimRecord.js';
 import type { StoredAnswer } from './claimRecord.js';
 
 /** What a handle works on. */
 export interface ClaimHandleOptions {
   readonly claim: ClaimedAttempt;
+  readonly asked: AskedHolders;
   readonly updater: RecordUpdater;
   readonly clock: Clock;
   readonly validUntil: number;
@@ -39,13 +40,13 @@
     if (this.#isClosed) return false;
     this.#isClosed = true;
     const kept = answerBytes(answer) <= maximumAnswerBytes ? answer : undefined;
-    return this.#options.updater.finish(this.#options.claim, kept);
+    return this.#options.updater.finish(this.#options.claim, this.#options.asked, kept);
   }
 
   /** Gives the key free. Only for an attempt that is proven not to have run. */
   async release(): Promise<boolean> {
     if (this.#isClosed) return false;
     this.#isClosed = true;
-    return this.#options.updater.release(this.#options.claim);
+    return this.#options.updater.release(this.#options.claim, this.#options.asked);
   }
 }
--- a/packages/idempotency/src/ClaimHolder.ts
+++ b/packages/idempotency/src/ClaimHolder.ts
@@ -10,7 +10,7 @@
 import type { PreparedView } from './ShardRecords.js';
 import { RecordState } from './claimRecord.js';
 import type { ClaimRecord } from './claimRecord.js';
-import { shardCount } from './claimView.js';
+import { longestClaimMilliseconds, shardCount } from './claimView.js';
 import type { ClaimView } from './claimView.js';
 import { ClaimCall } from './messages.js';
 import type {
@@ -114,6 +114,10 @@
     for (const shard of this.#shards.values()) shard.table.expire(now);
   }
 
+  get #recordLifetime(): number {
+    return this.#options.retentionMilliseconds + longestClaimMilliseconds;
+  }
+
   #registerHandlers(): void {
     const { channel } = this.#options;
     channel.handle(ClaimCall.claim, (body) => this.#claim(body as ClaimMessage));
@@ -133,7 +137,7 @@
     const record = shard.table.find(message.digest, now);
     const denial = record === undefined ? undefined : denyBy(record, message);
     if (denial !== undefined) return denial;
-    if (now - view.historyStart < this.#options.retentionMilliseconds) {
+    if (now - view.historyStart < this.#recordLifetime) {
       return { type: 'history-incomplete' };
     }
     if (record?.attempt === message.attempt) return { type: 'granted' };
@@ -181,13 +185,28 @@
     const view = shard?.prepared(message.viewId);
     if (shard === undefined || view === undefined) return inactive(shard, message.viewId);
     const record = shard.table.find(message.digest, now);
-    const released = withoutAttempt(record, message, now);
+    const released = this.#withoutAttempt(record, message, now);
     if (released !== undefined) shard.table.put(message.digest, released);
     return view.number <= shard.sealedThrough
       ? inactive(shard, message.viewId)
       : { type: 'stored' };
   }
 
+  /**
+   * Gives the record after the release of an attempt, or `undefined` when the release changes
+   * nothing. Without a record a released one is made, because the claim may still be on its way.
+   */
+  #withoutAttempt(
+    record: ClaimRecord | undefined,
+    message: ReleaseMessage,
+    now: number,
+  ): ClaimRecord | undefined {
+    if (record !== undefined) return removeAttempt(record, message.attempt);
+    if (this.#budget.isFull()) return undefined;
+    const claim = newRecord({ ...message, fingerprint: '' }, now);
+    return { ...claim, state: RecordState.released };
+  }
+
   #seal(message: SealMessage): SealReply {
     const { incarnation } = this.#options.identity;
     const shard = this.#shards.get(message.shard);
@@ -270,7 +289,7 @@
   #shardFor(number: number): ShardRecords {
     const existing = this.#shards.get(number);
     if (existing !== undefined) return existing;
-    const created = new ShardRecords(this.#options.retentionMilliseconds, this.#budget);
+    const created = new ShardRecords(this.#recordLifetime, this.#budget);
     this.#shards.set(number, created);
     return created;
   }
@@ -312,22 +331,11 @@
   };
 }
 
-/**
- * Gives the record after the release of an attempt, or `undefined` when the release changes
- * nothing. Without a record a released one is made, because the claim may still be on its way.
- */
-function withoutAttempt(
-  record: ClaimRecord | undefined,
-  message: ReleaseMessage,
-  now: number,
-): ClaimRecord | undefined {
-  if (record === undefined) {
-    const claim = newRecord({ ...message, fingerprint: '' }, now);
-    return { ...claim, state: RecordState.released };
-  }
+/** Gives the record without an attempt; `undefined` when the attempt does not hold it. */
+function removeAttempt(record: ClaimRecord, released: string): ClaimRecord | undefined {
   if (record.state !== RecordState.claimed) return undefined;
-  const remaining = [record.attempt, ...record.rivals].filter((name) => name !== message.attempt);
-  if (remaining.length === record.rivals.length + 1) return undefined;
+  const remaining = [record.attempt, ...record.rivals].filter((attempt) => attempt !== released);
+  if (remaining.length > record.rivals.length) return undefined;
   const [attempt, ...rivals] = remaining;
   if (attempt === undefined) return { ...record, state: RecordState.released };
   return { ...record, attempt, rivals };
--- a/packages/idempotency/src/ClaimRound.ts
+++ b/packages/idempotency/src/ClaimRound.ts
@@ -66,6 +66,18 @@
     this.#options = options;
   }
 
+  /** Node names of the holders that were asked. */
+  get asked(): readonly string[] {
+    return [...this.#asked];
+  }
+
+  /** Whether a holder may have made a record of this attempt. */
+  get mayHaveLeftRecords(): boolean {
+    const granted = this.#count('granted');
+    const repliesWithoutRecord = this.#replies.length - granted - this.#count('no-reply');
+    return repliesWithoutRecord < this.#asked.size;
+  }
+
   /** Runs the round to its end. */
   async run(): Promise<RoundOutcome> {
     const decided = new Promise<RoundOutcome>((resolve) => {
--- a/packages/idempotency/src/RecordTable.ts
+++ b/packages/idempotency/src/RecordTable.ts
@@ -2,17 +2,17 @@
 import type { ClaimRecord } from './claimRecord.js';
 import type { RecordBudget } from './RecordBudget.js';
 
-/** Parts of the retention in which records are dropped together. */
-const generationsPerRetention = 8;
+/** Parts of the lifetime in which records are dropped together. */
+const generationsPerLifetime = 8;
 
 type Generation = Map<string, ClaimRecord>;
 
 /**
- * The records of one shard. Records of the same part of the retention share a map, which is
+ * The records of one shard. Records of the same part of their lifetime share a map, which is
  * dropped as a whole, so that expiry needs no timer and no work for each record.
  */
 export class RecordTable {
-  readonly #retention: number;
+  readonly #lifetime: number;
 
   readonly #span: number;
 
@@ -20,9 +20,9 @@
 
   readonly #generations = new Map<number, Generation>();
 
-  constructor(retentionMilliseconds: number, budget: RecordBudget) {
-    this.#retention = retentionMilliseconds;
-    this.#span = retentionMilliseconds / generationsPerRetention;
+  constructor(lifetimeMilliseconds: number, budget: RecordBudget) {
+    this.#lifetime = lifetimeMilliseconds;
+    this.#span = lifetimeMilliseconds / generationsPerLifetime;
     this.#budget = budget;
   }
 
@@ -61,7 +61,7 @@
   /** Drops generations whose records have all expired. */
   expire(now: number): void {
     for (const [index, generation] of this.#generations) {
-      if ((index + 1) * this.#span + this.#retention > now) continue;
+      if ((index + 1) * this.#span + this.#lifetime > now) continue;
       this.#forget(generation);
       this.#generations.delete(index);
     }
@@ -79,7 +79,7 @@
   }
 
   #isExpired(record: ClaimRecord, now: number): boolean {
-    return record.createdAt + this.#retention <= now;
+    return record.createdAt + this.#lifetime <= now;
   }
 
   #generationAt(index: number): Generation {
--- a/packages/idempotency/src/RecordUpdater.ts
+++ b/packages/idempotency/src/RecordUpdater.ts
@@ -10,6 +10,14 @@
 /** The attempt of a claim, without a view. */
 export type ClaimedAttempt = Omit<ClaimMessage, 'viewId' | 'viewNumber'>;
 
+/** Holders that were asked for a claim, in one view. */
+export interface AskedHolders {
+  readonly viewId: string;
+  readonly nodeIds: readonly string[];
+}
+
+type RecordMessage = Omit<FinishMessage, 'viewId'> | Omit<ReleaseMessage, 'viewId'>;
+
 /** What an updater works with. */
 export interface RecordUpdaterOptions {
   readonly channel: ControlChannel;
@@ -31,23 +39,24 @@
   }
 
   /** Stores the end of an attempt at a quorum. Returns whether this succeeded. */
-  finish(claim: ClaimedAttempt, answer: StoredAnswer | undefined): Promise<boolean> {
+  finish(
+    claim: ClaimedAttempt,
+    asked: AskedHolders,
+    answer: StoredAnswer | undefined,
+  ): Promise<boolean> {
     const { shard, digest, attempt, fingerprint } = claim;
     const message = { shard, digest, attempt, fingerprint, ...(answer && { answer }) };
-    return this.#repeat(ClaimCall.finish, message);
+    return this.#repeat(ClaimCall.finish, message, asked);
   }
 
   /** Gives the key free at a quorum. Returns whether this succeeded. */
-  release(claim: ClaimedAttempt): Promise<boolean> {
+  release(claim: ClaimedAttempt, asked: AskedHolders): Promise<boolean> {
     const { shard, digest, attempt } = claim;
-    return this.#repeat(ClaimCall.release, { shard, digest, attempt });
+    return this.#repeat(ClaimCall.release, { shard, digest, attempt }, asked);
   }
 
-  async #repeat(
-    name: string,
-    message: Omit<FinishMessage, 'viewId'> | Omit<ReleaseMessage, 'viewId'>,
-  ): Promise<boolean> {
-    if (await this.#tellHolders(name, message)) return true;
+  async #repeat(name: string, message: RecordMessage, asked: AskedHolders): Promise<boolean> {
+    if (await this.#tellHolders(name, message, asked)) return true;
     for (const pause of pausesMilliseconds) {
       await this.#options.clock.sleep(pause);
       if (await this.#tellHolders(name, message)) return true;
@@ -55,16 +64,14 @@
     return false;
   }
 
-  async #tellHolders(
-    name: string,
-    message: Omit<FinishMessage, 'viewId'> | Omit<ReleaseMessage, 'viewId'>,
-  ): Promise<boolean> {
+  /** Tells the holders that were asked, or all of them when these are not known or not enough. */
+  async #tellHolders(name: string, message: RecordMessage, asked?: AskedHolders): Promise<boolean> {
     const view = this.#options.views.shard(message.shard);
     if (view === undefined) return false;
     const body = { ...message, viewId: view.id };
-    const stored = await Promise.all(
-      view.holders.map((holder) => this.#tell(holder.nodeId, name, body)),
-    );
+    const nodeIds =
+      asked?.viewId === view.id ? asked.nodeIds : view.holders.map((holder) => holder.nodeId);
+    const stored = await Promise.all(nodeIds.map((nodeId) => this.#tell(nodeId, name, body)));
     return stored.filter(Boolean).length >= quorumSize;
   }
 
--- a/packages/idempotency/src/ShardRecords.ts
+++ b/packages/idempotency/src/ShardRecords.ts
@@ -30,8 +30,8 @@
 
   readonly #prepared = new Map<string, PreparedView>();
 
-  constructor(retentionMilliseconds: number, budget: RecordBudget) {
-    this.table = new RecordTable(retentionMilliseconds, budget);
+  constructor(lifetimeMilliseconds: number, budget: RecordBudget) {
+    this.table = new RecordTable(lifetimeMilliseconds, budget);
   }
 
   get preparedIds(): string[] {
--- a/packages/idempotency/src/ShardRepair.ts
+++ b/packages/idempotency/src/ShardRepair.ts
@@ -73,7 +73,7 @@
   async replace(former: ShardView, kept: readonly HolderCandidate[]): Promise<RepairOutcome> {
     const planned = chooseHolders(former.shard, this.#options.live, kept);
     if (planned === undefined) return postponeForNodes(this.#options.live.length);
-    const states = await Promise.all(former.holders.map((holder) => this.#seal(former, holder)));
+    const states = await this.#sealAll(former);
     const sealed = former.holders.filter((_, index) => states[index] === HolderState.sealed);
     const history = sealed.length >= quorumSize ? History.collected : History.lost;
     const obstacle = history === History.lost ? this.#obstacle(former, states) : undefined;
@@ -108,6 +108,22 @@
     return { type: 'postponed', detail: 'two lost holders may still be granting claims' };
   }
 
+  /**
+   * Seals the holders. Those that are no longer live are waited for only when the others are not
+   * enough, because the shard grants nothing from its seal to the new view.
+   */
+  async #sealAll(former: ShardView): Promise<readonly HolderState[]> {
+    const calls = former.holders.map((holder) => ({
+      isLive: this.#options.live.some((node) => isSameNode(node, holder)),
+      state: this.#seal(former, holder),
+    }));
+    const first = await Promise.all(
+      calls.map((call) => (call.isLive ? call.state : HolderState.lost)),
+    );
+    const sealed = first.filter((state) => state === HolderState.sealed);
+    return sealed.length >= quorumSize ? first : Promise.all(calls.map((call) => call.state));
+  }
+
   async #seal(former: ShardView, holder: HolderCandidate): Promise<HolderState> {
     const { channel, live } = this.#options;
     const body: SealMessage = {
--- a/packages/idempotency/src/ViewKeeper.ts
+++ b/packages/idempotency/src/ViewKeeper.ts
@@ -9,7 +9,14 @@
 import type { RepairOutcome } from './ShardRepair.js';
 import type { ViewRegister } from './ViewRegister.js';
 import { countFailureDomains } from './chooseHolders.js';
-import { isSameNode, parseView, serializeView, shardCount, viewStoreKey } from './claimView.js';
+import {
+  holderCount,
+  isSameNode,
+  parseView,
+  serializeView,
+  shardCount,
+  viewStoreKey,
+} from './claimView.js';
 import type { ClaimView, HolderCandidate, ShardView } from './claimView.js';
 import { ClaimCall } from './messages.js';
 import type { StatusReply } from './messages.js';
@@ -49,8 +56,12 @@
 const defaultIntervalMilliseconds = 1_000;
 const statusTimeoutMilliseconds = 1_000;
 
-/** Rounds between two questions for the state of all holders. */
-const roundsPerStatus = 30;
+/** Times between two questions for the state of all holders, in milliseconds. */
+const statusIntervalMilliseconds = 30_000;
+const statusIntervalAfterFailureMilliseconds = 5_000;
+
+/** Wait for nodes in three failure domains before the first view, in milliseconds. */
+const gatheringMilliseconds = 5_000;
 
 /** Shards repaired in one round, so that one write is not held up by many transfers. */
 const shardsPerRound = 16;
@@ -75,8 +86,14 @@
 
   #round = 0;
 
+  /** Monotonic time at which this keeper first found enough nodes for a first view. */
+  #enoughNodesSince: number | undefined;
+
   #lastToken: number | undefined;
 
+  /** Monotonic time of the next question for the state of all holders. */
+  #nextStatusAt = 0;
+
   constructor(options: ViewKeeperOptions) {
     this.#options = options;
     this.#logger = options.logger ?? silentLogger;
@@ -115,6 +132,7 @@
   }
 
   async #makeFirst(token: number): Promise<KeeperRound> {
+    if (this.#isGathering()) return { type: 'postponed', detail: 'nodes are still being found' };
     const repair = this.#makeRepair();
     const shards = Array.from({ length: shardCount }, (_, shard) => shard);
     const outcomes = await Promise.all(shards.map((shard) => repair.makeFirst(shard)));
@@ -123,6 +141,16 @@
     return this.#write(outcomes.flatMap(viewOf), token, 0, shards);
   }
 
+  /** A first view of the few nodes that start first would put all shards on them. */
+  #isGathering(): boolean {
+    const { clock, liveNodes } = this.#options;
+    const live = liveNodes();
+    if (live.length < holderCount) return false;
+    this.#enoughNodesSince ??= clock.now();
+    if (countFailureDomains(live) >= holderCount) return false;
+    return clock.now() - this.#enoughNodesSince < gatheringMilliseconds;
+  }
+
   async #repair(view: ClaimView, token: number): Promise<KeeperRound> {
     const due = this.#shardsToRepair(view);
     if (due.length === 0) return { type: 'unchanged' };
@@ -131,6 +159,7 @@
       due.map((entry) => repair.replace(entry, this.#holdersToKeep(entry))),
     );
     const changed = new Map(outcomes.flatMap(viewOf).map((entry) => [entry.shard, entry]));
+    if (outcomes.some((outcome) => outcome.type === 'postponed')) this.#askStatusSoon();
     if (changed.size === 0) return this.#postpone(outcomes.map(detailOf).join('; '));
     const shards = view.shards.map((entry) => changed.get(entry.shard) ?? entry);
     return this.#write(shards, token, view.version, [...changed.keys()]);
@@ -181,6 +210,7 @@
     if (this.#options.lease.held()?.fencingToken !== fencingToken) return { type: 'no-lease' };
     const text = serializeView({ fencingToken, shards });
     const outcome = await this.#options.store.writeConditional(viewStoreKey, text, expectedVersion);
+    if (outcome.type !== 'done') this.#askStatusSoon();
     if (outcome.type === 'refused') return { type: 'superseded' };
     if (outcome.type === 'unknown') return { type: 'write-unknown' };
     for (const shard of changed) this.#impaired.delete(shard);
@@ -197,9 +227,10 @@
   /** Finds sealed shards that a former keeper left, and holders without records. */
   async #askStatus(view: ClaimView, token: number): Promise<void> {
     this.#round += 1;
-    const isNew = token !== this.#lastToken;
-    if (!isNew && this.#round % roundsPerStatus !== 0) return;
+    const now = this.#options.clock.now();
+    if (token === this.#lastToken && now < this.#nextStatusAt) return;
     this.#lastToken = token;
+    this.#nextStatusAt = now + statusIntervalMilliseconds;
     const nodeIds = new Set(
       view.shards.flatMap((entry) => entry.holders).map((node) => node.nodeId),
     );
@@ -218,6 +249,12 @@
     this.#impaired = findImpaired(view, replies);
   }
 
+  /** Shards that were sealed for nothing have to be found again. */
+  #askStatusSoon(): void {
+    const soon = this.#options.clock.now() + statusIntervalAfterFailureMilliseconds;
+    this.#nextStatusAt = Math.min(this.#nextStatusAt, soon);
+  }
+
   #noteFrozen(view: ClaimView): void {
     const now = this.#options.clock.now();
     const frozen = new Set(view.shards.filter((entry) => entry.frozen).map((entry) => entry.id));
--- a/packages/idempotency/src/__tests__/SimulatedProcess.ts
+++ b/packages/idempotency/src/__tests__/SimulatedProcess.ts
@@ -12,15 +12,19 @@
 
   isAlive = true;
 
+  wallClockError = 0;
+
   #pausedUntil = 0;
 
   constructor(
     readonly identity: HolderCandidate,
     readonly time: SimulatedTime,
   ) {
+    // Monotonic clocks of different processes have nothing to do with each other.
+    const clockOffset = identity.incarnation * 1_234_567;
     this.clock = {
-      now: () => time.now,
-      wallTime: () => 1_700_000_000_000 + time.now,
+      now: () => time.now + clockOffset,
+      wallTime: () => 1_700_000_000_000 + time.now + this.wallClockError,
       sleep: (milliseconds, signal) => this.#sleep(milliseconds, signal),
     };
   }
--- a/packages/idempotency/src/claimView.ts
+++ b/packages/idempotency/src/claimView.ts
@@ -9,6 +9,13 @@
 /** Holders that have to grant a claim. */
 export const quorumSize = 2;
 
+/**
+ * Longest time from the start of a claim to its grant, in milliseconds. Records and the wait after
+ * a loss of history last longer than the retention by this time, because a grant is counted at the
+ * router and may be that much younger than the record. It also covers clocks whose rates differ.
+ */
+export const longestClaimMilliseconds = 10_000;
+
 /** Key of the view in the store. */
 export const viewStoreKey = 'claims/view';
 
