--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,1 +1,3 @@
 export * from './AdmissionController.js';
+export * from './createAdmissionController.js';
+export type { AdmissionSettings } from './LimitedAdmission.js';
--- /dev/null
+++ b/packages/routing/src/AdaptiveSelector.ts
@@ -0,0 +1,195 @@
+import {
+  type BackendServerDirectory,
+  type BackendServerEntry,
+  Distance,
+  type LoadReport,
+} from '@hickorybridge/types';
+import type { Clock, RandomSource } from '@hickorybridge/utils';
+import type { BackendServerLoad } from './BackendServerLoad.js';
+import type {
+  BackendServerSelector,
+  SelectionRequest,
+  TryResult,
+} from './BackendServerSelector.js';
+import { BackendServerSubset } from './BackendServerSubset.js';
+import { NetworkDelays } from './NetworkDelays.js';
+import type { SelectorOptions } from './SelectorOptions.js';
+import { ServiceLoad, expectedLimit } from './ServiceLoad.js';
+
+/** Candidates taken from each tier; a tier that cannot fill its number leaves it to the next. */
+const SAMPLE_SIZES = [3, 2, 2] as const;
+/** Time constant by which a reported queue loses its meaning, in milliseconds. */
+const REPORT_DECAY = 100;
+/** Time constant by which a smoothed response time loses its meaning, in milliseconds. */
+const RESPONSE_DECAY = 1_000;
+/** Time constant by which failures are forgotten, in milliseconds. */
+const FAILURE_DECAY = 1_000;
+/** Bounds the failure share, so that the cost stays finite and a recovery can be found. */
+const MAXIMUM_FAILURE_SHARE = 0.95;
+/** Waiting without any progress that is not yet a sign of a stall, in mean service times. */
+const STALL_FACTOR = 3;
+/** Weight of the use below the limit, which only decides between otherwise equal candidates. */
+const USE_WEIGHT = 0.1;
+const BYTES_PER_KILOBYTE = 1_000;
+
+/** Chooses the candidate with the lowest expected completion time among a few sampled ones. */
+export class AdaptiveSelector implements BackendServerSelector {
+  readonly #clock: Clock;
+
+  readonly #random: RandomSource;
+
+  readonly #linkPrice: number;
+
+  readonly #directory: BackendServerDirectory;
+
+  readonly #subset: BackendServerSubset;
+
+  readonly #delays: NetworkDelays;
+
+  readonly #services = new Map<string, ServiceLoad>();
+
+  constructor({ settings, context, directory, clock, random }: SelectorOptions) {
+    this.#clock = clock;
+    this.#random = random;
+    this.#linkPrice = settings.linkPriceMillisecondsPerKilobyte;
+    this.#directory = directory;
+    this.#delays = new NetworkDelays(context.location);
+    this.#subset = new BackendServerSubset({ context, directory, size: settings.subsetSize });
+  }
+
+  select(request: SelectionRequest): BackendServerEntry | undefined {
+    const tiers = this.#subset.eligible(request.service, request.excluded);
+    const service = this.#serviceOf(request.service);
+    service.retain(this.#directory.list(request.service));
+    const now = this.#clock.now();
+    const linkCost = (request.expectedBytes / BYTES_PER_KILOBYTE) * this.#linkPrice;
+    let best: BackendServerEntry | undefined;
+    let lowest = Infinity;
+    let places = 0;
+    for (const distance of [0, 1, 2] as const) {
+      places += SAMPLE_SIZES[distance];
+      const price = distance === Distance.otherRegion ? linkCost : 0;
+      const sample = this.#sample(tiers[distance], places);
+      places -= sample.length;
+      for (const entry of sample) {
+        const cost = this.#completionTime(service, service.of(entry, now), now) + price;
+        if (cost < lowest) {
+          lowest = cost;
+          best = entry;
+        }
+      }
+    }
+    return best;
+  }
+
+  sent(entry: BackendServerEntry): void {
+    const now = this.#clock.now();
+    this.#serviceOf(entry.service).of(entry, now).sent(now);
+  }
+
+  finished(entry: BackendServerEntry, result: TryResult): void {
+    const now = this.#clock.now();
+    const load = this.#serviceOf(entry.service).of(entry, now);
+    load.ended(now);
+    switch (result.type) {
+      case 'answered':
+        load.failed(0, now);
+        this.observed(entry, result.report, result.elapsedMilliseconds);
+        break;
+      case 'refused':
+        load.failed(1, now);
+        if (result.report !== undefined) this.#takeReport(load, result.report);
+        break;
+      case 'lost':
+        load.failed(1, now);
+        break;
+      default:
+    }
+  }
+
+  observed(entry: BackendServerEntry, report: LoadReport, elapsedMilliseconds: number): void {
+    const load = this.#serviceOf(entry.service).of(entry, this.#clock.now());
+    // The end of an answer brings the report of its head again, which is old by then.
+    if (load.report === report) return;
+    this.#takeReport(load, report);
+    this.#takeResponse(load, report, elapsedMilliseconds);
+  }
+
+  #serviceOf(name: string): ServiceLoad {
+    const known = this.#services.get(name);
+    if (known !== undefined) return known;
+    const service = new ServiceLoad();
+    this.#services.set(name, service);
+    return service;
+  }
+
+  /** Takes some entries of a tier at random, without repetition. */
+  #sample(tier: readonly BackendServerEntry[], count: number): readonly BackendServerEntry[] {
+    if (tier.length <= count) return tier;
+    const rest = [...tier];
+    const sample: BackendServerEntry[] = [];
+    while (sample.length < count) {
+      const index = this.#random.integerBelow(rest.length);
+      const [entry] = rest.splice(index, 1);
+      if (entry !== undefined) sample.push(entry);
+    }
+    return sample;
+  }
+
+  #takeReport(load: BackendServerLoad, report: LoadReport): void {
+    const oneWay = this.#delays.to(load.entry) / 2;
+    load.reported(report, this.#clock.now() - oneWay);
+    this.#serviceOf(load.entry.service).reported(report);
+  }
+
+  #takeResponse(load: BackendServerLoad, report: LoadReport, elapsedMilliseconds: number): void {
+    const { serviceMilliseconds } = report;
+    const waited = report.inFlight + report.queued > report.limit;
+    if (!waited && serviceMilliseconds > 0) {
+      this.#delays.record(load.entry, elapsedMilliseconds - serviceMilliseconds);
+    }
+    const response = Math.max(0, elapsedMilliseconds - this.#delays.to(load.entry));
+    load.responded(response, this.#clock.now());
+  }
+
+  #completionTime(service: ServiceLoad, load: BackendServerLoad, now: number): number {
+    const serviceTime = this.#serviceTime(service, load, now);
+    const limit = load.report?.limit ?? expectedLimit(load, now);
+    const occupied = expectedOccupied(service, load, limit, now) + 1;
+    const waiting = Math.max(0, occupied - limit) / limit;
+    const use = Math.min(1, occupied / limit) * USE_WEIGHT;
+    const time = this.#delays.to(load.entry) + serviceTime * (1 + waiting + use);
+    const failure = load.failureShare * Math.exp((load.failureAt - now) / FAILURE_DECAY);
+    return time / (1 - Math.min(MAXIMUM_FAILURE_SHARE, failure));
+  }
+
+  #serviceTime(service: ServiceLoad, load: BackendServerLoad, now: number): number {
+    const mean = service.meanServiceMilliseconds;
+    const reported = load.report?.serviceMilliseconds ?? 0;
+    const known = reported > 0 ? reported : mean;
+    const weight = Math.exp((load.reportAt - now) / RESPONSE_DECAY);
+    const aged = weight * known + (1 - weight) * mean;
+    return Math.max(aged, this.#stall(load, mean, now));
+  }
+
+  /** Time for which own outstanding tries have seen no answer, once it is longer than usual. */
+  #stall(load: BackendServerLoad, mean: number, now: number): number {
+    if (load.outstanding === 0) return 0;
+    const silent = now - load.progressAt - this.#delays.to(load.entry);
+    return silent > STALL_FACTOR * mean ? silent : 0;
+  }
+}
+
+/** Requests at the backend server: the report, aged towards the mean, and own ones since. */
+function expectedOccupied(
+  service: ServiceLoad,
+  load: BackendServerLoad,
+  limit: number,
+  now: number,
+): number {
+  const expected = service.meanUse * limit;
+  const { report } = load;
+  if (report === undefined) return expected + load.ownSince;
+  const weight = Math.exp((load.reportAt - now) / REPORT_DECAY);
+  return weight * (report.inFlight + report.queued) + (1 - weight) * expected + load.ownSince;
+}
--- /dev/null
+++ b/packages/routing/src/LeastOutstandingSelector.ts
@@ -0,0 +1,13 @@
+import type { BackendServerEntry } from '@hickorybridge/types';
+import { NearestRegionSelector } from './NearestRegionSelector.js';
+
+/** Baseline: the candidate with the fewest own outstanding requests; ties are broken at random. */
+export class LeastOutstandingSelector extends NearestRegionSelector {
+  protected override choose(
+    candidates: readonly BackendServerEntry[],
+  ): BackendServerEntry | undefined {
+    const fewest = Math.min(...candidates.map((entry) => this.outstandingOf(entry)));
+    const tied = candidates.filter((entry) => this.outstandingOf(entry) === fewest);
+    return tied[this.options.random.integerBelow(tied.length)];
+  }
+}
--- /dev/null
+++ b/packages/routing/src/RandomSelector.ts
@@ -0,0 +1,11 @@
+import type { BackendServerEntry } from '@hickorybridge/types';
+import { NearestRegionSelector } from './NearestRegionSelector.js';
+
+/** Baseline: any candidate, with equal probability. */
+export class RandomSelector extends NearestRegionSelector {
+  protected override choose(
+    candidates: readonly BackendServerEntry[],
+  ): BackendServerEntry | undefined {
+    return candidates[this.options.random.integerBelow(candidates.length)];
+  }
+}
--- /dev/null
+++ b/packages/routing/src/SelectorOptions.ts
@@ -0,0 +1,13 @@
+import type { RoutingSettings } from '@hickorybridge/configuration';
+import type { BackendServerDirectory } from '@hickorybridge/types';
+import type { Clock, RandomSource } from '@hickorybridge/utils';
+import type { SelectorContext } from './BackendServerSelector.js';
+
+/** What a selector is made of. */
+export interface SelectorOptions {
+  readonly settings: RoutingSettings;
+  readonly context: SelectorContext;
+  readonly directory: BackendServerDirectory;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+}
--- /dev/null
+++ b/packages/routing/src/TwoChoicesSelector.ts
@@ -0,0 +1,18 @@
+import type { BackendServerEntry } from '@hickorybridge/types';
+import { NearestRegionSelector } from './NearestRegionSelector.js';
+
+/** Baseline: the one with fewer own outstanding requests of two random candidates. */
+export class TwoChoicesSelector extends NearestRegionSelector {
+  protected override choose(
+    candidates: readonly BackendServerEntry[],
+  ): BackendServerEntry | undefined {
+    const { random } = this.options;
+    const firstIndex = random.integerBelow(candidates.length);
+    const first = candidates[firstIndex];
+    if (first === undefined || candidates.length === 1) return first;
+    const offset = 1 + random.integerBelow(candidates.length - 1);
+    const second = candidates[(firstIndex + offset) % candidates.length];
+    if (second === undefined) return first;
+    return this.outstandingOf(second) < this.outstandingOf(first) ? second : first;
+  }
+}
