Peer protocol: framed, multiplexed connections between nodes

Cause: nodes need one connection per peer for requests and control calls. Change: CBOR frames with a checked codec, a mutual handshake with version and proof of the shared key, streams with credit-based flow control, control calls, heartbeats, and deadlines translated by a lower bound of the clock difference. Conclusion: six tests over loopback pass, among them a 10 MB body beside small ones on one connection and an oversized frame before the handshake.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -23,6 +23,14 @@
       'no-use-before-define': 'off',
       '@typescript-eslint/no-use-before-define': ['error', { functions: false }],
       'no-continue': 'off',
+      // The compiler checks that a switch handles every member of a union and returns.
+      'consistent-return': 'off',
+      'default-case': 'off',
+      // The methods of streams that Node.js calls.
+      'no-underscore-dangle': [
+        'error',
+        { allow: ['_read', '_write', '_final', '_destroy', '_transform'] },
+      ],
       'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
     },
   },
--- /dev/null
+++ b/packages/peer-protocol/src/ClockOffset.ts
@@ -0,0 +1,36 @@
+const windowMilliseconds = 30_000;
+
+/**
+ * Translates times of a peer's monotonic clock into the own clock, never later than the truth.
+ *
+ * A sample is a message that was sent at `sentAt` (own clock) and answered when the peer's clock
+ * showed `peerClock`. The answer was made after `sentAt`, so `sentAt - peerClock` is at most the
+ * true difference, however long either process or the network paused. The largest of the samples
+ * is the best estimate; two windows limit the influence of clock drift.
+ */
+export class ClockOffset {
+  #current = Number.NEGATIVE_INFINITY;
+
+  #previous = Number.NEGATIVE_INFINITY;
+
+  #windowStart: number;
+
+  constructor(sentAt: number, peerClock: number) {
+    this.#windowStart = sentAt;
+    this.#current = sentAt - peerClock;
+  }
+
+  addSample(sentAt: number, peerClock: number, now: number): void {
+    if (now - this.#windowStart > windowMilliseconds) {
+      this.#previous = this.#current;
+      this.#current = Number.NEGATIVE_INFINITY;
+      this.#windowStart = now;
+    }
+    this.#current = Math.max(this.#current, sentAt - peerClock);
+  }
+
+  /** Gives the own time at which the peer's clock shows `peerTime`, at the latest. */
+  toOwnClock(peerTime: number): number {
+    return peerTime + Math.max(this.#current, this.#previous);
+  }
+}
--- /dev/null
+++ b/packages/peer-protocol/src/IncomingStream.ts
@@ -0,0 +1,106 @@
+import type { Readable } from 'node:stream';
+
+import { BodyReceiver } from './BodyReceiver.js';
+import { CreditWindow, streamWindowBytes } from './flowControl.js';
+import { BodyMode, FrameType, type OpenFrame } from './frame.js';
+import type { StreamConnection } from './OutgoingStream.js';
+import type { ExecutionOutcome, RequestBody, RequestExecutor } from './RequestExecutor.js';
+import { sendBody } from './sendBody.js';
+
+/** A request that a peer has sent to this process. */
+export class IncomingStream {
+  readonly #connection: StreamConnection;
+
+  readonly #frame: OpenFrame;
+
+  readonly #cancellation = new AbortController();
+
+  readonly #answerCredit = new CreditWindow(streamWindowBytes);
+
+  #requestBody: BodyReceiver | undefined;
+
+  #answerBody: Readable | undefined;
+
+  constructor(connection: StreamConnection, frame: OpenFrame) {
+    this.#connection = connection;
+    this.#frame = frame;
+  }
+
+  /** Runs the request and sends its outcome, straight down. */
+  async run(executor: RequestExecutor): Promise<void> {
+    const { head } = this.#frame;
+    const outcome = await executor.execute(head, this.#createBody(), this.#cancellation.signal);
+    await this.#sendOutcome(outcome);
+    this.#connection.forget(this.#frame.stream);
+    this.#requestBody?.destroy();
+  }
+
+  addCredit(bytes: number): void {
+    this.#answerCredit.add(bytes);
+  }
+
+  receiveBody(data: Buffer, end: boolean): boolean {
+    return this.#requestBody?.receive(data, end) ?? false;
+  }
+
+  /** The caller's side does not want the answer any more, or is gone. */
+  cancel(): void {
+    this.#cancellation.abort();
+    this.#answerCredit.close();
+    this.#answerBody?.destroy();
+  }
+
+  /** The body of the request broke off at its source. */
+  requestAborted(detail: string): void {
+    this.#requestBody?.destroy(new Error(detail));
+    this.cancel();
+  }
+
+  #createBody(): RequestBody {
+    const { bodyMode, body, stream } = this.#frame;
+    if (bodyMode === BodyMode.none) return { type: 'none' };
+    if (bodyMode === BodyMode.inline) return { type: 'buffered', data: body as Buffer };
+    const receiver = new BodyReceiver({
+      grantCredit: (bytes) => this.#connection.send({ type: FrameType.credit, stream, bytes }),
+      creditOnFirstRead: true,
+      abandoned: () => {},
+    });
+    this.#requestBody = receiver;
+    return { type: 'stream', stream: receiver };
+  }
+
+  async #sendOutcome(outcome: ExecutionOutcome): Promise<void> {
+    const { stream } = this.#frame;
+    switch (outcome.type) {
+      case 'refused':
+        this.#connection.send({
+          type: FrameType.refuse,
+          stream,
+          reason: outcome.reason,
+          report: outcome.report,
+        });
+        return;
+      case 'lost':
+        this.#connection.send({ type: FrameType.abort, stream, detail: outcome.detail });
+        return;
+      default:
+        await this.#sendAnswer(outcome);
+    }
+  }
+
+  async #sendAnswer(outcome: Extract<ExecutionOutcome, { type: 'answered' }>): Promise<void> {
+    const { stream } = this.#frame;
+    const { head, report, body } = outcome;
+    this.#answerBody = body;
+    this.#connection.send({ type: FrameType.answer, stream, head, report });
+    try {
+      const complete = await sendBody(body, this.#answerCredit, (data, end) =>
+        this.#connection.sendWhenWritable({ type: FrameType.body, stream, data, end }),
+      );
+      if (!complete) body.destroy();
+    } catch (error) {
+      const detail = `the body of the answer broke off: ${String(error)}`;
+      this.#connection.send({ type: FrameType.abort, stream, detail });
+    }
+  }
+}
--- /dev/null
+++ b/packages/peer-protocol/src/OutgoingStream.ts
@@ -0,0 +1,122 @@
+import type { Readable } from 'node:stream';
+
+import { BodyReceiver } from './BodyReceiver.js';
+import { CreditWindow } from './flowControl.js';
+import {
+  FrameType,
+  type AbortFrame,
+  type AnswerFrame,
+  type Frame,
+  type RefuseFrame,
+} from './frame.js';
+import type { ExecutionOutcome } from './RequestExecutor.js';
+import { sendBody } from './sendBody.js';
+
+/** What a stream needs from its connection. */
+export interface StreamConnection {
+  send(frame: Frame): void;
+  sendWhenWritable(frame: Frame): Promise<void> | undefined;
+  /** Forgets the stream; later frames for it are dropped and counted. */
+  forget(stream: number): void;
+}
+
+/** A request that this process has sent to a peer. */
+export class OutgoingStream {
+  readonly outcome: Promise<ExecutionOutcome>;
+
+  readonly #connection: StreamConnection;
+
+  readonly #stream: number;
+
+  readonly #bodyCredit = new CreditWindow(0);
+
+  #resolve!: (outcome: ExecutionOutcome) => void;
+
+  #settled = false;
+
+  #body: BodyReceiver | undefined;
+
+  constructor(connection: StreamConnection, stream: number) {
+    this.#connection = connection;
+    this.#stream = stream;
+    this.outcome = new Promise((resolve) => {
+      this.#resolve = resolve;
+    });
+  }
+
+  /** Sends the body of the request as the peer grants credit. */
+  async sendRequestBody(source: Readable): Promise<void> {
+    try {
+      await sendBody(source, this.#bodyCredit, (data, end) =>
+        this.#connection.sendWhenWritable({
+          type: FrameType.body,
+          stream: this.#stream,
+          data,
+          end,
+        }),
+      );
+    } catch (error) {
+      const detail = `the body of the request broke off: ${String(error)}`;
+      this.#connection.send({ type: FrameType.abort, stream: this.#stream, detail });
+    }
+  }
+
+  cancel(): void {
+    if (!this.#settled) this.#connection.send({ type: FrameType.cancel, stream: this.#stream });
+  }
+
+  addCredit(bytes: number): void {
+    this.#bodyCredit.add(bytes);
+  }
+
+  answered(frame: AnswerFrame): void {
+    if (this.#settled) return;
+    const body = new BodyReceiver({
+      grantCredit: (bytes) =>
+        this.#connection.send({ type: FrameType.credit, stream: this.#stream, bytes }),
+      creditOnFirstRead: false,
+      abandoned: () => this.#abandon(),
+    });
+    this.#body = body;
+    this.#settle({ type: 'answered', head: frame.head, report: frame.report, body });
+  }
+
+  refused(frame: RefuseFrame): void {
+    this.#finish();
+    this.#settle({ type: 'refused', reason: frame.reason, report: frame.report });
+  }
+
+  aborted(frame: AbortFrame): void {
+    this.lost(frame.detail);
+  }
+
+  /** The stream cannot be completed: the peer said so, or the connection is gone. */
+  lost(detail: string): void {
+    this.#finish();
+    this.#settle({ type: 'lost', detail });
+    this.#body?.destroy(new Error(detail));
+  }
+
+  /** Takes in data of the answer; false when the peer broke the protocol. */
+  receiveBody(data: Buffer, end: boolean): boolean {
+    if (this.#body === undefined) return false;
+    if (end) this.#finish();
+    return this.#body.receive(data, end);
+  }
+
+  #abandon(): void {
+    this.#connection.send({ type: FrameType.cancel, stream: this.#stream });
+    this.#finish();
+  }
+
+  #finish(): void {
+    this.#bodyCredit.close();
+    this.#connection.forget(this.#stream);
+  }
+
+  #settle(outcome: ExecutionOutcome): void {
+    if (this.#settled) return;
+    this.#settled = true;
+    this.#resolve(outcome);
+  }
+}
--- /dev/null
+++ b/packages/peer-protocol/src/PeerConnection.ts
@@ -0,0 +1,365 @@
+import type { Logger } from '@hickorybridge/logger';
+import {
+  Distance,
+  fail,
+  succeed,
+  type ControlCallError,
+  type ControlHandler,
+  type Location,
+  type NodeIdentity,
+  type RequestHead,
+  type Result,
+} from '@hickorybridge/types';
+import type { Clock } from '@hickorybridge/utils';
+
+import { BodyMode, FrameType, type Frame, type OpenFrame } from './frame.js';
+import type { FrameSocket } from './FrameSocket.js';
+import { IncomingStream } from './IncomingStream.js';
+import { OutgoingStream, type StreamConnection } from './OutgoingStream.js';
+import type { PeerIntroduction } from './performHandshake.js';
+import type { PeerTraffic } from './PeerTraffic.js';
+import type { ExecutionOutcome, RequestBody, RequestExecutor } from './RequestExecutor.js';
+
+const heartbeatWhenWaitingMilliseconds = 1000;
+const heartbeatWhenIdleMilliseconds = 20_000;
+const silenceLimitMilliseconds = 4000;
+// A timer that fires this late shows that this process itself was paused.
+const ownPauseMilliseconds = 2000;
+// A cancelled request is confirmed by the peer; a peer that does not is taken as lost.
+const cancelConfirmationMilliseconds = 1000;
+
+/** What a connection needs besides its socket. */
+export interface PeerConnectionOptions {
+  readonly socket: FrameSocket;
+  readonly introduction: PeerIntroduction;
+  /** The dialling side uses odd numbers for its streams, the accepting side even ones. */
+  readonly dialled: boolean;
+  readonly distance: Distance;
+  readonly executor: RequestExecutor;
+  readonly handlers: ReadonlyMap<string, ControlHandler>;
+  readonly traffic: PeerTraffic;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+interface PendingCall {
+  readonly resolve: (reply: Result<unknown, ControlCallError>) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** One connection with a peer. `run` is its task; it ends when the connection is closed. */
+export class PeerConnection implements RequestExecutor, StreamConnection, AsyncDisposable {
+  readonly identity: NodeIdentity;
+
+  readonly location: Location;
+
+  /** Frames for streams that are finished or were never opened. */
+  droppedFrames = 0;
+
+  readonly #options: PeerConnectionOptions;
+
+  readonly #outgoing = new Map<number, OutgoingStream>();
+
+  readonly #incoming = new Map<number, IncomingStream>();
+
+  readonly #calls = new Map<number, PendingCall>();
+
+  #nextStream: number;
+
+  #highestIncomingStream = 0;
+
+  #nextCall = 1;
+
+  #lastReceivedAt: number;
+
+  #lastTickAt: number;
+
+  /** When the oldest heartbeat without a reply was sent. */
+  #heartbeatSentAt: number | undefined;
+
+  constructor(options: PeerConnectionOptions) {
+    this.#options = options;
+    this.identity = options.introduction.identity;
+    this.location = options.introduction.location;
+    this.#nextStream = options.dialled ? 1 : 2;
+    this.#lastReceivedAt = options.clock.now();
+    this.#lastTickAt = this.#lastReceivedAt;
+  }
+
+  get closed(): boolean {
+    return this.#options.socket.closed;
+  }
+
+  /** Streams and calls that wait for the peer, and requests of the peer that run here. */
+  get outstanding(): number {
+    return this.#outgoing.size + this.#incoming.size + this.#calls.size;
+  }
+
+  /** Reads frames until the connection ends, then ends everything that depended on it. */
+  async run(): Promise<string> {
+    const reason = await this.#readFrames();
+    this.#options.socket.destroy();
+    this.#failEverything(reason);
+    return reason;
+  }
+
+  async execute(
+    head: RequestHead,
+    body: RequestBody,
+    signal: AbortSignal,
+  ): Promise<ExecutionOutcome> {
+    if (this.closed || signal.aborted) {
+      const reason = signal.aborted ? 'cancelled' : 'not-sent';
+      return { type: 'refused', reason, report: undefined };
+    }
+    const number = this.#nextStream;
+    this.#nextStream += 2;
+    const stream = new OutgoingStream(this, number);
+    this.#outgoing.set(number, stream);
+    this.send(createOpenFrame(number, head, body));
+    if (body.type === 'stream') stream.sendRequestBody(body.stream);
+    const onAbort = () => cancelAndConfirm(stream);
+    signal.addEventListener('abort', onAbort, { once: true });
+    const outcome = await stream.outcome;
+    signal.removeEventListener('abort', onAbort);
+    return outcome;
+  }
+
+  /** Sends a control call and waits for its reply. */
+  async call(
+    name: string,
+    body: unknown,
+    timeoutMilliseconds: number,
+  ): Promise<Result<unknown, ControlCallError>> {
+    if (this.closed) return fail({ type: 'unreachable', detail: 'the connection is closed' });
+    const call = this.#nextCall;
+    this.#nextCall += 1;
+    return new Promise((resolve) => {
+      const timer = setTimeout(
+        () => this.#settleCall(call, fail({ type: 'timeout' })),
+        timeoutMilliseconds,
+      );
+      this.#calls.set(call, { resolve, timer });
+      this.send({ type: FrameType.call, call, name, body });
+    });
+  }
+
+  send(frame: Frame): void {
+    if (this.closed) return;
+    const bytes = this.#options.socket.write(frame);
+    this.#options.traffic.add(this.#options.distance, frame, bytes);
+  }
+
+  sendWhenWritable(frame: Frame): Promise<void> | undefined {
+    this.send(frame);
+    return this.#options.socket.congested ? this.#options.socket.drained() : undefined;
+  }
+
+  forget(stream: number): void {
+    this.#outgoing.delete(stream);
+    this.#incoming.delete(stream);
+  }
+
+  /** Sends a heartbeat when one is due, and closes the connection when the peer is silent. */
+  tick(): void {
+    const now = this.#options.clock.now();
+    const ownPause = now - this.#lastTickAt > ownPauseMilliseconds;
+    this.#lastTickAt = now;
+    if (ownPause) this.#heartbeatSentAt = undefined;
+    if (this.#heartbeatSentAt !== undefined) {
+      if (now - this.#heartbeatSentAt > silenceLimitMilliseconds) this.#closeSilent();
+      return;
+    }
+    const silence = now - this.#lastReceivedAt;
+    const limit =
+      this.outstanding > 0 ? heartbeatWhenWaitingMilliseconds : heartbeatWhenIdleMilliseconds;
+    if (silence < limit) return;
+    this.#heartbeatSentAt = now;
+    this.send({ type: FrameType.heartbeat, clock: now });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#options.socket.end();
+  }
+
+  #closeSilent(): void {
+    this.#options.logger.warn('peer-silent', 'peer does not answer heartbeats; closing', {
+      peer: this.identity.nodeId,
+    });
+    this.#options.socket.destroy();
+  }
+
+  async #readFrames(): Promise<string> {
+    const { socket } = this.#options;
+    for (;;) {
+      const frame = socket.takeBuffered();
+      if (!frame.ok) return this.#describeMalformed(frame.error.detail);
+      if (frame.value === undefined) {
+        const more = await socket.receive();
+        if (!more.ok) return more.error.detail;
+        this.#lastReceivedAt = this.#options.clock.now();
+        continue;
+      }
+      const violation = this.#handle(frame.value);
+      if (violation !== undefined) return this.#describeMalformed(violation);
+    }
+  }
+
+  #describeMalformed(detail: string): string {
+    this.#options.logger.warn('peer-protocol-violation', 'closing the connection with a peer', {
+      peer: this.identity.nodeId,
+      detail,
+    });
+    return detail;
+  }
+
+  /** Handles one frame. Returns what is wrong with it, if the connection cannot go on. */
+  #handle(frame: Frame): string | undefined {
+    // A plain switch: this runs for every frame on the request path.
+    switch (frame.type) {
+      case FrameType.open:
+        return this.#open(frame);
+      case FrameType.body:
+        return this.#receiveBody(frame.stream, frame.data, frame.end);
+      case FrameType.credit:
+        return this.#withStream(frame.stream, (stream) => stream.addCredit(frame.bytes));
+      case FrameType.answer:
+        return this.#withOutgoing(frame.stream, (stream) => stream.answered(frame));
+      case FrameType.refuse:
+        return this.#withOutgoing(frame.stream, (stream) => stream.refused(frame));
+      case FrameType.abort:
+        this.#incoming.get(frame.stream)?.requestAborted(frame.detail);
+        return this.#incoming.has(frame.stream)
+          ? undefined
+          : this.#withOutgoing(frame.stream, (stream) => stream.aborted(frame));
+      case FrameType.cancel:
+        this.#incoming.get(frame.stream)?.cancel();
+        return undefined;
+      case FrameType.heartbeat:
+        this.#replyToHeartbeat(frame.clock);
+        return undefined;
+      case FrameType.heartbeatReply:
+        this.#heartbeatSentAt = undefined;
+        this.#addClockSample(frame.echoedClock, frame.clock);
+        return undefined;
+      case FrameType.call:
+        this.#answerCall(frame.call, frame.name, frame.body);
+        return undefined;
+      case FrameType.reply:
+        this.#receiveReply(frame.call, frame.error, frame.body);
+        return undefined;
+      default:
+        return `frame type ${frame.type} after the handshake`;
+    }
+  }
+
+  #open(frame: OpenFrame): string | undefined {
+    if (frame.stream <= this.#highestIncomingStream) {
+      return `stream ${frame.stream} was used before`;
+    }
+    const ownParity = this.#nextStream % 2;
+    if (frame.stream % 2 === ownParity) return `stream ${frame.stream} belongs to this side`;
+    this.#highestIncomingStream = frame.stream;
+    const deadline = this.#options.introduction.clockOffset.toOwnClock(frame.head.deadline);
+    const stream = new IncomingStream(this, { ...frame, head: { ...frame.head, deadline } });
+    this.#incoming.set(frame.stream, stream);
+    stream.run(this.#options.executor);
+    return undefined;
+  }
+
+  #receiveBody(number: number, data: Buffer, end: boolean): string | undefined {
+    const stream = this.#outgoing.get(number) ?? this.#incoming.get(number);
+    if (stream === undefined) {
+      this.droppedFrames += 1;
+      return undefined;
+    }
+    if (stream.receiveBody(data, end)) return undefined;
+    return `body of stream ${number} was not expected or exceeds its credit`;
+  }
+
+  #withStream(
+    number: number,
+    action: (stream: OutgoingStream | IncomingStream) => void,
+  ): undefined {
+    const stream = this.#outgoing.get(number) ?? this.#incoming.get(number);
+    if (stream === undefined) this.droppedFrames += 1;
+    else action(stream);
+    return undefined;
+  }
+
+  #withOutgoing(number: number, action: (stream: OutgoingStream) => void): undefined {
+    const stream = this.#outgoing.get(number);
+    if (stream === undefined) this.droppedFrames += 1;
+    else action(stream);
+    return undefined;
+  }
+
+  #replyToHeartbeat(echoedClock: number): void {
+    const clock = this.#options.clock.now();
+    this.send({ type: FrameType.heartbeatReply, echoedClock, clock });
+  }
+
+  #addClockSample(sentAt: number, peerClock: number): void {
+    const now = this.#options.clock.now();
+    // An echoed clock from the future was not sent by this process and would extend deadlines.
+    if (sentAt <= now) this.#options.introduction.clockOffset.addSample(sentAt, peerClock, now);
+  }
+
+  async #answerCall(call: number, name: string, body: unknown): Promise<void> {
+    const handler = this.#options.handlers.get(name);
+    if (handler === undefined) {
+      const error = `control call "${name}" is not known`;
+      this.send({ type: FrameType.reply, call, error, body: null });
+      return;
+    }
+    try {
+      const reply: unknown = await handler(body, this.identity);
+      this.send({ type: FrameType.reply, call, error: undefined, body: reply ?? null });
+    } catch (error) {
+      this.send({ type: FrameType.reply, call, error: String(error), body: null });
+    }
+  }
+
+  #receiveReply(call: number, error: string | undefined, body: unknown): void {
+    const reply = error === undefined ? succeed(body) : fail({ type: 'rejected', detail: error });
+    this.#settleCall(call, reply as Result<unknown, ControlCallError>);
+  }
+
+  #settleCall(call: number, reply: Result<unknown, ControlCallError>): void {
+    const pending = this.#calls.get(call);
+    if (pending === undefined) return;
+    this.#calls.delete(call);
+    clearTimeout(pending.timer);
+    pending.resolve(reply);
+  }
+
+  #failEverything(reason: string): void {
+    const detail = `the connection with node "${this.identity.nodeId}" ended: ${reason}`;
+    for (const stream of [...this.#outgoing.values()]) stream.lost(detail);
+    for (const stream of [...this.#incoming.values()]) stream.requestAborted(detail);
+    for (const call of [...this.#calls.keys()]) {
+      this.#settleCall(call, fail({ type: 'unreachable', detail }));
+    }
+  }
+}
+
+function createOpenFrame(stream: number, head: RequestHead, body: RequestBody): OpenFrame {
+  const type = FrameType.open;
+  switch (body.type) {
+    case 'none':
+      return { type, stream, head, bodyMode: BodyMode.none, body: undefined };
+    case 'buffered':
+      return { type, stream, head, bodyMode: BodyMode.inline, body: body.data };
+    default:
+      return { type, stream, head, bodyMode: BodyMode.stream, body: undefined };
+  }
+}
+
+function cancelAndConfirm(stream: OutgoingStream): void {
+  stream.cancel();
+  const timer = setTimeout(
+    () => stream.lost('the request was cancelled and the peer did not confirm it'),
+    cancelConfirmationMilliseconds,
+  );
+  stream.outcome.then(() => clearTimeout(timer));
+}
--- /dev/null
+++ b/packages/peer-protocol/src/PeerPool.ts
@@ -0,0 +1,304 @@
+import type { Logger } from '@hickorybridge/logger';
+import {
+  distanceBetween,
+  fail,
+  succeed,
+  type ControlCallError,
+  type ControlChannel,
+  type ControlHandler,
+  type NodeIdentity,
+  type RequestHead,
+  type Result,
+  type SocketAddress,
+} from '@hickorybridge/types';
+import type { Clock } from '@hickorybridge/utils';
+import { createConnection, createServer, type Server, type Socket } from 'node:net';
+
+import { FrameSocket } from './FrameSocket.js';
+import type { LocalEndpoint } from './handshake.js';
+import { PeerConnection } from './PeerConnection.js';
+import { PeerTraffic } from './PeerTraffic.js';
+import {
+  acceptHandshake,
+  dialHandshake,
+  type HandshakeError,
+  type PeerIntroduction,
+} from './performHandshake.js';
+import type { ExecutionOutcome, RequestBody, RequestExecutor } from './RequestExecutor.js';
+
+const dialTimeoutMilliseconds = 1000;
+const tickMilliseconds = 500;
+// Bounds the memory that processes without the shared key can take.
+const maxPendingHandshakes = 256;
+
+/** What a pool needs. */
+export interface PeerPoolOptions {
+  readonly endpoint: LocalEndpoint;
+  /** Gives the address of a node's peer listener, or `undefined` when the node is not known. */
+  readonly addressOf: (nodeId: string) => SocketAddress | undefined;
+  /** Runs the requests that peers send to this node. */
+  readonly executor: RequestExecutor;
+  /** Is told of each handshake, with the peer's deployment number. */
+  readonly introduced?: (introduction: PeerIntroduction) => void;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** The listener for peers could not be opened. */
+export interface ListenError {
+  readonly type: 'listen-failed';
+  readonly detail: string;
+}
+
+/** All connections with peers: one for each peer in use, dialled when it is first needed. */
+export class PeerPool implements ControlChannel, AsyncDisposable {
+  readonly traffic = new PeerTraffic();
+
+  readonly #options: PeerPoolOptions;
+
+  readonly #handlers = new Map<string, ControlHandler>();
+
+  readonly #connections = new Map<string, PeerConnection>();
+
+  readonly #all = new Set<PeerConnection>();
+
+  readonly #dialling = new Map<string, Promise<Result<PeerConnection, ControlCallError>>>();
+
+  readonly #handshakes = new Set<Socket>();
+
+  readonly #ticker: NodeJS.Timeout;
+
+  #server: Server | undefined;
+
+  #disposed = false;
+
+  constructor(options: PeerPoolOptions) {
+    this.#options = options;
+    this.#ticker = setInterval(() => this.#tick(), tickMilliseconds);
+    this.#ticker.unref();
+  }
+
+  /** Number of open connections. */
+  get size(): number {
+    return this.#all.size;
+  }
+
+  /** Frames that came for streams that were finished or unknown. */
+  get droppedFrames(): number {
+    return [...this.#all].reduce((sum, connection) => sum + connection.droppedFrames, 0);
+  }
+
+  /** Opens the listener for peers. */
+  async listen(address: SocketAddress): Promise<Result<SocketAddress, ListenError>> {
+    const server = createServer((socket) => this.#accept(socket));
+    this.#server = server;
+    return new Promise((resolve) => {
+      server.once('error', (error) =>
+        resolve(fail({ type: 'listen-failed', detail: error.message })),
+      );
+      server.listen(address.port, address.host, () => {
+        const bound = server.address();
+        const port = bound !== null && typeof bound === 'object' ? bound.port : address.port;
+        resolve(succeed({ host: address.host, port }));
+      });
+    });
+  }
+
+  handle(name: string, handler: ControlHandler): void {
+    this.#handlers.set(name, handler);
+  }
+
+  async call(
+    nodeId: string,
+    name: string,
+    body: unknown,
+    timeoutMilliseconds: number,
+  ): Promise<Result<unknown, ControlCallError>> {
+    const connection = await this.#connectionTo(nodeId);
+    if (!connection.ok) return connection;
+    return connection.value.call(name, body, timeoutMilliseconds);
+  }
+
+  async connect(
+    address: SocketAddress,
+    timeoutMilliseconds: number,
+  ): Promise<Result<NodeIdentity, ControlCallError>> {
+    const connection = await this.#dial(address, timeoutMilliseconds);
+    return connection.ok ? succeed(connection.value.identity) : connection;
+  }
+
+  /** Sends a request to a node. Without a connection it is refused as `not-sent`. */
+  async execute(
+    nodeId: string,
+    head: RequestHead,
+    body: RequestBody,
+    signal: AbortSignal,
+  ): Promise<ExecutionOutcome> {
+    const open = this.#openConnection(nodeId);
+    if (open !== undefined) return open.execute(head, body, signal);
+    const connection = await this.#connectionTo(nodeId);
+    if (!connection.ok) return { type: 'refused', reason: 'not-sent', report: undefined };
+    return connection.value.execute(head, body, signal);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#disposed = true;
+    clearInterval(this.#ticker);
+    for (const socket of this.#handshakes) socket.destroy();
+    const closing = [...this.#all].map((connection) => connection[Symbol.asyncDispose]());
+    await Promise.all(closing);
+    const server = this.#server;
+    if (server === undefined || !server.listening) return;
+    await new Promise<void>((resolve) => {
+      server.close(() => resolve());
+    });
+  }
+
+  #openConnection(nodeId: string): PeerConnection | undefined {
+    const connection = this.#connections.get(nodeId);
+    return connection === undefined || connection.closed ? undefined : connection;
+  }
+
+  async #connectionTo(nodeId: string): Promise<Result<PeerConnection, ControlCallError>> {
+    const open = this.#openConnection(nodeId);
+    if (open !== undefined) return succeed(open);
+    const pending = this.#dialling.get(nodeId);
+    if (pending !== undefined) return pending;
+    const address = this.#options.addressOf(nodeId);
+    if (address === undefined) {
+      return fail({ type: 'unreachable', detail: `the address of node "${nodeId}" is not known` });
+    }
+    const dialling = this.#dialNode(nodeId, address);
+    this.#dialling.set(nodeId, dialling);
+    const result = await dialling;
+    this.#dialling.delete(nodeId);
+    return result;
+  }
+
+  /** Dials the address of a node and checks that this very node answers there. */
+  async #dialNode(
+    nodeId: string,
+    address: SocketAddress,
+  ): Promise<Result<PeerConnection, ControlCallError>> {
+    const connection = await this.#dial(address, dialTimeoutMilliseconds);
+    if (!connection.ok || connection.value.identity.nodeId === nodeId) return connection;
+    const found = connection.value.identity.nodeId;
+    const detail = `node "${found}" answers at the address of node "${nodeId}"`;
+    return fail({ type: 'unreachable', detail });
+  }
+
+  async #dial(
+    address: SocketAddress,
+    timeoutMilliseconds: number,
+  ): Promise<Result<PeerConnection, ControlCallError>> {
+    if (this.#disposed) return fail({ type: 'unreachable', detail: 'this node is stopping' });
+    const socket = await openSocket(address, timeoutMilliseconds);
+    if (!socket.ok) return socket;
+    const frames = new FrameSocket(socket.value);
+    const { endpoint, clock } = this.#options;
+    const handshake = await dialHandshake(frames, endpoint, clock);
+    if (!handshake.ok) {
+      frames.destroy();
+      this.#logHandshakeFailure(`${address.host}:${address.port}`, handshake.error);
+      return fail({ type: 'unreachable', detail: handshake.error.detail });
+    }
+    return succeed(this.#start(frames, handshake.value, true));
+  }
+
+  async #accept(socket: Socket): Promise<void> {
+    if (this.#disposed || this.#handshakes.size >= maxPendingHandshakes) {
+      socket.destroy();
+      return;
+    }
+    this.#handshakes.add(socket);
+    const frames = new FrameSocket(socket);
+    const { endpoint, clock } = this.#options;
+    const handshake = await acceptHandshake(frames, endpoint, clock);
+    this.#handshakes.delete(socket);
+    if (handshake.ok) {
+      this.#start(frames, handshake.value, false);
+      return;
+    }
+    this.#logHandshakeFailure(frames.remoteAddress, handshake.error);
+    frames.end();
+  }
+
+  #start(socket: FrameSocket, introduction: PeerIntroduction, dialled: boolean): PeerConnection {
+    const { clock, endpoint, executor, logger } = this.#options;
+    const connection = new PeerConnection({
+      socket,
+      introduction,
+      dialled,
+      distance: distanceBetween(endpoint.location, introduction.location),
+      executor,
+      handlers: this.#handlers,
+      traffic: this.traffic,
+      clock,
+      logger,
+    });
+    this.#register(connection);
+    this.#options.introduced?.(introduction);
+    this.#supervise(connection);
+    return connection;
+  }
+
+  /** Keeps the first open connection with an incarnation; a newer incarnation replaces it. */
+  #register(connection: PeerConnection): void {
+    const { nodeId, incarnation } = connection.identity;
+    this.#all.add(connection);
+    const existing = this.#openConnection(nodeId);
+    if (existing === undefined || existing.identity.incarnation < incarnation) {
+      this.#connections.set(nodeId, connection);
+    }
+  }
+
+  async #supervise(connection: PeerConnection): Promise<void> {
+    const { nodeId } = connection.identity;
+    const reason = await connection.run();
+    this.#all.delete(connection);
+    if (this.#connections.get(nodeId) === connection) {
+      const other = [...this.#all].find((candidate) => candidate.identity.nodeId === nodeId);
+      if (other === undefined) this.#connections.delete(nodeId);
+      else this.#connections.set(nodeId, other);
+    }
+    if (!this.#disposed) {
+      this.#options.logger.info('peer-disconnected', 'connection with a peer ended', {
+        peer: nodeId,
+        reason,
+      });
+    }
+  }
+
+  #logHandshakeFailure(address: string, error: HandshakeError): void {
+    if (this.#disposed) return;
+    this.#options.logger.warn('peer-handshake-failed', 'a connection with a peer was not set up', {
+      address,
+      reason: error.detail,
+    });
+  }
+
+  #tick(): void {
+    for (const connection of this.#all) connection.tick();
+  }
+}
+
+async function openSocket(
+  address: SocketAddress,
+  timeoutMilliseconds: number,
+): Promise<Result<Socket, ControlCallError>> {
+  return new Promise((resolve) => {
+    const socket = createConnection({ host: address.host, port: address.port });
+    const timer = setTimeout(
+      () => socket.destroy(new Error(`no connection within ${timeoutMilliseconds} ms`)),
+      timeoutMilliseconds,
+    );
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      resolve(succeed(socket));
+    });
+    socket.once('error', (error) => {
+      clearTimeout(timer);
+      resolve(fail({ type: 'unreachable', detail: error.message }));
+    });
+  });
+}
--- /dev/null
+++ b/packages/peer-protocol/src/RequestExecutor.ts
@@ -0,0 +1,32 @@
+import type { AnswerHead, LoadReport, RefusalReason, RequestHead } from '@hickorybridge/types';
+import type { Readable } from 'node:stream';
+
+/** The body of a request. A buffered body can be sent again; a stream only until it is read. */
+export type RequestBody =
+  | { readonly type: 'none' }
+  | { readonly type: 'buffered'; readonly data: Buffer }
+  | { readonly type: 'stream'; readonly stream: Readable };
+
+/** How the execution of a request at a backend server's node ended. */
+export type ExecutionOutcome =
+  /** `body` fails when the answer cannot be completed; it never ends early without an error. */
+  | {
+      readonly type: 'answered';
+      readonly head: AnswerHead;
+      readonly report: LoadReport;
+      readonly body: Readable;
+    }
+  /** The request surely did not run. */
+  | {
+      readonly type: 'refused';
+      readonly reason: RefusalReason;
+      readonly report: LoadReport | undefined;
+    }
+  /** The request may have run. */
+  | { readonly type: 'lost'; readonly detail: string };
+
+/** Runs requests at a backend server: at the own host, or at a peer over its connection. */
+export interface RequestExecutor {
+  /** An abort of the signal cancels; the outcome then says whether the request may have run. */
+  execute(head: RequestHead, body: RequestBody, signal: AbortSignal): Promise<ExecutionOutcome>;
+}
--- /dev/null
+++ b/packages/peer-protocol/src/__tests__/PeerPool.test.ts
@@ -0,0 +1,177 @@
+import { silentLogger } from '@hickorybridge/logger';
+import type { LoadReport, RequestHead, SocketAddress } from '@hickorybridge/types';
+import { systemClock } from '@hickorybridge/utils';
+import assert from 'node:assert/strict';
+import { createConnection } from 'node:net';
+import { buffer } from 'node:stream/consumers';
+import { Readable } from 'node:stream';
+import { test } from 'node:test';
+
+import { PeerPool, type RequestExecutor } from '../index.js';
+
+const report: LoadReport = {
+  limit: 4,
+  inFlight: 1,
+  queued: 0,
+  serviceMilliseconds: 3,
+  rampShare: 1,
+};
+
+function createHead(overrides: Partial<RequestHead> = {}): RequestHead {
+  return {
+    requestId: 'request-1',
+    service: 'catalogue',
+    backendServerId: 'catalogue-1',
+    incarnation: 1,
+    kind: 'read',
+    idempotent: true,
+    weight: 1,
+    method: 'GET',
+    target: '/boxes/1',
+    headers: ['accept', '*/*'],
+    deadline: systemClock.now() + 1000,
+    depth: 0,
+    attempts: 2,
+    ...overrides,
+  };
+}
+
+interface PoolOptions {
+  readonly nodeId: string;
+  readonly executor: RequestExecutor;
+  readonly addresses: Map<string, SocketAddress>;
+  readonly sharedKey?: string;
+}
+
+async function createPool(options: PoolOptions): Promise<PeerPool> {
+  const pool = new PeerPool({
+    endpoint: {
+      identity: { nodeId: options.nodeId, incarnation: 1 },
+      location: { region: 'south', failureDomain: 'south-1' },
+      sharedKey: options.sharedKey,
+      deploymentNumber: () => 7,
+    },
+    addressOf: (nodeId) => options.addresses.get(nodeId),
+    executor: options.executor,
+    clock: systemClock,
+    logger: silentLogger,
+  });
+  const address = await pool.listen({ host: '127.0.0.1', port: 0 });
+  assert.ok(address.ok);
+  options.addresses.set(options.nodeId, address.value);
+  return pool;
+}
+
+const refusing: RequestExecutor = {
+  execute: async () => ({ type: 'refused', reason: 'leaving', report }),
+};
+
+const echoing: RequestExecutor = {
+  execute: async (head, body) => {
+    const data = body.type === 'stream' ? body.stream : Readable.from([Buffer.from(head.target)]);
+    return { type: 'answered', head: { status: 200, headers: [] }, report, body: data };
+  },
+};
+
+test('bodies of several requests on one connection reach their own callers', async () => {
+  const addresses = new Map<string, SocketAddress>();
+  await using first = await createPool({ nodeId: 'first', executor: refusing, addresses });
+  await using second = await createPool({ nodeId: 'second', executor: echoing, addresses });
+  const { signal } = new AbortController();
+  const sizes = [10_000_000, 1000, 300_000, 1];
+  const answers = await Promise.all(
+    sizes.map(async (size, index) => {
+      const data = Buffer.alloc(size, index + 1);
+      const body = { type: 'stream', stream: Readable.from([data]) } as const;
+      const outcome = await first.execute('second', createHead(), body, signal);
+      assert.equal(outcome.type, 'answered');
+      return outcome.type === 'answered' ? (await buffer(outcome.body)).equals(data) : false;
+    }),
+  );
+  assert.deepEqual(answers, [true, true, true, true]);
+  assert.equal(first.size, 1);
+  assert.equal(second.size, 1);
+});
+
+test('a refusal reaches the router, and an unknown node is refused as not sent', async () => {
+  const addresses = new Map<string, SocketAddress>();
+  await using first = await createPool({ nodeId: 'first', executor: echoing, addresses });
+  await using second = await createPool({ nodeId: 'second', executor: refusing, addresses });
+  const { signal } = new AbortController();
+  const outcome = await first.execute('second', createHead(), { type: 'none' }, signal);
+  assert.deepEqual(outcome, { type: 'refused', reason: 'leaving', report });
+  const notSent = await second.execute('third', createHead(), { type: 'none' }, signal);
+  assert.deepEqual(notSent, { type: 'refused', reason: 'not-sent', report: undefined });
+});
+
+test('a connection that ends before the answer leaves the request lost, not refused', async () => {
+  const addresses = new Map<string, SocketAddress>();
+  const waiting: RequestExecutor = { execute: () => new Promise(() => {}) };
+  await using first = await createPool({ nodeId: 'first', executor: echoing, addresses });
+  const second = await createPool({ nodeId: 'second', executor: waiting, addresses });
+  const { signal } = new AbortController();
+  const pending = first.execute('second', createHead(), { type: 'none' }, signal);
+  setTimeout(() => second[Symbol.asyncDispose](), 50);
+  assert.equal((await pending).type, 'lost');
+});
+
+test('an answer whose source fails breaks off with an error instead of ending early', async () => {
+  const addresses = new Map<string, SocketAddress>();
+  const breaking: RequestExecutor = {
+    execute: async () => ({
+      type: 'answered',
+      head: { status: 200, headers: [] },
+      report,
+      body: Readable.from(
+        (async function* produce() {
+          yield Buffer.alloc(1000);
+          throw new Error('backend server reset the connection');
+        })(),
+        { objectMode: false },
+      ),
+    }),
+  };
+  await using first = await createPool({ nodeId: 'first', executor: echoing, addresses });
+  await using second = await createPool({ nodeId: 'second', executor: breaking, addresses });
+  assert.equal(second.size, 0);
+  const { signal } = new AbortController();
+  const outcome = await first.execute('second', createHead(), { type: 'none' }, signal);
+  assert.ok(outcome.type === 'answered');
+  await assert.rejects(buffer(outcome.body), /broke off/);
+});
+
+test('a process without the shared key gets no connection', async () => {
+  const addresses = new Map<string, SocketAddress>();
+  const sharedKey = 'correct';
+  await using first = await createPool({
+    nodeId: 'first',
+    executor: echoing,
+    addresses,
+    sharedKey: 'wrong',
+  });
+  await using second = await createPool({
+    nodeId: 'second',
+    executor: echoing,
+    addresses,
+    sharedKey,
+  });
+  const reply = await first.call('second', 'anything', {}, 500);
+  assert.ok(!reply.ok);
+  assert.equal(reply.error.type, 'unreachable');
+  assert.equal(second.size, 0);
+});
+
+test('an oversized frame before the handshake closes only its own connection', async () => {
+  const addresses = new Map<string, SocketAddress>();
+  await using first = await createPool({ nodeId: 'first', executor: echoing, addresses });
+  await using second = await createPool({ nodeId: 'second', executor: echoing, addresses });
+  second.handle('ping', () => 'pong');
+  const address = addresses.get('second') as SocketAddress;
+  const intruder = createConnection(address.port, address.host);
+  intruder.write(Buffer.from([0x7f, 0xff, 0xff, 0xff, 1, 2, 3]));
+  await new Promise((resolve) => {
+    intruder.resume().once('close', resolve);
+  });
+  const reply = await first.call('second', 'ping', {}, 500);
+  assert.deepEqual(reply, { ok: true, value: 'pong' });
+});
--- a/packages/types/src/requestHead.ts
+++ b/packages/types/src/requestHead.ts
@@ -44,6 +44,8 @@
   backendServerShed: 'backend-server-shed',
   cancelled: 'cancelled',
   notReady: 'not-ready',
+  /** There was no connection to the node, so nothing was sent. */
+  notSent: 'not-sent',
 } as const;
 
 export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason];
