--- /dev/null
+++ b/packages/logger/src/formatLine.ts
@@ -0,0 +1,46 @@
+import type { LogFields } from './Logger.js';
+
+/** One line of the log before it is formatted. */
+export interface LogLine {
+  readonly time: Date;
+  readonly level: string;
+  readonly event: string;
+  readonly message: string;
+  readonly fields: LogFields;
+}
+
+/** Formats a line as one JSON object; the fixed members win over fields of the same name. */
+export function formatJsonLine(line: LogLine): string {
+  return JSON.stringify({
+    time: line.time.toISOString(),
+    level: line.level,
+    event: line.event,
+    message: line.message,
+    ...withoutFixedMembers(line.fields),
+  });
+}
+
+/** Formats a line for people: time, level, event, message, then the fields as `name=value`. */
+export function formatTextLine(line: LogLine): string {
+  const head = `${line.time.toISOString()} ${line.level.padEnd(5)} ${line.event}: `;
+  const fields = Object.entries(line.fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([name, value]) => ` ${name}=${formatFieldValue(value)}`)
+    .join('');
+  return head + escapeControl(line.message) + fields;
+}
+
+function withoutFixedMembers(fields: LogFields): LogFields {
+  const { time, level, event, message, ...others } = fields;
+  return others;
+}
+
+function formatFieldValue(value: string | number | boolean | undefined): string {
+  const text = String(value);
+  return /^[^\s"=\p{Cc}]+$/u.test(text) ? text : JSON.stringify(text);
+}
+
+/** Keeps an entry on one line and free of terminal control sequences. */
+function escapeControl(text: string): string {
+  return text.replaceAll(/\p{Cc}/gu, (character) => JSON.stringify(character).slice(1, -1));
+}
--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -1,1 +1,2 @@
 export * from './Logger.js';
+export * from './createLogger.js';
