Store client over HTTP; stand-ins for store, backend server and link

The first whole path needs a store to talk to, backend servers that announce themselves, and a link that can be delayed and cut.

LinkRelay recognises the region of a connecting node by the region name in its first bytes, so one peer address serves both regions.

--- /dev/null
+++ b/packages/stand-ins/src/__tests__/LinkRelay.test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect, createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { describe, it } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { LinkRelay } from '../index.js';
+
+const delayMilliseconds = 30;
+
+async function startEcho() {
+  const server = createServer((socket) => socket.pipe(socket)).listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return { server, address: { host: '127.0.0.1', port: (server.address() as AddressInfo).port } };
+}
+
+async function roundTrip(address: { host: string; port: number }, message: string) {
+  const socket = connect(address);
+  const start = performance.now();
+  socket.write(message);
+  const [received] = await once(socket, 'data');
+  socket.destroy();
+  return { received: String(received), milliseconds: performance.now() - start };
+}
+
+function startRelay() {
+  const settings = { delayMilliseconds, megabitsPerSecond: 30 };
+  return new LinkRelay({ regions: ['montevideo', 'minas'], settings });
+}
+
+describe('LinkRelay', () => {
+  it('guards against traffic inside a region that is delayed or counted as link traffic', async () => {
+    const { server, address } = await startEcho();
+    await using relay = startRelay();
+    const route = await relay.addRoute({ target: address, region: 'minas' });
+    const near = await roundTrip(route, 'hello from minas');
+    assert.ok(near.milliseconds < delayMilliseconds, `${near.milliseconds} ms`);
+    assert.equal(relay.forth.bytes + relay.back.bytes, 0);
+    const far = await roundTrip(route, 'hello from montevideo');
+    assert.equal(far.received, 'hello from montevideo');
+    assert.ok(far.milliseconds >= 2 * delayMilliseconds - 2, `${far.milliseconds} ms`);
+    assert.equal(relay.forth.bytes, 'hello from montevideo'.length);
+    server.close();
+  });
+
+  it('guards against data that passes a cut, or is lost by it', async () => {
+    const { server, address } = await startEcho();
+    await using relay = startRelay();
+    const route = await relay.addRoute({ target: address, region: 'minas', from: 'montevideo' });
+    relay.back.setCut(true);
+    const answer = roundTrip(route, 'ping');
+    const first = await Promise.race([answer, sleep(150, 'cut')]);
+    assert.equal(first, 'cut');
+    relay.setCut(false);
+    assert.equal((await answer).received, 'ping');
+    server.close();
+  });
+});
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,1 +1,2 @@
+export * from './HttpPlatformStore.js';
 export * from './PlatformStore.js';
