Settings: address that a node advertises to its peers

A relay, or any address translation, in front of a node's peers' listener cannot work while the node tells its peers the address it listens on. listeners.advertisedPeers is optional; without it nothing changes.

--- a/packages/configuration/src/NodeSettings.ts
+++ b/packages/configuration/src/NodeSettings.ts
@@ -12,6 +12,8 @@
     readonly announcements: SocketAddress;
     readonly operators: SocketAddress;
     readonly peers: SocketAddress;
+    /** Address under which other nodes reach the peers' listener; `peers` when it is absent. */
+    readonly advertisedPeers?: SocketAddress | undefined;
   };
   readonly store: {
     readonly url: string;
--- a/packages/configuration/src/nodeSettingsSchema.ts
+++ b/packages/configuration/src/nodeSettingsSchema.ts
@@ -43,6 +43,9 @@
     .describe('Listener for announcements of backend servers on this host (HTTP).'),
   operators: socketAddress.prefault('127.0.0.1:8082').describe('Listener for operators (HTTP).'),
   peers: socketAddress.describe('Listener for other nodes (framed TCP).'),
+  advertisedPeers: socketAddress
+    .optional()
+    .describe("Address under which other nodes reach the peers' listener; `peers` when absent."),
 });
 
 const store = z.strictObject({
