Replay: start a deployment as real processes on loopback

DeploymentCluster starts the stand-in store, applies the deployment file with the command line, writes the settings of each node and starts one node beside each backend server. All processes end with the program that started them. Backend servers append each run to a file, so a killed one still accounts for its runs.

--- a/packages/replay/src/index.ts
+++ b/packages/replay/src/index.ts
@@ -1,1 +1,11 @@
-export {};
+export * from './cluster/binaries.js';
+export * from './cluster/clusterProfile.js';
+export * from './cluster/DeploymentCluster.js';
+export * from './cluster/Host.js';
+export type { HostPlan } from './cluster/hostPlan.js';
+export * from './cluster/httpJson.js';
+export * from './cluster/ManagedProcess.js';
+export * from './cluster/PortAllocator.js';
+export * from './cluster/ProcessGroup.js';
+export * from './cluster/runCommandLine.js';
+export * from './cluster/waitUntil.js';
--- a/packages/stand-ins/src/backendServer/StandInBackendServer.ts
+++ b/packages/stand-ins/src/backendServer/StandInBackendServer.ts
@@ -9,6 +9,7 @@
 import type { BackendServerControl } from './control.js';
 import { RunState, preciseWallTime } from './run.js';
 import type { Run, RunReport } from './run.js';
+import { RunLog } from './RunLog.js';
 import { coldStartFactor, drawServiceTime } from './serviceTime.js';
 import { SlotPool } from './SlotPool.js';
 
@@ -25,6 +26,8 @@
   readonly node?: string;
   readonly seed?: number;
   readonly control?: Partial<BackendServerControl>;
+  /** File to which each run is appended when it starts and when it ends; survives a kill. */
+  readonly runLog?: string;
 }
 
 /** Stand-in for a backend server: works on requests in slots and records every run. */
@@ -33,6 +36,8 @@
 
   readonly runs: Run[] = [];
 
+  readonly #runLog: RunLog | undefined;
+
   readonly #options: BackendServerOptions;
 
   readonly #slots: SlotPool;
@@ -58,6 +63,7 @@
     this.control = { ...defaultControl, ...options.control };
     this.#slots = new SlotPool(this.control.slots - this.control.noisySlots);
     this.#random = new RandomSource(options.seed ?? 1);
+    this.#runLog = options.runLog === undefined ? undefined : new RunLog(options.runLog);
   }
 
   /** Starts both listeners and announces the backend server to its node. */
@@ -108,6 +114,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#announcer?.[Symbol.asyncDispose]();
+    this.#runLog?.close();
     if (this.#requests !== undefined) await closeHttp(this.#requests);
     if (this.#controls !== undefined) await closeHttp(this.#controls);
   }
@@ -221,7 +228,8 @@
     cancellation: AbortSignal,
   ): Promise<void> {
     const run = describeRun(request);
-    this.runs.push(run);
+    const number = this.runs.push(run);
+    this.#runLog?.append(number, run);
     try {
       await sleep(this.#serviceTime(run.mark), undefined, { signal: cancellation });
       run.state = RunState.completed;
@@ -229,6 +237,7 @@
       run.state = RunState.cancelled;
     }
     run.end = preciseWallTime();
+    this.#runLog?.append(number, run);
     if (run.state === RunState.completed) await this.#answer(run, request, response);
   }
 
--- a/packages/stand-ins/src/backendServerBin.ts
+++ b/packages/stand-ins/src/backendServerBin.ts
@@ -11,6 +11,7 @@
   'node',
   'seed',
   'control',
+  'run-log',
 ]);
 
 if (values.id === undefined || values.service === undefined) {
@@ -26,6 +27,7 @@
   controlPort: Number(values['control-port'] ?? '0'),
   ...(values.node === undefined ? {} : { node: values.node }),
   seed: Number(values.seed ?? '1'),
+  ...(values['run-log'] === undefined ? {} : { runLog: values['run-log'] }),
   control: JSON.parse(values.control ?? '{}'),
 });
 process.stdout.write(`${JSON.stringify({ url: server.url, controlUrl: server.controlUrl })}\n`);
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,6 +1,8 @@
 export { answerBody } from './backendServer/answer.js';
 export * from './backendServer/control.js';
 export * from './backendServer/run.js';
+export { readRunLog } from './backendServer/RunLog.js';
+export type { AnnouncementBody } from './backendServer/Announcer.js';
 export * from './backendServer/StandInBackendServer.js';
 export { closeHttp, listenHttp, readJson, sendJson, urlOf } from './httpListener.js';
 export type { DirectionSettings } from './link/Direction.js';
