--- /dev/null
+++ b/packages/node/src/Node.ts
@@ -0,0 +1,186 @@
+import type { NodeSettings } from '@hickorybridge/configuration';
+import type { Logger } from '@hickorybridge/logger';
+import type { Membership } from '@hickorybridge/membership';
+import type { PeerPool } from '@hickorybridge/peer-protocol';
+import {
+  Outcome,
+  ProblemName,
+  succeed,
+  type NodeIdentity,
+  type Result,
+} from '@hickorybridge/types';
+import type { Clock } from '@hickorybridge/utils';
+
+import type { AdmissionExecutor } from './admitting/AdmissionExecutor.js';
+import type { LocalBackendServers } from './admitting/LocalBackendServers.js';
+import type { HttpListener, HttpListenError } from './listeners/HttpListener.js';
+import type { OpenExchanges } from './listeners/OpenExchanges.js';
+import type { EffectiveRouting } from './routing/EffectiveRouting.js';
+import { failed, type RoutedOutcome, type RoutedRequest } from './routing/RoutedRequest.js';
+
+// After the grace limit, requests that were cancelled get this long to learn their outcome.
+const cancellationMilliseconds = 1500;
+
+/** The parts of a node, as `createNode` wires them. */
+export interface NodeParts {
+  readonly settings: NodeSettings;
+  readonly identity: NodeIdentity;
+  readonly pool: PeerPool;
+  readonly membership: Membership;
+  readonly executor: AdmissionExecutor;
+  readonly backendServers: LocalBackendServers;
+  readonly routing: EffectiveRouting;
+  readonly open: OpenExchanges;
+  readonly callers: HttpListener;
+  readonly announcements: HttpListener;
+  readonly operators: HttpListener;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** One node: a router for callers and the admission side of its host's backend servers. */
+export class Node implements AsyncDisposable {
+  readonly #parts: NodeParts;
+
+  #stopping: Promise<void> | undefined;
+
+  constructor(parts: NodeParts) {
+    this.#parts = parts;
+  }
+
+  /** True from the start of the graceful shutdown. */
+  get stopping(): boolean {
+    return this.#stopping !== undefined;
+  }
+
+  /** Opens the listeners and starts the duties of the node. */
+  async start(): Promise<Result<undefined, HttpListenError>> {
+    const { announcements, callers, membership, operators, pool, settings } = this.#parts;
+    const { listeners } = settings;
+    const results = [
+      await pool.listen(listeners.peers),
+      await operators.listen(listeners.operators),
+      await announcements.listen(listeners.announcements),
+      await callers.listen(listeners.callers),
+    ];
+    for (const result of results) if (!result.ok) return result;
+    membership.start();
+    return succeed(undefined);
+  }
+
+  /** Whether the node knows a configuration and takes requests. */
+  ready(): boolean {
+    const { membership, routing } = this.#parts;
+    return !this.stopping && membership.ready() && routing.router !== undefined;
+  }
+
+  async route(request: RoutedRequest): Promise<RoutedOutcome> {
+    const { router } = this.#parts.routing;
+    if (router === undefined) {
+      const detail = 'this node has not learnt a configuration yet; ask another node';
+      return failed(ProblemName.notReady, Outcome.notRun, detail);
+    }
+    return router.route(request);
+  }
+
+  /** Makes the status for operators. */
+  status(): unknown {
+    const { executor, membership, open, pool, routing } = this.#parts;
+    return {
+      ...membership.summary(),
+      ready: this.ready(),
+      stopping: this.stopping,
+      deployment: routing.effective?.deployment.name,
+      deploymentNumber: routing.effective?.number ?? 0,
+      openRequests: open.size,
+      admittedRequests: executor.open,
+      peerConnections: pool.size,
+      backendServers: this.#listBackendServers(),
+    };
+  }
+
+  metrics(): string {
+    return `hickorybridge_open_requests ${this.#parts.open.size}\n`;
+  }
+
+  explain(_requestId: string): unknown {
+    return undefined;
+  }
+
+  /** Shuts the node down gracefully. Resolves when it has ended; further calls join the first. */
+  async stop(): Promise<void> {
+    this.#stopping ??= this.#shutDown();
+    await this.#stopping;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.stop();
+  }
+
+  async #shutDown(): Promise<void> {
+    const { backendServers, clock, logger, membership, settings } = this.#parts;
+    const { graceMilliseconds, noticeMilliseconds } = settings.shutdown;
+    logger.info('node-stopping', 'graceful shutdown started', {
+      noticeMilliseconds,
+      graceMilliseconds,
+    });
+    membership.leaving();
+    backendServers.leave();
+    await clock.sleep(noticeMilliseconds);
+    await this.#finishRequests(graceMilliseconds);
+    await this.#close();
+    logger.info('node-stopped', 'graceful shutdown complete');
+  }
+
+  /** Takes no further connections and waits for all open requests, up to the grace limit. */
+  async #finishRequests(graceMilliseconds: number): Promise<void> {
+    const { callers, clock, executor, logger, open } = this.#parts;
+    const closing = callers[Symbol.asyncDispose]();
+    const idle = Promise.all([open.idle(), executor.idle()]);
+    const finished = await this.#within(idle, graceMilliseconds);
+    if (!finished) {
+      logger.warn('shutdown-limit', 'requests are still open at the limit; cancelling them', {
+        openRequests: open.size,
+        admittedRequests: executor.open,
+      });
+      open.cancelAll();
+      await clock.sleep(cancellationMilliseconds);
+      callers.destroy();
+    }
+    await this.#within(closing, cancellationMilliseconds);
+  }
+
+  async #close(): Promise<void> {
+    const { announcements, executor, membership, operators, pool } = this.#parts;
+    await membership[Symbol.asyncDispose]();
+    await pool[Symbol.asyncDispose]();
+    for (const listener of [announcements, operators]) {
+      listener.destroy();
+      await listener[Symbol.asyncDispose]();
+    }
+    await Promise.all(executor.backendServers.map((each) => executor.remove(each)));
+  }
+
+  async #within(work: Promise<unknown>, milliseconds: number): Promise<boolean> {
+    const abort = new AbortController();
+    const limit = this.#parts.clock.sleep(milliseconds, abort.signal).then(() => false);
+    const finished = await Promise.race([work.then(() => true), limit]);
+    abort.abort();
+    return finished;
+  }
+
+  #listBackendServers(): unknown[] {
+    const { executor, membership } = this.#parts;
+    const load = new Map(
+      executor.backendServers.map((each) => [each.announcement.backendServerId, each.report()]),
+    );
+    const services = this.#parts.routing.effective?.deployment.services ?? [];
+    return services.flatMap(({ name }) =>
+      membership.list(name).map((entry) => ({
+        ...entry,
+        verdict: membership.verdictOf(name, entry.backendServerId),
+        load: load.get(entry.backendServerId),
+      })),
+    );
+  }
+}
--- /dev/null
+++ b/packages/node/src/admitting/AdmittedBackendServer.ts
@@ -0,0 +1,106 @@
+import type { AdmissionController, Permit } from '@hickorybridge/admission';
+import type { ExecutionOutcome, RequestBody, RequestExecutor } from '@hickorybridge/peer-protocol';
+import type { Announcement, LoadReport, RequestHead } from '@hickorybridge/types';
+import type { Clock } from '@hickorybridge/utils';
+import type { Readable } from 'node:stream';
+
+import { toExecutionOutcome, type BackendServerClient } from './BackendServerClient.js';
+
+/** What an admitted backend server is made of. */
+export interface AdmittedBackendServerOptions {
+  readonly announcement: Announcement;
+  readonly controller: AdmissionController;
+  readonly client: BackendServerClient;
+  readonly clock: Clock;
+}
+
+/** A backend server on this host, behind its admission. The only way to it. */
+export class AdmittedBackendServer implements RequestExecutor, AsyncDisposable {
+  readonly announcement: Announcement;
+
+  readonly #controller: AdmissionController;
+
+  readonly #client: BackendServerClient;
+
+  readonly #clock: Clock;
+
+  constructor(options: AdmittedBackendServerOptions) {
+    this.announcement = options.announcement;
+    this.#controller = options.controller;
+    this.#client = options.client;
+    this.#clock = options.clock;
+  }
+
+  report(): LoadReport {
+    return this.#controller.report();
+  }
+
+  /** Refuses new requests from now on; those queued or in flight go on. */
+  leave(): void {
+    this.#controller.leave();
+  }
+
+  /** Resolves when no request is queued or in flight. */
+  async idle(): Promise<void> {
+    await this.#controller.idle();
+  }
+
+  async execute(
+    head: RequestHead,
+    body: RequestBody,
+    signal: AbortSignal,
+  ): Promise<ExecutionOutcome> {
+    const { kind, weight, depth, deadline } = head;
+    const admission = await this.#controller.admit({ kind, weight, depth, deadline, signal });
+    if (admission.type === 'refused') {
+      return { type: 'refused', reason: admission.reason, report: this.report() };
+    }
+    return this.#run(head, body, signal, admission.permit);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.leave();
+    await this.#client[Symbol.asyncDispose]();
+  }
+
+  async #run(
+    head: RequestHead,
+    body: RequestBody,
+    signal: AbortSignal,
+    permit: Permit,
+  ): Promise<ExecutionOutcome> {
+    const startedAt = this.#clock.now();
+    // Checked again here, because this process may have been paused since the admission.
+    if (signal.aborted || startedAt >= head.deadline) {
+      permit.release();
+      const reason = signal.aborted ? 'cancelled' : 'deadline-passed';
+      return { type: 'refused', reason, report: this.report() };
+    }
+    const cancellation = new AbortController();
+    const cancel = () => cancellation.abort(new Error('the request was cancelled'));
+    const expire = () => cancellation.abort(new Error('the deadline has passed'));
+    signal.addEventListener('abort', cancel, { once: true });
+    const timer = setTimeout(expire, head.deadline - startedAt);
+    const outcome = await this.#client.send(head, body, cancellation.signal);
+    clearTimeout(timer);
+    signal.removeEventListener('abort', cancel);
+    if (outcome.type === 'answered') {
+      this.#releaseAfter(outcome.answer.body, permit, startedAt);
+      return toExecutionOutcome(outcome.answer, this.report());
+    }
+    permit.release();
+    if (outcome.type === 'lost') return outcome;
+    return { type: 'refused', reason: outcome.reason, report: this.report() };
+  }
+
+  #releaseAfter(body: Readable, permit: Permit, startedAt: number): void {
+    let complete = false;
+    body.once('end', () => {
+      complete = true;
+    });
+    body.once('close', () => {
+      if (complete) permit.release(this.#clock.now() - startedAt);
+      else permit.release();
+    });
+  }
+}
--- /dev/null
+++ b/packages/node/src/createNode.ts
@@ -0,0 +1,123 @@
+import type { NodeSettings } from '@hickorybridge/configuration';
+import type { Logger } from '@hickorybridge/logger';
+import { createMembership, type Membership } from '@hickorybridge/membership';
+import { PeerPool } from '@hickorybridge/peer-protocol';
+import type { PlatformStore } from '@hickorybridge/store';
+import type { NodeIdentity } from '@hickorybridge/types';
+import type { Clock, RandomSource } from '@hickorybridge/utils';
+
+import { AdmissionExecutor } from './admitting/AdmissionExecutor.js';
+import { LocalBackendServers } from './admitting/LocalBackendServers.js';
+import { createAnnouncementsApplication } from './listeners/createAnnouncementsApplication.js';
+import { createCallersApplication } from './listeners/createCallersApplication.js';
+import { createOperatorsApplication } from './listeners/createOperatorsApplication.js';
+import { HttpListener } from './listeners/HttpListener.js';
+import { OpenExchanges } from './listeners/OpenExchanges.js';
+import { Node } from './Node.js';
+import { createRequestIds } from './requestIds.js';
+import { EffectiveRouting } from './routing/EffectiveRouting.js';
+import type { SendToNode } from './routing/RequestTry.js';
+
+/** What a node is made of. Tests may give their own clock, store and random numbers. */
+export interface CreateNodeOptions {
+  readonly settings: NodeSettings;
+  readonly store: PlatformStore;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+}
+
+/** Wires the parts of a node. The node does nothing until it is started. */
+export function createNode(options: CreateNodeOptions): Node {
+  const { settings, store, clock, random, logger } = options;
+  const { listeners, node, peers } = settings;
+  const identity: NodeIdentity = { nodeId: node.id, incarnation: Math.floor(clock.wallTime()) };
+  const location = { region: node.region, failureDomain: node.failureDomain };
+  const executor = new AdmissionExecutor(identity);
+  let membership: Membership;
+  const pool = new PeerPool({
+    endpoint: {
+      identity,
+      location,
+      sharedKey: peers.sharedKey,
+      deploymentNumber: () => membership.deployment()?.number ?? 0,
+    },
+    addressOf: (nodeId) => membership.peerAddressOf(nodeId),
+    executor,
+    introduced: (introduction) => {
+      membership.noticeDeploymentNumber(
+        introduction.identity.nodeId,
+        introduction.deploymentNumber,
+      );
+    },
+    clock,
+    logger,
+  });
+  membership = createMembership({
+    identity,
+    location,
+    peerAddress: listeners.advertisedPeers ?? listeners.peers,
+    operatorsAddress: listeners.operators,
+    store,
+    channel: pool,
+    seeds: peers.seeds,
+    clock,
+    random: random.fork(),
+    logger,
+  });
+  const backendServers = new LocalBackendServers({ membership, executor, clock, logger });
+  const send: SendToNode = (entry, head, request, signal) =>
+    entry.nodeId === identity.nodeId
+      ? executor.execute(head, request.body, signal)
+      : pool.execute(entry.nodeId, head, request.body, signal);
+  const routing = new EffectiveRouting({
+    directory: membership,
+    context: { location, nodeId: identity.nodeId },
+    send,
+    clock,
+    random: random.fork(),
+    logger,
+  });
+  membership.onDeployment((accepted) => routing.apply(accepted));
+  const open = new OpenExchanges();
+  const result: Node = new Node({
+    settings,
+    identity,
+    pool,
+    membership,
+    executor,
+    backendServers,
+    routing,
+    open,
+    clock,
+    logger,
+    callers: new HttpListener(
+      createCallersApplication({
+        effective: () => (membership.ready() ? routing.effective : undefined),
+        route: (request) => result.route(request),
+        nextRequestId: createRequestIds(identity),
+        stopping: () => result.stopping,
+        open,
+        clock,
+      }),
+    ),
+    announcements: new HttpListener(
+      createAnnouncementsApplication({
+        announce: (announcement) => backendServers.announce(announcement),
+        withdraw: (backendServerId) => backendServers.withdraw(backendServerId),
+        list: () => backendServers.list(),
+      }),
+    ),
+    operators: new HttpListener(
+      createOperatorsApplication({
+        sharedKey: peers.sharedKey,
+        ready: () => result.ready(),
+        status: () => result.status(),
+        metrics: () => result.metrics(),
+        explain: (requestId) => result.explain(requestId),
+        drain: () => result.stop(),
+      }),
+    ),
+  });
+  return result;
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './Node.js';
+export * from './Supervisor.js';
+export * from './createNode.js';
