--- a/packages/configuration/src/Deployment.ts
+++ b/packages/configuration/src/Deployment.ts
@@ -81,4 +81,8 @@
   readonly acceptedAt: number;
   /** The file as the operator wrote it. */
   readonly text: string;
+  /** Operator and host that applied it, for people. */
+  readonly appliedBy?: string | undefined;
+  /** Identity of the apply before it; settles an unknown write that was followed by another. */
+  readonly previousApplyId?: string | undefined;
 }
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -2,6 +2,7 @@
 export * from './Deployment.js';
 export * from './NodeSettings.js';
 export * from './RequestMatcher.js';
+export * from './acceptedDeployment.js';
 export * from './deploymentSchema.js';
 export * from './nearestName.js';
 export * from './nodeSettingsSchema.js';
