--- a/packages/configuration/src/problemsOfIssue.ts
+++ b/packages/configuration/src/problemsOfIssue.ts
@@ -1,10 +1,11 @@
 import type { z } from 'zod';
 import type { ConfigurationProblem } from './ConfigurationProblem.js';
+import { describeSchema } from './describeSchema.js';
 import type { KeyLines } from './KeyLines.js';
 import type { KeyPath } from './keyPath.js';
 import { formatKeyPath, valueAt } from './keyPath.js';
 import { nearestName } from './nearestName.js';
-import { knownKeysAt } from './knownKeysAt.js';
+import { knownKeysAt, schemaAt } from './schemaAt.js';
 
 /** The file that an issue belongs to. */
 export interface IssuePlace {
@@ -27,7 +28,7 @@
     return issue.keys.map((key) => problemOfUnknownKey(key, path, place));
   }
   const value = valueAt(place.root, path);
-  const [message, expected] = describeIssue(issue, value);
+  const [message, expected] = describeIssue(issue, path, value, place);
   return [
     {
       file: place.file,
@@ -57,52 +58,36 @@
   };
 }
 
-function describeIssue(issue: z.core.$ZodIssue, value: unknown): readonly [string, string] {
-  if (value === undefined && issue.code !== 'custom') {
-    return ['the key is missing', `add it: ${expectedOf(issue)}`];
-  }
-  return ['the value is not valid', expectedOf(issue)];
-}
-
-function expectedOf(issue: z.core.$ZodIssue): string {
+/** What is wrong and what would be right. The message of a rule of our own says the latter. */
+function describeIssue(
+  issue: z.core.$ZodIssue,
+  path: KeyPath,
+  value: unknown,
+  place: IssuePlace,
+): readonly [string, string] {
+  const schema = schemaAt(place.schema, path);
+  const permitted = schema === undefined ? issue.message : describeSchema(schema);
+  if (value === undefined) return ['the key is missing', `add it; it is ${permitted}`];
   switch (issue.code) {
-    case 'invalid_type':
-      return `must be ${nameOfType(issue.expected)}`;
-    case 'invalid_value':
-      return `must be one of ${issue.values.map((value) => JSON.stringify(value)).join(', ')}`;
+    case 'custom':
+    case 'invalid_format':
+      return ['the value is not valid', `it ${issue.message}`];
     case 'too_small':
-      return describeBound('at least', 'more than', issue.minimum, issue);
+      if (issue.origin === 'array') return ['the array is empty', 'add an entry'];
+      if (issue.origin === 'string') {
+        return ['the text is too short', `use at least ${issue.minimum} characters`];
+      }
+      return ['the value is out of range', `use ${permitted}`];
     case 'too_big':
-      return describeBound('at most', 'less than', issue.maximum, issue);
+      if (issue.origin === 'array') {
+        return ['the array is too long', `use at most ${issue.maximum} entries`];
+      }
+      return ['the value is out of range', `use ${permitted}`];
     default:
-      return issue.message;
+      return ['the value is not valid', `use ${permitted}`];
   }
 }
 
-function describeBound(
-  inclusive: string,
-  exclusive: string,
-  bound: number | bigint,
-  issue: { readonly origin: string; readonly inclusive?: boolean | undefined },
-): string {
-  const comparison = issue.inclusive === false ? exclusive : inclusive;
-  if (issue.origin === 'string') return `must have ${comparison} ${bound} characters`;
-  if (issue.origin === 'array') return `must have ${comparison} ${bound} entries`;
-  return `must be ${comparison} ${bound}`;
-}
-
-function nameOfType(type: string): string {
-  const names: Readonly<Record<string, string>> = {
-    string: 'a string in quotes',
-    number: 'a number',
-    int: 'a whole number',
-    boolean: 'true or false',
-    array: 'an array',
-    object: 'a table',
-  };
-  return names[type] ?? type;
-}
-
 function formatValue(value: unknown): string {
   const text = JSON.stringify(value, (_key, inner: unknown) =>
     typeof inner === 'bigint' ? inner.toString() : inner,
