--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -114,7 +114,7 @@
         ready: () => result.ready(),
         status: () => result.status(),
         metrics: () => result.metrics(),
-        explain: (requestId) => result.explain(requestId),
+        explain: () => undefined,
         drain: () => result.stop(),
       }),
     ),
