Node: claims of idempotency keys, and the claim view spread through membership

Cause: a request that is sent again with the same key could run twice. Change: a keyed request of a non-idempotent kind claims its key on a quorum before it runs; membership spreads the claim view as a shared object; one store watcher keeps the view under a fenced lease.

--- a/packages/membership/src/Bootstrap.ts
+++ b/packages/membership/src/Bootstrap.ts
@@ -8,12 +8,10 @@
 } from '@hickorybridge/types';
 import type { Clock, RandomSource } from '@hickorybridge/utils';
 import type { NodeIndex } from './NodeIndex.js';
-import { rosterPrefix } from './RosterWriter.js';
 
 /** Key of the accepted deployment in the store. */
 export const currentDeploymentKey = 'deployment/current';
 
-const verdictPrefix = 'verdicts/';
 const statusCallName = 'membership/number';
 const callTimeoutMilliseconds = 1000;
 const retryMilliseconds = 500;
@@ -32,6 +30,8 @@
   readonly random: RandomSource;
   readonly logger: Logger;
   readonly index: NodeIndex;
+  /** Prefixes of the objects that are read once, besides the deployment. */
+  readonly prefixes: readonly string[];
   /** Number of the deployment in effect here; 0 when there is none. */
   readonly deploymentNumber: () => number;
   /** Takes objects of the store. */
@@ -85,15 +85,22 @@
         continue;
       }
       if (deployment.value !== undefined) onObjects([deployment.value]);
-      const rosters = await store.list(rosterPrefix);
-      const verdicts = await store.list(verdictPrefix);
-      if (!rosters.ok || !verdicts.ok) continue;
-      onObjects([...verdicts.value, ...rosters.value]);
+      if (!(await this.#listObjects())) continue;
       this.#storeAnswered = true;
       return;
     }
   }
 
+  async #listObjects(): Promise<boolean> {
+    const { onObjects, prefixes, store } = this.#options;
+    for (const prefix of prefixes) {
+      const objects = await store.list(prefix);
+      if (!objects.ok) return false;
+      onObjects(objects.value);
+    }
+    return true;
+  }
+
   /** Asks peers until a deployment is confirmed and, when there are others, one has answered. */
   async askPeers(signal: AbortSignal): Promise<void> {
     const { clock, seeds } = this.#options;
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -26,6 +26,7 @@
   deploymentKey,
   nodeKey,
   type NodeRecord,
+  objectKey,
   parseDeploymentText,
   parseSharedValue,
   parseVerdicts,
@@ -72,6 +73,10 @@
 
   readonly #removedAt = new Map<string, number>();
 
+  readonly #sharedPrefixes: readonly string[];
+
+  readonly #objectListeners = new Set<(object: StoredObject) => void>();
+
   readonly #localListeners = new Set<(change: LocalChange) => void>();
 
   readonly #supersededListeners = new Set<(incarnation: number) => void>();
@@ -99,6 +104,7 @@
   /** Use `createMembership`. */
   constructor(options: MembershipOptions) {
     this.#options = options;
+    this.#sharedPrefixes = options.sharedPrefixes ?? [];
     const { identity, location, clock, logger, random } = options;
     this.#tasks = new TaskGroup({ clock, logger });
     this.#store = new PacedStore({ store: options.store, clock, random: random.fork() });
@@ -153,6 +159,7 @@
       store,
       channel,
       index,
+      prefixes: [verdictPrefix, ...this.#sharedPrefixes, rosterPrefix],
       deploymentNumber,
       onObjects: (objects) => this.#takeObjects(objects),
       exchangeWith: (nodeId) => this.#disseminator.exchangeWith(nodeId),
@@ -185,7 +192,7 @@
     this.#tasks.start('dissemination', () => this.#disseminator.run());
     this.#tasks.start('housekeeping', (signal) => this.#keepHouse(signal));
     this.#tasks.start('rosters', (signal) => watcher.lookAtRosters(signal));
-    for (const prefix of [deploymentPrefix, verdictPrefix]) {
+    for (const prefix of [deploymentPrefix, verdictPrefix, ...this.#sharedPrefixes]) {
       this.#tasks.start(`watch of ${prefix}`, (signal) => watcher.watch(prefix, signal));
     }
   }
@@ -261,6 +268,17 @@
     return () => this.#supersededListeners.delete(listener);
   }
 
+  /** Calls the listener with each newer object under the shared prefixes. */
+  onSharedObject(listener: (object: StoredObject) => void): () => void {
+    this.#objectListeners.add(listener);
+    return () => this.#objectListeners.delete(listener);
+  }
+
+  /** Whether this node holds a role in its failure domain, in its own view. */
+  holdsRole(role: RoleName): boolean {
+    return this.#roles.holds(role);
+  }
+
   /** Announces that the whole node takes no new work. */
   leaving(): void {
     if (this.#leaving) return;
@@ -354,6 +372,9 @@
       case 'deployment':
         this.#takeDeployment(value.deployment);
         break;
+      case 'object':
+        for (const listener of this.#objectListeners) listener(value.object);
+        break;
       case 'verdicts':
         this.#verdicts.set(value.object.service, parseVerdicts(value.object));
         break;
@@ -410,6 +431,16 @@
     if (object.key === currentDeploymentKey) this.#takeDeploymentObject(object);
     else if (object.key.startsWith(verdictPrefix)) this.#takeVerdictObject(object);
     else if (object.key.startsWith(rosterPrefix)) this.#takeRecords(parseRoster(object.value));
+    else this.#takeSharedObject(object);
+  }
+
+  #takeSharedObject(object: StoredObject): void {
+    this.#disseminator.publish({
+      key: objectKey(object.key),
+      version: { major: object.version, minor: 0 },
+      removed: false,
+      value: { type: 'object', object },
+    });
   }
 
   #takeDeploymentObject(object: StoredObject): void {
--- a/packages/membership/src/MembershipOptions.ts
+++ b/packages/membership/src/MembershipOptions.ts
@@ -28,6 +28,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
+  /** Prefixes of the store's objects that are spread to all nodes for other components. */
+  readonly sharedPrefixes?: readonly string[];
   /** Size of a control message in bytes, for the totals; by default the length of its JSON. */
   readonly sizeOf?: (body: unknown) => number;
 }
--- a/packages/membership/src/NodeRecord.ts
+++ b/packages/membership/src/NodeRecord.ts
@@ -1,4 +1,5 @@
 import type { AcceptedDeployment } from '@hickorybridge/configuration';
+import type { StoredObject } from '@hickorybridge/store';
 import {
   type Announcement,
   BackendServerState,
@@ -47,7 +48,8 @@
 export type SharedValue =
   | { readonly type: 'node'; readonly record: NodeRecord }
   | { readonly type: 'deployment'; readonly deployment: AcceptedDeployment }
-  | { readonly type: 'verdicts'; readonly object: VerdictObject };
+  | { readonly type: 'verdicts'; readonly object: VerdictObject }
+  | { readonly type: 'object'; readonly object: StoredObject };
 
 /** Key of the deployment among the shared values. */
 export const deploymentKey = 'deployment';
@@ -62,6 +64,11 @@
   return `verdicts/${service}`;
 }
 
+/** Gives the key of an object of another component among the shared values. */
+export function objectKey(storeKey: string): string {
+  return `object/${storeKey}`;
+}
+
 /** Makes the part of a record that describes one backend server. */
 export function describeBackendServer(
   announcement: Announcement,
@@ -90,6 +97,12 @@
     if (!isCount(version) || verdictsKey(service) !== key) return undefined;
     return { type, object: { service, version, text } };
   }
+  if (type === 'object') {
+    const { key: storeKey, version, value: text } = fieldsOf(object);
+    if (typeof storeKey !== 'string' || typeof text !== 'string') return undefined;
+    if (!isCount(version) || objectKey(storeKey) !== key) return undefined;
+    return { type, object: { key: storeKey, version, value: text } };
+  }
   return undefined;
 }
 
--- a/packages/node/src/Node.ts
+++ b/packages/node/src/Node.ts
@@ -13,10 +13,13 @@
 
 import type { AdmissionExecutor } from './admitting/AdmissionExecutor.js';
 import type { LocalBackendServers } from './admitting/LocalBackendServers.js';
+import type { KeeperDuty } from './claiming/KeeperDuty.js';
+import type { KeyedRequests } from './claiming/KeyedRequests.js';
 import type { HttpListener, HttpListenError } from './listeners/HttpListener.js';
 import type { OpenExchanges } from './listeners/OpenExchanges.js';
 import type { EffectiveRouting } from './routing/EffectiveRouting.js';
 import { failed, type RoutedOutcome, type RoutedRequest } from './routing/RoutedRequest.js';
+import type { Supervisor } from './Supervisor.js';
 
 // After the grace limit, requests that were cancelled get this long to learn their outcome.
 const cancellationMilliseconds = 1500;
@@ -31,6 +34,11 @@
   readonly backendServers: LocalBackendServers;
   readonly routing: EffectiveRouting;
   readonly open: OpenExchanges;
+  readonly keyedRequests: KeyedRequests;
+  readonly keeper: KeeperDuty;
+  /** Aborts the requests that go on without their callers. */
+  readonly ending: AbortController;
+  readonly supervisor: Supervisor;
   readonly callers: HttpListener;
   readonly announcements: HttpListener;
   readonly operators: HttpListener;
@@ -55,7 +63,7 @@
 
   /** Opens the listeners and starts the duties of the node. */
   async start(): Promise<Result<undefined, HttpListenError>> {
-    const { announcements, callers, membership, operators, pool, settings } = this.#parts;
+    const { announcements, callers, keeper, membership, operators, pool, settings } = this.#parts;
     const { listeners } = settings;
     const results = [
       await pool.listen(listeners.peers),
@@ -65,6 +73,7 @@
     ];
     for (const result of results) if (!result.ok) return result;
     membership.start();
+    keeper.start(this.#parts.supervisor);
     return succeed(undefined);
   }
 
@@ -74,7 +83,15 @@
     return !this.stopping && membership.ready() && routing.router !== undefined;
   }
 
+  /** Routes a caller's request; one with an idempotency key runs at most once. */
   async route(request: RoutedRequest): Promise<RoutedOutcome> {
+    const { idempotencyKey } = request;
+    if (idempotencyKey === undefined) return this.routeUnkeyed(request);
+    return this.#parts.keyedRequests.run(request, idempotencyKey);
+  }
+
+  /** Routes a request whose key, if it has one, is claimed already. */
+  async routeUnkeyed(request: RoutedRequest): Promise<RoutedOutcome> {
     const { router } = this.#parts.routing;
     if (router === undefined) {
       const detail = 'this node has not learnt a configuration yet; ask another node';
@@ -140,6 +157,7 @@
         admittedRequests: executor.open,
       });
       open.cancelAll();
+      this.#parts.ending.abort();
       await clock.sleep(cancellationMilliseconds);
       callers.destroy();
     }
@@ -147,7 +165,8 @@
   }
 
   async #close(): Promise<void> {
-    const { announcements, executor, membership, operators, pool } = this.#parts;
+    const { announcements, executor, membership, operators, pool, supervisor } = this.#parts;
+    await supervisor[Symbol.asyncDispose]();
     await membership[Symbol.asyncDispose]();
     await pool[Symbol.asyncDispose]();
     for (const listener of [announcements, operators]) {
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -1,6 +1,7 @@
 import type { NodeSettings } from '@hickorybridge/configuration';
+import { ClaimClient, ClaimHolder, ViewRegister } from '@hickorybridge/idempotency';
 import type { Logger } from '@hickorybridge/logger';
-import { createMembership, type Membership } from '@hickorybridge/membership';
+import { createMembership, PacedStore, type Membership } from '@hickorybridge/membership';
 import { PeerPool } from '@hickorybridge/peer-protocol';
 import type { PlatformStore } from '@hickorybridge/store';
 import type { NodeIdentity } from '@hickorybridge/types';
@@ -8,6 +9,8 @@
 
 import { AdmissionExecutor } from './admitting/AdmissionExecutor.js';
 import { LocalBackendServers } from './admitting/LocalBackendServers.js';
+import { KeeperDuty } from './claiming/KeeperDuty.js';
+import { KeyedRequests } from './claiming/KeyedRequests.js';
 import { createAnnouncementsApplication } from './listeners/createAnnouncementsApplication.js';
 import { createCallersApplication } from './listeners/createCallersApplication.js';
 import { createOperatorsApplication } from './listeners/createOperatorsApplication.js';
@@ -17,6 +20,13 @@
 import { createRequestIds } from './requestIds.js';
 import { EffectiveRouting } from './routing/EffectiveRouting.js';
 import type { SendToNode } from './routing/RequestTry.js';
+import { Supervisor } from './Supervisor.js';
+
+/** Prefix of the objects that all nodes follow for claims. */
+const claimsPrefix = 'claims/';
+
+// Records of keys have to outlast every re-sending; a deployment may ask for less, never for more.
+const retentionMilliseconds = 2 * 3_600_000;
 
 /** What a node is made of. Tests may give their own clock, store and random numbers. */
 export interface CreateNodeOptions {
@@ -35,6 +45,7 @@
   const location = { region: node.region, failureDomain: node.failureDomain };
   const executor = new AdmissionExecutor(identity);
   let membership: Membership;
+  let result: Node;
   const pool = new PeerPool({
     endpoint: {
       identity,
@@ -64,6 +75,7 @@
     clock,
     random: random.fork(),
     logger,
+    sharedPrefixes: [claimsPrefix],
   });
   const backendServers = new LocalBackendServers({ membership, executor, clock, logger });
   const send: SendToNode = (entry, head, request, signal) =>
@@ -80,7 +92,26 @@
   });
   membership.onDeployment((accepted) => routing.apply(accepted));
   const open = new OpenExchanges();
-  const result: Node = new Node({
+  const views = new ViewRegister();
+  const holder = new ClaimHolder({ identity, channel: pool, clock, retentionMilliseconds, logger });
+  const claims = new ClaimClient({ channel: pool, views, clock, location, retentionMilliseconds });
+  const ending = new AbortController();
+  const keyedRequests = new KeyedRequests(
+    claims,
+    (request) => result.routeUnkeyed(request),
+    ending.signal,
+  );
+  const keeper = new KeeperDuty({
+    identity,
+    membership,
+    store: new PacedStore({ store, clock, random: random.fork() }),
+    channel: pool,
+    views,
+    holder,
+    clock,
+    logger,
+  });
+  result = new Node({
     settings,
     identity,
     pool,
@@ -89,6 +120,10 @@
     backendServers,
     routing,
     open,
+    keyedRequests,
+    keeper,
+    ending,
+    supervisor: new Supervisor('node', clock, logger),
     clock,
     logger,
     callers: new HttpListener(
