--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,1 +1,12 @@
-export {};
+export * from './flights/FlightRecord.js';
+export * from './flights/FlightRecorder.js';
+export * from './flights/FlightStep.js';
+export * from './metrics/Counter.js';
+export * from './metrics/LatencyHistogram.js';
+export * from './metrics/MetricDefinition.js';
+export * from './metrics/MetricFamily.js';
+export * from './metrics/Metrics.js';
+export * from './metrics/metricDefinitions.js';
+export * from './traces/Tracer.js';
+export * from './traces/createTracer.js';
+export * from './traces/traceContext.js';
