--- a/packages/node/src/Node.ts
+++ b/packages/node/src/Node.ts
@@ -103,6 +103,10 @@
     return `hickorybridge_open_requests ${this.#parts.open.size}\n`;
   }
 
+  explain(_requestId: string): unknown {
+    return undefined;
+  }
+
   /** Shuts the node down gracefully. Resolves when it has ended; further calls join the first. */
   async stop(): Promise<void> {
     this.#stopping ??= this.#shutDown();
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -114,7 +114,7 @@
         ready: () => result.ready(),
         status: () => result.status(),
         metrics: () => result.metrics(),
-        explain: () => undefined,
+        explain: (requestId) => result.explain(requestId),
         drain: () => result.stop(),
       }),
     ),
--- a/packages/node/src/listeners/createCallersApplication.ts
+++ b/packages/node/src/listeners/createCallersApplication.ts
@@ -30,7 +30,12 @@
   application.all('*', async (context) => {
     const { incoming, outgoing } = context.env;
     const requestId = options.nextRequestId();
-    const exchange = new CallerExchange(incoming, outgoing, requestId, options.stopping);
+    const exchange = new CallerExchange(
+      incoming,
+      outgoing,
+      requestId,
+      options.stopping,
+    );
     options.open.add(exchange);
     try {
       const outcome = await handleRequest(exchange, options);
--- a/packages/node/src/routing/RoutingRun.ts
+++ b/packages/node/src/routing/RoutingRun.ts
@@ -57,8 +57,7 @@
   async run(): Promise<RoutedOutcome> {
     const { signal, deadline } = this.#request;
     for (;;) {
-      if (signal.aborted)
-        return this.#fail(ProblemName.connectionLost, 'the request was cancelled');
+      if (signal.aborted) return this.#fail(ProblemName.connectionLost, 'the request was cancelled');
       if (this.#options.clock.now() >= deadline) return this.#deadlineExceeded();
       const entry = await this.#select();
       if (entry === undefined) return this.#noBackendServer();
--- a/packages/replay/src/cluster/DeploymentCluster.ts
+++ b/packages/replay/src/cluster/DeploymentCluster.ts
@@ -28,6 +28,8 @@
   /** Sizes; by default those of the deployment's name. */
   readonly profile?: Partial<ClusterProfile>;
   readonly control?: Partial<BackendServerControl>;
+  /** Services that get backend servers; all by default. */
+  readonly services?: readonly string[];
   readonly seed: number;
   readonly logLevel?: string;
   /** Called with each step of the start, for people. */
@@ -137,7 +139,14 @@
   }
 
   async #start(ports: PortAllocator): Promise<void> {
-    const plans = await planHosts(this.deployment, this.profile.backendServersPerService, ports);
+    const plans = await planHosts(
+      {
+        deployment: this.deployment,
+        backendServersPerService: this.profile.backendServersPerService,
+        services: this.#options.services,
+      },
+      ports,
+    );
     this.#progress(`starting the store and ${plans.length} hosts, logs in ${this.folder}`);
     this.#store = this.#startProcess('store', [
       binaries.store,
--- a/packages/replay/src/cluster/Host.ts
+++ b/packages/replay/src/cluster/Host.ts
@@ -16,6 +16,9 @@
 /** Time for which a planned stop may last before the process is killed, in milliseconds. */
 const stopLimitMilliseconds = 15_000;
 
+/** Time in which a node must confirm a withdrawal, in milliseconds. */
+const withdrawalLimitMilliseconds = 20_000;
+
 /** One host: its two processes, and the calls that steer them. */
 export class Host {
   readonly plan: HostPlan;
@@ -68,6 +71,18 @@
     await putJson(`http://${formatAddress(this.plan.control)}/control/cold-start`, changes);
   }
 
+  /** Withdraws the backend server; `true` when the node confirmed that nothing is in flight. */
+  async withdraw(): Promise<boolean> {
+    const url = `http://${formatAddress(this.plan.control)}/control/withdraw`;
+    const answer = await putJson<{ confirmed: boolean }>(url, {}, withdrawalLimitMilliseconds);
+    return answer.confirmed;
+  }
+
+  /** Announces the backend server again after a withdrawal. */
+  async announce(): Promise<void> {
+    await putJson(`http://${formatAddress(this.plan.control)}/control/announce`, {});
+  }
+
   /** Gives all runs, also those of a killed process. */
   runs(): Run[] {
     return readRunLog(this.#runLog);
--- a/packages/replay/src/cluster/clusterProfile.ts
+++ b/packages/replay/src/cluster/clusterProfile.ts
@@ -13,14 +13,14 @@
   litoteca: {
     slots: 13,
     connections: 260,
-    serviceMilliseconds: 60,
+    serviceMilliseconds: 100,
     backendServersPerService: 4,
     link: { delayMilliseconds: 30, megabitsPerSecond: 30 },
   },
   derwent: {
     slots: 6,
     connections: 240,
-    serviceMilliseconds: 40,
+    serviceMilliseconds: 60,
     backendServersPerService: 4,
     link: { delayMilliseconds: 30, megabitsPerSecond: 30 },
   },
--- a/packages/replay/src/cluster/hostPlan.ts
+++ b/packages/replay/src/cluster/hostPlan.ts
@@ -19,18 +19,26 @@
   readonly control: SocketAddress;
 }
 
+/** Which hosts to plan. */
+export interface PlanOptions {
+  readonly deployment: Deployment;
+  readonly backendServersPerService: number;
+  /** Services that get backend servers; all by default. */
+  readonly services?: readonly string[] | undefined;
+}
+
 /**
  * Spreads the backend servers of each service over the failure domains, region by region in turn,
  * so that two backend servers of a service stand in two regions.
  */
 export async function planHosts(
-  deployment: Deployment,
-  backendServersPerService: number,
+  { deployment, backendServersPerService, services }: PlanOptions,
   ports: PortAllocator,
 ): Promise<HostPlan[]> {
   const places = placesInTurn(deployment);
   const hosts: HostPlan[] = [];
   for (const service of deployment.services) {
+    if (services !== undefined && !services.includes(service.name)) continue;
     for (let index = 0; index < backendServersPerService; index += 1) {
       const place = places[index % places.length];
       if (place === undefined) throw new Error(`${deployment.name} has no failure domain`);
--- a/packages/replay/src/cluster/httpJson.ts
+++ b/packages/replay/src/cluster/httpJson.ts
@@ -7,8 +7,12 @@
 }
 
 /** Sends JSON to a stand-in and gives its answer. */
-export async function putJson<Value>(url: string, body: unknown): Promise<Value> {
-  return exchangeJson(url, { method: 'PUT', body: JSON.stringify(body) });
+export async function putJson<Value>(
+  url: string,
+  body: unknown,
+  limitMilliseconds = timeoutMilliseconds,
+): Promise<Value> {
+  return exchangeJson(url, { method: 'PUT', body: JSON.stringify(body) }, limitMilliseconds);
 }
 
 /** Gives the status of an answer; 0 when there is none. */
@@ -22,8 +26,12 @@
   }
 }
 
-async function exchangeJson<Value>(url: string, init: RequestInit): Promise<Value> {
-  const answer = await fetch(url, { ...init, signal: AbortSignal.timeout(timeoutMilliseconds) });
+async function exchangeJson<Value>(
+  url: string,
+  init: RequestInit,
+  limitMilliseconds = timeoutMilliseconds,
+): Promise<Value> {
+  const answer = await fetch(url, { ...init, signal: AbortSignal.timeout(limitMilliseconds) });
   const body = await answer.text();
   if (!answer.ok) throw new Error(`${init.method} ${url}: status ${answer.status}: ${body}`);
   return JSON.parse(body) as Value;
--- a/packages/stand-ins/src/backendServer/StandInBackendServer.ts
+++ b/packages/stand-ins/src/backendServer/StandInBackendServer.ts
@@ -231,7 +231,8 @@
     const number = this.runs.push(run);
     this.#runLog?.append(number, run);
     try {
-      await sleep(this.#serviceTime(run.mark), undefined, { signal: cancellation });
+      const work = headerOf(request, 'x-work') ?? run.mark;
+      await sleep(this.#serviceTime(work), undefined, { signal: cancellation });
       run.state = RunState.completed;
     } catch {
       run.state = RunState.cancelled;
@@ -241,8 +242,8 @@
     if (run.state === RunState.completed) await this.#answer(run, request, response);
   }
 
-  #serviceTime(mark: string): number {
-    const drawn = drawServiceTime(this.control, this.#options.seed ?? 1, mark);
+  #serviceTime(work: string): number {
+    const drawn = drawServiceTime(this.control, this.#options.seed ?? 1, work);
     return drawn * this.control.stragglerFactor * coldStartFactor(this.control, this.#age());
   }
 
--- a/packages/stand-ins/src/backendServer/serviceTime.ts
+++ b/packages/stand-ins/src/backendServer/serviceTime.ts
@@ -5,11 +5,12 @@
 
 /**
  * Gives the service time of a request in milliseconds, log-normally distributed. It depends only
- * on the seed and the request's mark, so each policy meets the same work when a trace is repeated.
+ * on the seed and the name of the work, so each policy meets the same work when a trace is
+ * repeated.
  */
-export function drawServiceTime(control: BackendServerControl, seed: number, mark: string): number {
-  const radius = Math.sqrt(-2 * Math.log(uniform(`${seed}/radius/${mark}`)));
-  const normal = radius * Math.cos(2 * Math.PI * uniform(`${seed}/angle/${mark}`));
+export function drawServiceTime(control: BackendServerControl, seed: number, work: string): number {
+  const radius = Math.sqrt(-2 * Math.log(uniform(`${seed}/radius/${work}`)));
+  const normal = radius * Math.cos(2 * Math.PI * uniform(`${seed}/angle/${work}`));
   return control.serviceMilliseconds * Math.exp(control.serviceSpread * normal);
 }
 
