--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './formatResult.js';
+export * from './runDemo.js';
--- a/packages/replay/src/cluster/DeploymentCluster.ts
+++ b/packages/replay/src/cluster/DeploymentCluster.ts
@@ -1,4 +1,5 @@
-import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { rmSync } from 'node:fs';
+import { mkdtemp, readFile, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { formatProblem, parseDeployment } from '@hickorybridge/configuration';
@@ -64,6 +65,11 @@
 
   #store: ManagedProcess | undefined;
 
+  readonly #removeFolder = () => {
+    if (process.env.HICKORYBRIDGE_KEEP_LOGS !== undefined) return;
+    rmSync(this.folder, { recursive: true, force: true });
+  };
+
   private constructor(
     options: ClusterOptions,
     deployment: Deployment,
@@ -74,6 +80,7 @@
     this.profile = { ...profileOf(deployment.name), ...options.profile };
     this.folder = place.folder;
     this.#storeAddress = place.storeAddress;
+    process.once('exit', this.#removeFolder);
     const [first = 'first', second = 'second'] = deployment.regions.map((region) => region.name);
     this.link = new LinkRelay({ regions: [first, second], settings: this.profile.link });
   }
@@ -129,13 +136,12 @@
       .map((entry) => `${entry.name} (${JSON.stringify(entry.lastEnd)})`);
   }
 
-  /** Ends all processes; the folder stays when it is asked for, to read the logs. */
+  /** Ends all processes. With HICKORYBRIDGE_KEEP_LOGS in the environment the folder stays. */
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#processes[Symbol.asyncDispose]();
     await this.link[Symbol.asyncDispose]();
-    if (process.env.HICKORYBRIDGE_KEEP_LOGS === undefined) {
-      await rm(this.folder, { recursive: true, force: true });
-    }
+    process.off('exit', this.#removeFolder);
+    this.#removeFolder();
   }
 
   async #start(ports: PortAllocator): Promise<void> {
