--- a/packages/replay/src/cluster/DeploymentCluster.ts
+++ b/packages/replay/src/cluster/DeploymentCluster.ts
@@ -1,4 +1,5 @@
-import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { rmSync } from 'node:fs';
+import { mkdtemp, readFile, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { formatProblem, parseDeployment } from '@hickorybridge/configuration';
@@ -28,6 +29,8 @@
   /** Sizes; by default those of the deployment's name. */
   readonly profile?: Partial<ClusterProfile>;
   readonly control?: Partial<BackendServerControl>;
+  /** Services that get backend servers; all by default. */
+  readonly services?: readonly string[];
   readonly seed: number;
   readonly logLevel?: string;
   /** Called with each step of the start, for people. */
@@ -62,6 +65,11 @@
 
   #store: ManagedProcess | undefined;
 
+  readonly #removeFolder = () => {
+    if (process.env.HICKORYBRIDGE_KEEP_LOGS !== undefined) return;
+    rmSync(this.folder, { recursive: true, force: true });
+  };
+
   private constructor(
     options: ClusterOptions,
     deployment: Deployment,
@@ -72,6 +80,7 @@
     this.profile = { ...profileOf(deployment.name), ...options.profile };
     this.folder = place.folder;
     this.#storeAddress = place.storeAddress;
+    process.once('exit', this.#removeFolder);
     const [first = 'first', second = 'second'] = deployment.regions.map((region) => region.name);
     this.link = new LinkRelay({ regions: [first, second], settings: this.profile.link });
   }
@@ -127,17 +136,23 @@
       .map((entry) => `${entry.name} (${JSON.stringify(entry.lastEnd)})`);
   }
 
-  /** Ends all processes; the folder stays when it is asked for, to read the logs. */
+  /** Ends all processes. With HICKORYBRIDGE_KEEP_LOGS in the environment the folder stays. */
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#processes[Symbol.asyncDispose]();
     await this.link[Symbol.asyncDispose]();
-    if (process.env.HICKORYBRIDGE_KEEP_LOGS === undefined) {
-      await rm(this.folder, { recursive: true, force: true });
-    }
+    process.off('exit', this.#removeFolder);
+    this.#removeFolder();
   }
 
   async #start(ports: PortAllocator): Promise<void> {
-    const plans = await planHosts(this.deployment, this.profile.backendServersPerService, ports);
+    const plans = await planHosts(
+      {
+        deployment: this.deployment,
+        backendServersPerService: this.profile.backendServersPerService,
+        services: this.#options.services,
+      },
+      ports,
+    );
     this.#progress(`starting the store and ${plans.length} hosts, logs in ${this.folder}`);
     this.#store = this.#startProcess('store', [
       binaries.store,
