--- /dev/null
+++ b/packages/command-line/src/bin.ts
@@ -0,0 +1,14 @@
+#!/usr/bin/env node
+import { hostname, userInfo } from 'node:os';
+import { HttpPlatformStore } from '@hickorybridge/store';
+import { systemClock } from '@hickorybridge/utils';
+import { runCommandLine } from './runCommandLine.js';
+
+process.exitCode = await runCommandLine(process.argv.slice(2), {
+  clock: systemClock,
+  print: (line) => process.stdout.write(`${line}\n`),
+  printError: (line) => process.stderr.write(`${line}\n`),
+  environment: process.env,
+  openStore: (url, timeoutMilliseconds) => new HttpPlatformStore({ url, timeoutMilliseconds }),
+  operator: `${userInfo().username}@${hostname()}`,
+});
