--- a/packages/coordination/src/simulation/SimulatedClock.ts
+++ b/packages/coordination/src/simulation/SimulatedClock.ts
@@ -24,7 +24,7 @@
   }
 
   wallTime(): number {
-    return startOfWallTime + this.#now;
+    return startOfWallTime + Math.floor(this.#now);
   }
 
   async sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
--- a/packages/coordination/src/simulation/SimulatedNetwork.ts
+++ b/packages/coordination/src/simulation/SimulatedNetwork.ts
@@ -16,6 +16,9 @@
 /** Tells whether messages from one node to another are cut off. */
 export type CutPredicate = (from: string, to: string) => boolean;
 
+/** Gives the one-way delay from one node to another, in milliseconds. */
+export type DelayFunction = (from: string, to: string) => number;
+
 /** Settings of a simulated network. */
 export interface SimulatedNetworkOptions {
   readonly clock: SimulatedClock;
@@ -34,14 +37,16 @@
   readonly traffic: SimulatedTraffic;
 }
 
+const defaultDelayMilliseconds = 1;
+
+/** Time until a host that has no process refuses a connection. */
+const refusalMilliseconds = 1;
+
 /** Control calls between nodes in memory, with delay, loss, reordering and cuts. */
 export class SimulatedNetwork {
   /** Share of messages that are lost, from 0 to 1; calls and replies count alike. */
   lossShare = 0;
 
-  /** One-way delay of a message in milliseconds. */
-  delayMilliseconds = 1;
-
   /** A random further delay up to this many milliseconds, which reorders messages. */
   jitterMilliseconds = 0;
 
@@ -53,6 +58,8 @@
 
   #isCut: CutPredicate | undefined;
 
+  #delayBetween: DelayFunction | undefined;
+
   constructor(options: SimulatedNetworkOptions) {
     this.#options = options;
   }
@@ -69,6 +76,11 @@
     };
   }
 
+  /** Sets the one-way delays; 1 ms without this call. */
+  setDelays(delayBetween: DelayFunction): void {
+    this.#delayBetween = delayBetween;
+  }
+
   /** Cuts off the messages for which the predicate holds; without one, ends the cut. */
   cut(isCut?: CutPredicate): void {
     this.#isCut = isCut;
@@ -139,7 +151,9 @@
     const { random, clock } = this.#options;
     const lost = random.next() < this.lossShare;
     const jitter = this.jitterMilliseconds * random.next();
-    await clock.sleep(this.delayMilliseconds + jitter);
+    const delay =
+      this.#delayBetween?.(from.identity.nodeId, to.identity.nodeId) ?? defaultDelayMilliseconds;
+    await clock.sleep(delay + jitter);
     const cut = this.#isCut?.(from.identity.nodeId, to.identity.nodeId) ?? false;
     if (lost || cut || this.#ended.has(from) || this.#ended.has(to)) return false;
     await to.process.running();
@@ -148,7 +162,7 @@
   }
 
   async #refuse(detail: string): Promise<{ ok: false; error: ControlCallError }> {
-    await this.#options.clock.sleep(this.delayMilliseconds);
+    await this.#options.clock.sleep(refusalMilliseconds);
     return fail({ type: 'unreachable', detail });
   }
 
--- a/packages/coordination/src/simulation/SimulatedStore.ts
+++ b/packages/coordination/src/simulation/SimulatedStore.ts
@@ -1,4 +1,5 @@
 import { fail, type Result, succeed } from '@hickorybridge/types';
+import type { RandomSource } from '@hickorybridge/utils';
 import type {
   ConditionalStore,
   ConditionalWriteOutcome,
@@ -25,6 +26,12 @@
   /** Time of one call in milliseconds. */
   delayMilliseconds = 2;
 
+  /** Calls that the store handles in a second; more of them wait in a queue. */
+  callsPerSecond = Number.POSITIVE_INFINITY;
+
+  /** Share of calls that fail without effect, from 0 to 1; needs a source of random numbers. */
+  lossShare = 0;
+
   /** Answers to writes that are lost although the write takes effect. */
   answersToLose = 0;
 
@@ -38,10 +45,15 @@
 
   #revision = 0;
 
+  #freeAt = 0;
+
   #writes = 0;
 
-  constructor(clock: SimulatedClock) {
+  readonly #random: RandomSource | undefined;
+
+  constructor(clock: SimulatedClock, random?: RandomSource) {
     this.#clock = clock;
+    this.#random = random;
   }
 
   /** Calls so far, failed ones included. */
@@ -116,13 +128,18 @@
     const detail = `watching ${prefix}`;
     const endsAt = this.#clock.now() + waitMilliseconds;
     if (!(await this.#answer())) return unavailable(detail);
-    for (;;) {
+    while (this.#changedSince(prefix, afterRevision).length === 0) {
       if (this.down) return unavailable(detail);
-      const changed = this.#changedSince(prefix, afterRevision);
-      const over = this.#clock.now() >= endsAt || signal?.aborted === true;
-      if (changed.length > 0 || over) return succeed({ revision: this.#revision, changed });
+      if (this.#clock.now() >= endsAt || signal?.aborted === true) break;
       await this.#waitForChange(endsAt - this.#clock.now(), signal);
+      // The answer to a call that had to wait takes its time as well.
+      await this.#clock.sleep(this.delayMilliseconds);
     }
+    if (this.down) return unavailable(detail);
+    return succeed({
+      revision: this.#revision,
+      changed: this.#changedSince(prefix, afterRevision),
+    });
   }
 
   /** Begins or ends an outage; pending watches end with a failure. */
@@ -136,9 +153,13 @@
   }
 
   async #answer(): Promise<boolean> {
-    this.#callTimes.push(this.#clock.now());
-    await this.#clock.sleep(this.delayMilliseconds);
-    return !this.down;
+    const now = this.#clock.now();
+    this.#callTimes.push(now);
+    const startsAt = Math.max(now, this.#freeAt);
+    this.#freeAt = startsAt + 1000 / this.callsPerSecond;
+    await this.#clock.sleep(startsAt - now + this.delayMilliseconds);
+    const lost = this.#random !== undefined && this.#random.next() < this.lossShare;
+    return !this.down && !lost;
   }
 
   #waitForChange(milliseconds: number, signal?: AbortSignal): Promise<void> {
--- a/packages/membership/src/PacedStore.ts
+++ b/packages/membership/src/PacedStore.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { TokenBucket } from '@hickorybridge/coordination';
 import type {
   PlatformStore,
@@ -45,6 +46,8 @@
 
   constructor(options: PacedStoreOptions) {
     this.#options = options;
+    // Every waiting call listens to the signal.
+    setMaxListeners(0, this.#stop.signal);
     const { clock } = options;
     this.#bucket = new TokenBucket({ tokensPerSecond: callsPerSecond, burst: burstCalls, clock });
   }
--- a/packages/membership/src/TaskGroup.ts
+++ b/packages/membership/src/TaskGroup.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import type { Logger } from '@hickorybridge/logger';
 import type { Clock } from '@hickorybridge/utils';
 
@@ -21,6 +22,8 @@
 
   constructor(options: TaskGroupOptions) {
     this.#options = options;
+    // Each task waits on the signal, and its waits within it do as well.
+    setMaxListeners(0, this.#stop.signal);
   }
 
   /** Aborts at disposal. */
