Node: metrics, traces and the flight recorder on both sides of the path

Change: the router and the admission side record each request's steps, count outcomes, refusals and tries, and open a span for each hop.

--- a/packages/node/src/Node.ts
+++ b/packages/node/src/Node.ts
@@ -17,8 +17,10 @@
 import type { KeyedRequests } from './claiming/KeyedRequests.js';
 import type { HttpListener, HttpListenError } from './listeners/HttpListener.js';
 import type { OpenExchanges } from './listeners/OpenExchanges.js';
+import type { Observability } from './Observability.js';
 import type { EffectiveRouting } from './routing/EffectiveRouting.js';
 import { failed, type RoutedOutcome, type RoutedRequest } from './routing/RoutedRequest.js';
+import type { ObservedRouting, UnobservedRequest } from './routing/ObservedRouting.js';
 import type { Supervisor } from './Supervisor.js';
 
 // After the grace limit, requests that were cancelled get this long to learn their outcome.
@@ -34,6 +36,8 @@
   readonly backendServers: LocalBackendServers;
   readonly routing: EffectiveRouting;
   readonly open: OpenExchanges;
+  readonly observability: Observability;
+  readonly observedRouting: ObservedRouting;
   readonly keyedRequests: KeyedRequests;
   readonly keeper: KeeperDuty;
   /** Aborts the requests that go on without their callers. */
@@ -84,10 +88,14 @@
   }
 
   /** Routes a caller's request; one with an idempotency key runs at most once. */
-  async route(request: RoutedRequest): Promise<RoutedOutcome> {
+  async route(request: UnobservedRequest): Promise<RoutedOutcome> {
+    const { keyedRequests, observedRouting } = this.#parts;
     const { idempotencyKey } = request;
-    if (idempotencyKey === undefined) return this.routeUnkeyed(request);
-    return this.#parts.keyedRequests.run(request, idempotencyKey);
+    return observedRouting.observe(request, (observed) =>
+      idempotencyKey === undefined
+        ? this.routeUnkeyed(observed)
+        : keyedRequests.run(observed, idempotencyKey),
+    );
   }
 
   /** Routes a request whose key, if it has one, is claimed already. */
@@ -117,11 +125,13 @@
   }
 
   metrics(): string {
-    return `hickorybridge_open_requests ${this.#parts.open.size}\n`;
+    return this.#parts.observability.metrics.render();
   }
 
-  explain(_requestId: string): unknown {
-    return undefined;
+  /** Gives what is remembered of a request; `undefined` when nothing is. */
+  explain(requestId: string): unknown {
+    const found = this.#parts.observability.flights.find(requestId);
+    return found.length === 0 ? undefined : found;
   }
 
   /** Shuts the node down gracefully. Resolves when it has ended; further calls join the first. */
--- a/packages/node/src/bin.ts
+++ b/packages/node/src/bin.ts
@@ -2,6 +2,7 @@
 import { formatProblem, parseNodeSettings } from '@hickorybridge/configuration';
 import { createLogger } from '@hickorybridge/logger';
 import { HttpPlatformStore } from '@hickorybridge/store';
+import { createTracer } from '@hickorybridge/telemetry';
 import { RandomSource, systemClock } from '@hickorybridge/utils';
 import { randomInt } from 'node:crypto';
 import { readFile } from 'node:fs/promises';
@@ -39,7 +40,15 @@
   const logger = createLogger({ ...log, fields: { node: own.id } });
   await using platformStore = new HttpPlatformStore(store);
   const random = new RandomSource(own.seed ?? randomInt(largestSeed));
-  const node = createNode({ settings, store: platformStore, clock: systemClock, random, logger });
+  await using tracer = await createTracer({ ...settings.traces, ...own, nodeId: own.id });
+  const node = createNode({
+    settings,
+    store: platformStore,
+    clock: systemClock,
+    random,
+    logger,
+    tracer,
+  });
   const started = await node.start();
   if (!started.ok) {
     exitWith(ExitCode.failed, `cannot start node "${own.id}": ${started.error.detail}`);
@@ -52,6 +61,7 @@
   process.once('SIGTERM', () => process.exit(ExitCode.failed));
   process.once('SIGINT', () => process.exit(ExitCode.failed));
   await node.stop();
+  await tracer[Symbol.asyncDispose]();
   process.exit(ExitCode.done);
 }
 
--- a/packages/node/src/claiming/KeyedRequests.ts
+++ b/packages/node/src/claiming/KeyedRequests.ts
@@ -36,6 +36,7 @@
       requestId: request.requestId,
       deadline: request.deadline,
     });
+    request.flight.add({ type: 'claim', result: outcome.type });
     return match(outcome)
       .with({ type: 'granted' }, ({ claim }) => this.#runClaimed(request, claim))
       .with({ type: 'finished' }, ({ answer }) => replay(answer))
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -4,6 +4,7 @@
 import { createMembership, PacedStore, type Membership } from '@hickorybridge/membership';
 import { PeerPool } from '@hickorybridge/peer-protocol';
 import type { PlatformStore } from '@hickorybridge/store';
+import { createMetrics, FlightRecorder, type Tracer } from '@hickorybridge/telemetry';
 import type { NodeIdentity } from '@hickorybridge/types';
 import type { Clock, RandomSource } from '@hickorybridge/utils';
 
@@ -17,8 +18,11 @@
 import { HttpListener } from './listeners/HttpListener.js';
 import { OpenExchanges } from './listeners/OpenExchanges.js';
 import { Node } from './Node.js';
+import type { Observability } from './Observability.js';
+import { ObservedExecutor } from './ObservedExecutor.js';
 import { createRequestIds } from './requestIds.js';
 import { EffectiveRouting } from './routing/EffectiveRouting.js';
+import { ObservedRouting } from './routing/ObservedRouting.js';
 import type { SendToNode } from './routing/RequestTry.js';
 import { Supervisor } from './Supervisor.js';
 
@@ -35,15 +39,19 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
+  readonly tracer: Tracer;
 }
 
 /** Wires the parts of a node. The node does nothing until it is started. */
 export function createNode(options: CreateNodeOptions): Node {
-  const { settings, store, clock, random, logger } = options;
+  const { settings, store, clock, random, logger, tracer } = options;
   const { listeners, node, peers } = settings;
   const identity: NodeIdentity = { nodeId: node.id, incarnation: Math.floor(clock.wallTime()) };
   const location = { region: node.region, failureDomain: node.failureDomain };
+  const flights = new FlightRecorder({ nodeId: identity.nodeId, clock });
+  const observability: Observability = { metrics: createMetrics(), flights, tracer };
   const executor = new AdmissionExecutor(identity);
+  const observedExecutor = new ObservedExecutor(executor, observability, clock);
   let membership: Membership;
   let result: Node;
   const pool = new PeerPool({
@@ -54,7 +62,7 @@
       deploymentNumber: () => membership.deployment()?.number ?? 0,
     },
     addressOf: (nodeId) => membership.peerAddressOf(nodeId),
-    executor,
+    executor: observedExecutor,
     introduced: (introduction) => {
       membership.noticeDeploymentNumber(
         introduction.identity.nodeId,
@@ -80,12 +88,13 @@
   const backendServers = new LocalBackendServers({ membership, executor, clock, logger });
   const send: SendToNode = (entry, head, request, signal) =>
     entry.nodeId === identity.nodeId
-      ? executor.execute(head, request.body, signal)
+      ? observedExecutor.execute(head, request.body, signal)
       : pool.execute(entry.nodeId, head, request.body, signal);
   const routing = new EffectiveRouting({
     directory: membership,
     context: { location, nodeId: identity.nodeId },
     send,
+    observability,
     clock,
     random: random.fork(),
     logger,
@@ -120,6 +129,8 @@
     backendServers,
     routing,
     open,
+    observability,
+    observedRouting: new ObservedRouting(observability, clock),
     keyedRequests,
     keeper,
     ending,
--- a/packages/node/src/listeners/HttpListener.ts
+++ b/packages/node/src/listeners/HttpListener.ts
@@ -18,7 +18,6 @@
 
 /** Environment of handlers that work on the streams of Node.js themselves. */
 export interface ListenerEnvironment {
-   
   Bindings: HttpBindings;
 }
 
--- a/packages/node/src/listeners/createCallersApplication.ts
+++ b/packages/node/src/listeners/createCallersApplication.ts
@@ -3,7 +3,8 @@
 import type { Clock } from '@hickorybridge/utils';
 import { Hono } from 'hono';
 
-import { failed, type RoutedOutcome, type RoutedRequest } from '../routing/RoutedRequest.js';
+import type { UnobservedRequest } from '../routing/ObservedRouting.js';
+import { failed, type RoutedOutcome } from '../routing/RoutedRequest.js';
 import { CallerExchange } from './CallerExchange.js';
 import type { ListenerEnvironment } from './HttpListener.js';
 import type { OpenExchanges } from './OpenExchanges.js';
@@ -14,7 +15,7 @@
 export interface CallersApplicationOptions {
   /** The deployment in effect; `undefined` until the node has learnt one. */
   readonly effective: () => EffectiveDeployment | undefined;
-  readonly route: (request: RoutedRequest) => Promise<RoutedOutcome>;
+  readonly route: (request: UnobservedRequest) => Promise<RoutedOutcome>;
   readonly nextRequestId: () => string;
   /** True while the node is stopping; callers are then asked to close their connections. */
   readonly stopping: () => boolean;
@@ -30,12 +31,7 @@
   application.all('*', async (context) => {
     const { incoming, outgoing } = context.env;
     const requestId = options.nextRequestId();
-    const exchange = new CallerExchange(
-      incoming,
-      outgoing,
-      requestId,
-      options.stopping,
-    );
+    const exchange = new CallerExchange(incoming, outgoing, requestId, options.stopping);
     options.open.add(exchange);
     try {
       const outcome = await handleRequest(exchange, options);
--- a/packages/node/src/listeners/parseCallerRequest.ts
+++ b/packages/node/src/listeners/parseCallerRequest.ts
@@ -6,7 +6,8 @@
 
 import { withoutConnectionHeaders } from '../admitting/backendServerHeaders.js';
 import { HeaderName } from '../headerNames.js';
-import { failed, type RoutedFailure, type RoutedRequest } from '../routing/RoutedRequest.js';
+import type { UnobservedRequest } from '../routing/ObservedRouting.js';
+import { failed, type RoutedFailure } from '../routing/RoutedRequest.js';
 import { RequestHeaders } from './requestHeaders.js';
 
 const maxDepth = 32;
@@ -28,10 +29,10 @@
 }
 
 /** A request without its body, which is read only once the rest is in order. */
-export type RequestWithoutBody = Omit<RoutedRequest, 'body'>;
+export type RequestWithoutBody = Omit<UnobservedRequest, 'body'>;
 
 /** Adds the body to a request. */
-export function withBody(request: RequestWithoutBody, body: RequestBody): RoutedRequest {
+export function withBody(request: RequestWithoutBody, body: RequestBody): UnobservedRequest {
   return { ...request, body };
 }
 
--- a/packages/node/src/routing/EffectiveRouting.ts
+++ b/packages/node/src/routing/EffectiveRouting.ts
@@ -10,6 +10,7 @@
 import { isDeepStrictEqual } from 'node:util';
 
 import type { EffectiveDeployment } from '../listeners/parseCallerRequest.js';
+import type { Observability } from '../Observability.js';
 import { RequestRouter } from './RequestRouter.js';
 import type { SendToNode } from './RequestTry.js';
 
@@ -18,6 +19,7 @@
   readonly directory: BackendServerDirectory;
   readonly context: SelectorContext;
   readonly send: SendToNode;
+  readonly observability: Observability;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
@@ -45,7 +47,7 @@
 
   /** Puts a deployment into effect. What routers have learnt is kept when the rules stay. */
   apply(accepted: AcceptedDeployment): void {
-    const { clock, context, directory, logger, random, send } = this.#options;
+    const { clock, context, directory, logger, observability, random, send } = this.#options;
     const parsed = parseDeployment(accepted.text, `deployment ${accepted.number}`);
     if (!parsed.ok) {
       logger.error('deployment-not-usable', 'the accepted deployment cannot be read by this node', {
@@ -61,6 +63,13 @@
     this.#effective = { number: accepted.number, deployment, matcher };
     if (unchanged && this.#router !== undefined) return;
     const selector = createSelector({ settings, context, directory, clock, random: random.fork() });
-    this.#router = new RequestRouter({ settings, selector, send, clock, random: random.fork() });
+    this.#router = new RequestRouter({
+      settings,
+      selector,
+      send,
+      observability,
+      clock,
+      random: random.fork(),
+    });
   }
 }
--- a/packages/node/src/routing/RequestRouter.ts
+++ b/packages/node/src/routing/RequestRouter.ts
@@ -2,6 +2,7 @@
 import type { BackendServerSelector } from '@hickorybridge/routing';
 import type { Clock, RandomSource } from '@hickorybridge/utils';
 
+import type { Observability } from '../Observability.js';
 import type { SendToNode } from './RequestTry.js';
 import type { RoutedOutcome, RoutedRequest } from './RoutedRequest.js';
 import { RoutingRun } from './RoutingRun.js';
@@ -12,6 +13,7 @@
   readonly settings: RoutingSettings;
   readonly selector: BackendServerSelector;
   readonly send: SendToNode;
+  readonly observability: Observability;
   readonly clock: Clock;
   readonly random: RandomSource;
 }
--- a/packages/node/src/routing/RequestTry.ts
+++ b/packages/node/src/routing/RequestTry.ts
@@ -1,5 +1,6 @@
 import type { ExecutionOutcome } from '@hickorybridge/peer-protocol';
 import type { BackendServerSelector, TryResult } from '@hickorybridge/routing';
+import type { Metrics, Span, Tracer } from '@hickorybridge/telemetry';
 import type { BackendServerEntry, RequestHead } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
 
@@ -19,8 +20,11 @@
   readonly entry: BackendServerEntry;
   /** Permission that this try carries to the calls below it. */
   readonly attempts: number;
+  readonly hedged: boolean;
   readonly selector: BackendServerSelector;
   readonly send: SendToNode;
+  readonly tracer: Tracer;
+  readonly metrics: Metrics;
   readonly clock: Clock;
 }
 
@@ -57,9 +61,11 @@
   async #run(): Promise<ExecutionOutcome> {
     const { clock, entry, request, selector, send } = this.#options;
     selector.sent(entry);
-    const head = createHead(request, entry, this.attempts);
+    const span = this.#begin();
+    const head = createHead(request, entry, this.attempts, span?.traceparent);
     const outcome = await send(entry, head, request, this.#cancellation.signal);
     const elapsedMilliseconds = clock.now() - this.#startedAt;
+    this.#record(outcome, span);
     if (outcome.type !== 'answered') {
       selector.finished(entry, this.#failure(outcome));
       return outcome;
@@ -72,6 +78,35 @@
     return outcome;
   }
 
+  #begin(): Span | undefined {
+    const { entry, hedged, request, tracer } = this.#options;
+    const { backendServerId, failureDomain, nodeId, region, service } = entry;
+    request.flight.add({ type: 'try', backendServerId, nodeId, region, failureDomain, hedged });
+    const { traceparent } = request;
+    return tracer.start({ name: 'try', service, kind: request.kind.name, traceparent });
+  }
+
+  #record(outcome: ExecutionOutcome, span: Span | undefined): void {
+    const { entry, metrics, request } = this.#options;
+    const { backendServerId } = entry;
+    metrics.tries.at(entry.service, outcome.type).add();
+    switch (outcome.type) {
+      case 'answered':
+        request.flight.add({ type: 'answered', backendServerId, status: outcome.head.status });
+        span?.end();
+        return;
+      case 'refused':
+        request.flight.add({ type: 'refused', backendServerId, reason: outcome.reason });
+        span?.end({ error: outcome.reason });
+        return;
+      default: {
+        const { detail } = outcome;
+        request.flight.add({ type: 'lost', backendServerId, mayHaveRun: true, detail });
+        span?.end({ error: detail });
+      }
+    }
+  }
+
   #failure(outcome: Exclude<ExecutionOutcome, { type: 'answered' }>): TryResult {
     if (this.#cancelled) return { type: 'cancelled' };
     if (outcome.type === 'refused') return { type: 'refused', report: outcome.report };
@@ -83,6 +118,7 @@
   request: RoutedRequest,
   entry: BackendServerEntry,
   attempts: number,
+  traceparent: string | undefined,
 ): RequestHead {
   return {
     requestId: request.requestId,
@@ -98,6 +134,6 @@
     deadline: request.deadline,
     depth: request.depth,
     attempts,
-    traceparent: request.traceparent,
+    traceparent: traceparent ?? request.traceparent,
   };
 }
--- a/packages/node/src/routing/RoutedRequest.ts
+++ b/packages/node/src/routing/RoutedRequest.ts
@@ -1,5 +1,6 @@
 import type { RequestKind, Service } from '@hickorybridge/configuration';
 import type { RequestBody } from '@hickorybridge/peer-protocol';
+import type { FlightRecord } from '@hickorybridge/telemetry';
 import type { AnswerHead, HeaderList, Outcome, ProblemName } from '@hickorybridge/types';
 import type { Readable } from 'node:stream';
 
@@ -21,6 +22,8 @@
   readonly traceparent: string | undefined;
   /** Aborts when the caller has gone away. */
   readonly signal: AbortSignal;
+  /** Record of the request's steps, for `explain`. */
+  readonly flight: FlightRecord;
 }
 
 /** What the caller is told. */
--- a/packages/node/src/routing/RoutingRun.ts
+++ b/packages/node/src/routing/RoutingRun.ts
@@ -57,7 +57,8 @@
   async run(): Promise<RoutedOutcome> {
     const { signal, deadline } = this.#request;
     for (;;) {
-      if (signal.aborted) return this.#fail(ProblemName.connectionLost, 'the request was cancelled');
+      if (signal.aborted)
+        return this.#fail(ProblemName.connectionLost, 'the request was cancelled');
       if (this.#options.clock.now() >= deadline) return this.#deadlineExceeded();
       const entry = await this.#select();
       if (entry === undefined) return this.#noBackendServer();
@@ -96,7 +97,7 @@
     const startedAt = clock.now();
     const { idempotent } = kind;
     const carried = attemptsForTry({ attempts: this.#attempts, idempotent, depth });
-    const first = this.#start(entry, carried);
+    const first = this.#start(entry, carried, false);
     const cancelAll = () => this.#running.forEach((each) => each.cancel());
     const timer = setTimeout(cancelAll, deadline - startedAt + deadlineGraceMilliseconds);
     signal.addEventListener('abort', cancelAll, { once: true });
@@ -128,21 +129,26 @@
     });
     if (!due) return undefined;
     const entry = this.#selectNow();
-    if (entry !== undefined) return this.#start(entry, attemptsKept);
+    if (entry !== undefined) {
+      this.#options.observability.metrics.hedges.at(entry.service).add();
+      return this.#start(entry, attemptsKept, true);
+    }
     hedgePolicy.giveBack();
     return undefined;
   }
 
-  #start(entry: BackendServerEntry, attempts: number): RequestTry {
-    const { clock, selector, send } = this.#options;
+  #start(entry: BackendServerEntry, attempts: number, hedged: boolean): RequestTry {
+    const { clock, observability, selector, send } = this.#options;
     this.#excluded.add(entry.backendServerId);
     this.#tries += 1;
     const started = new RequestTry({
       request: this.#request,
       entry,
       attempts,
+      hedged,
       selector,
       send,
+      ...observability,
       clock,
     });
     this.#running.push(started);
