--- a/packages/node/src/Node.ts
+++ b/packages/node/src/Node.ts
@@ -1,4 +1,5 @@
 import type { NodeSettings } from '@hickorybridge/configuration';
+import type { ViewRegister } from '@hickorybridge/idempotency';
 import type { Logger } from '@hickorybridge/logger';
 import type { Membership } from '@hickorybridge/membership';
 import type { PeerPool } from '@hickorybridge/peer-protocol';
@@ -40,6 +41,7 @@
   readonly observedRouting: ObservedRouting;
   readonly keyedRequests: KeyedRequests;
   readonly keeper: KeeperDuty;
+  readonly views: ViewRegister;
   /** Aborts the requests that go on without their callers. */
   readonly ending: AbortController;
   readonly supervisor: Supervisor;
@@ -81,10 +83,11 @@
     return succeed(undefined);
   }
 
-  /** Whether the node knows a configuration and takes requests. */
+  /** Whether the node takes all requests, those with an idempotency key included. */
   ready(): boolean {
-    const { membership, routing } = this.#parts;
-    return !this.stopping && membership.ready() && routing.router !== undefined;
+    const { membership, routing, views } = this.#parts;
+    if (this.stopping || !membership.ready()) return false;
+    return routing.router !== undefined && views.current() !== undefined;
   }
 
   /** Routes a caller's request; one with an idempotency key runs at most once. */
@@ -113,6 +116,8 @@
     const { executor, membership, open, pool, routing } = this.#parts;
     return {
       ...membership.summary(),
+      claimViewVersion: this.#parts.views.current()?.version ?? 0,
+      keepsClaimView: this.#parts.keeper.holdsLease,
       ready: this.ready(),
       stopping: this.stopping,
       deployment: routing.effective?.deployment.name,
--- a/packages/node/src/claiming/KeeperDuty.ts
+++ b/packages/node/src/claiming/KeeperDuty.ts
@@ -12,7 +12,8 @@
 const leaseKey = 'leases/claim-view-keeper';
 const leaseMilliseconds = 6000;
 const renewalMilliseconds = 2000;
-const keeperRoundMilliseconds = 2000;
+// The first view is needed before the first keyed request.
+const startupMilliseconds = 100;
 
 /** What the duties around claim views are made of. */
 export interface KeeperDutyOptions {
@@ -69,25 +70,35 @@
       clock,
       views,
       logger,
-      intervalMilliseconds: keeperRoundMilliseconds,
       lease: { held: () => this.#held() },
       liveNodes: () => this.#candidates(),
     });
     supervisor.start('claim view', (signal) => tasks.run(signal));
-    supervisor.start('claim view lease', (signal) => this.#keepLease(signal));
-    supervisor.start('claim view keeper', (signal) => keeper.run(signal));
+    supervisor.start('claim view keeper', (signal) => this.#keep(keeper, signal));
   }
 
-  async #keepLease(signal: AbortSignal): Promise<void> {
+  /** Takes or renews the lease in each round, and repairs the view while it is held. */
+  async #keep(keeper: ViewKeeper, signal: AbortSignal): Promise<void> {
     const { clock, membership } = this.#options;
     while (!signal.aborted) {
-      const candidate = membership.ready() && membership.holdsRole(RoleName.storeWatcher);
-      if (candidate || this.holdsLease) await this.#lease.acquireOrRenew();
-      await clock.sleep(renewalMilliseconds, signal);
+      const ready = membership.ready();
+      const candidate = ready && membership.holdsRole(RoleName.storeWatcher);
+      if (candidate || this.holdsLease) await this.#runRound(keeper);
+      await clock.sleep(ready ? renewalMilliseconds : startupMilliseconds, signal);
     }
     await this.#lease.release();
   }
 
+  async #runRound(keeper: ViewKeeper): Promise<void> {
+    const { clock } = this.#options;
+    await this.#lease.acquireOrRenew();
+    const renewBy = clock.now() + renewalMilliseconds;
+    while (this.holdsLease && clock.now() < renewBy) {
+      const round = await keeper.runOnce();
+      if (round.type !== 'written') return;
+    }
+  }
+
   #held(): { readonly fencingToken: number } | undefined {
     const { token } = this.#lease;
     return token === undefined ? undefined : { fencingToken: token };
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -133,6 +133,7 @@
     observedRouting: new ObservedRouting(observability, clock),
     keyedRequests,
     keeper,
+    views,
     ending,
     supervisor: new Supervisor('node', clock, logger),
     clock,
