Keyed requests that are sent twice at once wait for the first one's answer

Change: such a request asks again until the answer is stored, the claim is free or its own deadline is near.

--- a/packages/node/src/claiming/KeyedRequests.ts
+++ b/packages/node/src/claiming/KeyedRequests.ts
@@ -1,5 +1,6 @@
 import type { ClaimClient, ClaimOutcome, StoredAnswer } from '@hickorybridge/idempotency';
 import { Outcome, ProblemName } from '@hickorybridge/types';
+import type { Clock } from '@hickorybridge/utils';
 import { createHash } from 'node:crypto';
 import { Readable } from 'node:stream';
 import { match } from 'ts-pattern';
@@ -12,30 +13,39 @@
 /** Routes a request that may run now. */
 export type Route = (request: RoutedRequest) => Promise<RoutedOutcome>;
 
+// Pauses between two questions for the answer of another attempt.
+const firstPauseMilliseconds = 20;
+const longestPauseMilliseconds = 200;
+
+/** What `KeyedRequests` is made of. */
+export interface KeyedRequestsOptions {
+  readonly claims: ClaimClient;
+  readonly route: Route;
+  /** Aborts when the node has to end all work. */
+  readonly ending: AbortSignal;
+  readonly clock: Clock;
+}
+
 /** Runs requests with an idempotency key at most once each. */
 export class KeyedRequests {
   readonly #claims: ClaimClient;
 
   readonly #route: Route;
 
-  /** Aborts when the node has to end all work. */
   readonly #ending: AbortSignal;
 
-  constructor(claims: ClaimClient, route: Route, ending: AbortSignal) {
-    this.#claims = claims;
-    this.#route = route;
-    this.#ending = ending;
+  readonly #clock: Clock;
+
+  constructor(options: KeyedRequestsOptions) {
+    this.#claims = options.claims;
+    this.#route = options.route;
+    this.#ending = options.ending;
+    this.#clock = options.clock;
   }
 
   /** Claims the key, runs the request if the claim is granted, and stores its answer. */
   async run(request: RoutedRequest, key: string): Promise<RoutedOutcome> {
-    const outcome = await this.#claims.claim({
-      service: request.service.name,
-      key,
-      fingerprint: createFingerprint(request),
-      requestId: request.requestId,
-      deadline: request.deadline,
-    });
+    const outcome = await this.#claimOrWait(request, key);
     request.flight.add({ type: 'claim', result: outcome.type });
     return match(outcome)
       .with({ type: 'granted' }, ({ claim }) => this.#runClaimed(request, claim))
@@ -64,6 +74,28 @@
       .exhaustive();
   }
 
+  /**
+   * Claims the key. While another attempt holds it, waits for that attempt's answer, so that a
+   * request that is sent twice at once gets the same answer twice.
+   */
+  async #claimOrWait(request: RoutedRequest, key: string): Promise<ClaimOutcome> {
+    const claim = {
+      service: request.service.name,
+      key,
+      fingerprint: createFingerprint(request),
+      requestId: request.requestId,
+      deadline: request.deadline,
+    };
+    let pause = firstPauseMilliseconds;
+    for (;;) {
+      const outcome = await this.#claims.claim(claim);
+      if (outcome.type !== 'claimed-elsewhere' || request.signal.aborted) return outcome;
+      if (this.#clock.now() + pause >= request.deadline) return outcome;
+      await this.#clock.sleep(pause, request.signal);
+      pause = Math.min(pause * 2, longestPauseMilliseconds);
+    }
+  }
+
   /** A claimed request goes on when its caller goes away, so that its answer can be asked for. */
   async #runClaimed(request: RoutedRequest, claim: Claim): Promise<RoutedOutcome> {
     const outcome = await this.#route({ ...request, signal: this.#ending });
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -105,11 +105,12 @@
   const holder = new ClaimHolder({ identity, channel: pool, clock, retentionMilliseconds, logger });
   const claims = new ClaimClient({ channel: pool, views, clock, location, retentionMilliseconds });
   const ending = new AbortController();
-  const keyedRequests = new KeyedRequests(
+  const keyedRequests = new KeyedRequests({
     claims,
-    (request) => result.routeUnkeyed(request),
-    ending.signal,
-  );
+    route: (request) => result.routeUnkeyed(request),
+    ending: ending.signal,
+    clock,
+  });
   const keeper = new KeeperDuty({
     identity,
     membership,
