Measures: policy, added latency and start

'policy' lets the selectable policies take turns on the same traces in a running deployment; a request that is not answered counts with its deadline. 'added-latency' sends the same call directly, through one node and through two, in random order. 'start' restarts a node and reads its memory.

--- a/packages/measure/src/index.ts
+++ b/packages/measure/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './Measure.js';
+export * from './measures.js';
--- a/packages/replay/src/cluster/DeploymentCluster.ts
+++ b/packages/replay/src/cluster/DeploymentCluster.ts
@@ -33,6 +33,11 @@
   readonly services?: readonly string[];
   readonly seed: number;
   readonly logLevel?: string;
+  /**
+   * Whether peer connections go through the relay of the link, which is in this process; `true`
+   * by default. Without it nodes are measured alone, but nothing can be cut or delayed.
+   */
+  readonly relayPeers?: boolean;
   /** Called with each step of the start, for people. */
   readonly onProgress?: (message: string) => void;
 }
@@ -198,7 +203,9 @@
     const advertised = new Map<string, SocketAddress>();
     for (const plan of plans) {
       const route = { target: plan.peers, region: plan.region };
-      advertised.set(plan.nodeId, await this.link.addRoute(route));
+      const address =
+        (this.#options.relayPeers ?? true) ? await this.link.addRoute(route) : plan.peers;
+      advertised.set(plan.nodeId, address);
     }
     for (const plan of plans) {
       const storeAddress = plan.region === nearStore ? this.#storeAddress : storeRoute;
--- a/packages/stand-ins/src/backendServer/StandInBackendServer.ts
+++ b/packages/stand-ins/src/backendServer/StandInBackendServer.ts
@@ -232,7 +232,9 @@
     this.#runLog?.append(number, run);
     try {
       const work = headerOf(request, 'x-work') ?? run.mark;
-      await sleep(this.#serviceTime(work), undefined, { signal: cancellation });
+      const serviceTime = this.#serviceTime(work);
+      // A timer waits for at least 1 ms, which would hide what is to be measured in fast calls.
+      if (serviceTime > 0) await sleep(serviceTime, undefined, { signal: cancellation });
       run.state = RunState.completed;
     } catch {
       run.state = RunState.cancelled;
