Replay: separate repetitions of unfinished requests from other unknown outcomes

All were repetitions of a key whose first request was still in flight, for which already-claimed is the stated reply. Such replies now count only when the key was sent more than once, and leave the shares of answered and unknown requests; an unfounded already-claimed still fails. Details list the problems by type.

--- a/packages/replay/src/__tests__/accounting.test.ts
+++ b/packages/replay/src/__tests__/accounting.test.ts
@@ -52,6 +52,16 @@
     assert.equal(account({ ...evidence, records, runs }).ranTwice, 1);
   });
 
+  it('guards against an unfounded already-claimed that is taken for a repetition', () => {
+    const problem = 'urn:hickorybridge:problem:already-claimed';
+    const records = [
+      record('a', Told.answered, { key: 'k' }),
+      record('b', Told.unknown, { key: 'k', problem }),
+      record('c', Told.unknown, { key: 'l', problem }),
+    ];
+    assert.equal(account({ ...evidence, records }).alreadyClaimed, 1);
+  });
+
   it('guards against cut-off connections and late work that are excused too widely', () => {
     const records = [record('a', Told.cutOff), record('b', Told.cutOff, { nodeId: 'node-2' })];
     const leavings = [{ hostId: 'laboratory-1', from: 5_000, until: Infinity }];
--- a/packages/replay/src/check/accounting.ts
+++ b/packages/replay/src/check/accounting.ts
@@ -27,6 +27,10 @@
   readonly answered: number;
   readonly notRun: number;
   readonly unknown: number;
+  /** Of the unknown ones, repetitions of a key whose first request was not finished. */
+  readonly alreadyClaimed: number;
+  /** Replies that the system made itself, by type of problem. */
+  readonly problems: ReadonlyMap<string, number>;
   /** Runs in all. */
   readonly ran: number;
   readonly unaccounted: number;
@@ -43,6 +47,8 @@
 
 const maximumExamples = 6;
 
+const alreadyClaimedProblem = 'urn:hickorybridge:problem:already-claimed';
+
 /** Compares what callers were told with what ran. */
 export function account(evidence: Evidence): Accounting {
   const runsByMark = groupRuns(evidence.runs, ({ run }) => run.mark);
@@ -68,6 +74,8 @@
     answered: told(Told.answered).length,
     notRun: told(Told.notRun).length,
     unknown: told(Told.unknown).length,
+    alreadyClaimed: countAlreadyClaimed(records),
+    problems: countProblems(records),
     ran: evidence.runs.length,
     unaccounted: faulty.unaccounted.length,
     ranTwice: faulty.ranTwice.length,
@@ -83,6 +91,31 @@
   };
 }
 
+/** `already-claimed` is the right reply only for a key that was sent more than once. */
+function countAlreadyClaimed(records: readonly CallerRecord[]): number {
+  const sendings = new Map<string, number>();
+  for (const { key } of records) {
+    if (key !== undefined) sendings.set(key, (sendings.get(key) ?? 0) + 1);
+  }
+  return records.filter(
+    (record) =>
+      record.problem === alreadyClaimedProblem &&
+      record.key !== undefined &&
+      (sendings.get(record.key) ?? 0) > 1,
+  ).length;
+}
+
+function countProblems(records: readonly CallerRecord[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const { told, problem, detail } of records) {
+    if (told !== Told.answered) {
+      const name = `${told}: ${problem ?? detail ?? 'no problem details'}`;
+      counts.set(name, (counts.get(name) ?? 0) + 1);
+    }
+  }
+  return counts;
+}
+
 type RunsByName = ReadonlyMap<string, readonly PlacedRun[]>;
 
 function groupRuns(
