--- a/packages/command-line/src/applyDeployment.ts
+++ b/packages/command-line/src/applyDeployment.ts
@@ -5,7 +5,9 @@
   parseAcceptedDeployment,
 } from '@hickorybridge/configuration';
 import type { AcceptedDeployment } from '@hickorybridge/configuration';
-import type { PlatformStore, StoredObject } from '@hickorybridge/store';
+import { conditionalUpdate } from '@hickorybridge/coordination';
+import type { VersionedObject } from '@hickorybridge/coordination';
+import type { PlatformStore } from '@hickorybridge/store';
 import type { Clock } from '@hickorybridge/utils';
 
 /** One apply. */
@@ -25,7 +27,7 @@
   | { readonly type: 'unchanged'; readonly accepted: AcceptedDeployment }
   /** Another change stands; this one was not and will not be accepted. */
   | { readonly type: 'refused'; readonly standing: AcceptedDeployment | undefined }
-  /** This change was accepted or may have been, and another one has replaced it. */
+  /** Another change stands; `certain` tells that this one was accepted before it. */
   | {
       readonly type: 'replaced';
       readonly certain: boolean;
@@ -37,8 +39,8 @@
   /** Nothing was written. */
   | { readonly type: 'failed'; readonly detail: string };
 
+/** With the first delay doubled each time, a lost answer is looked for over about three seconds. */
 const resolutionReads = 5;
-const firstResolutionDelayMilliseconds = 100;
 
 /** Writes a deployment by one conditional update and finds out how it ended. */
 export async function applyDeployment(options: ApplyOptions): Promise<ApplyOutcome> {
@@ -57,64 +59,62 @@
 async function write(
   options: ApplyOptions,
   current: AcceptedDeployment | undefined,
-  version: number,
+  expectedVersion: number,
 ): Promise<ApplyOutcome> {
+  const { clock, operator, store, text } = options;
   const accepted: AcceptedDeployment = {
     number: (current?.number ?? 0) + 1,
     applyId: randomUUID(),
-    acceptedAt: options.clock.wallTime(),
-    text: options.text,
-    appliedBy: options.operator,
+    acceptedAt: clock.wallTime(),
+    text,
+    appliedBy: operator,
     previousApplyId: current?.applyId,
   };
-  const value = formatAcceptedDeployment(accepted);
-  const outcome = await options.store.writeConditional(deploymentKey, value, version);
+  const outcome = await conditionalUpdate({
+    store,
+    clock,
+    key: deploymentKey,
+    value: formatAcceptedDeployment(accepted),
+    expectedVersion,
+    isOwn: (value) => applyIdOf(value) === accepted.applyId,
+    resolutionReads,
+  });
   switch (outcome.type) {
     case 'done':
       return { type: 'accepted', accepted };
+    case 'unknown':
+      return { type: 'unknown', applyId: accepted.applyId, detail: outcome.detail };
     case 'refused':
-      return judgeStanding(accepted, outcome.current) ?? { type: 'refused', standing: undefined };
+      return { type: 'refused', standing: knownStanding(outcome.current) };
     default:
-      return resolveUnknown(options, accepted, version, outcome.detail);
+      return judgeReplaced(accepted, outcome.current);
   }
 }
 
-/** Reads the identity back until it is clear which change stands. */
-async function resolveUnknown(
-  options: ApplyOptions,
-  accepted: AcceptedDeployment,
-  version: number,
-  detail: string,
-): Promise<ApplyOutcome> {
-  let delay = firstResolutionDelayMilliseconds;
-  for (let count = 0; count < resolutionReads; count += 1) {
-    await options.clock.sleep(delay);
-    delay *= 2;
-    const read = await options.store.read(deploymentKey);
-    // While the old version stands, the write can still take effect.
-    if (!read.ok || read.value === undefined || read.value.version <= version) continue;
-    const judged = judgeStanding(accepted, read.value);
-    if (judged !== undefined) return judged;
+/** The next apply names the one before it, which tells whether ours was accepted in between. */
+function judgeReplaced(own: AcceptedDeployment, object: VersionedObject): ApplyOutcome {
+  const { applyId } = own;
+  const standing = knownStanding(object);
+  if (standing === undefined) {
+    return { type: 'unknown', applyId, detail: `${deploymentKey} cannot be read any more` };
   }
-  return { type: 'unknown', applyId: accepted.applyId, detail };
+  return { type: 'replaced', certain: standing.previousApplyId === applyId, applyId, standing };
+}
+
+function applyIdOf(value: string): string | undefined {
+  const parsed = parseAcceptedDeployment(value);
+  return parsed.ok ? parsed.value.applyId : undefined;
 }
 
-/** Compares what stands with our own write; `undefined` when that cannot be read. */
-function judgeStanding(
-  own: AcceptedDeployment,
-  object: StoredObject | undefined,
-): ApplyOutcome | undefined {
+function knownStanding(object: VersionedObject | undefined): AcceptedDeployment | undefined {
   const standing = readAccepted(object);
-  if (standing === undefined || typeof standing === 'string') return undefined;
-  if (standing.applyId === own.applyId) return { type: 'accepted', accepted: own };
-  // The number after the expected one belongs to another apply, so ours can no longer be accepted.
-  if (standing.number <= own.number) return { type: 'refused', standing };
-  const certain = standing.previousApplyId === own.applyId;
-  return { type: 'replaced', certain, applyId: own.applyId, standing };
+  return typeof standing === 'string' ? undefined : standing;
 }
 
 /** Gives the accepted deployment, `undefined` when there is none, or what is wrong with it. */
-function readAccepted(object: StoredObject | undefined): AcceptedDeployment | string | undefined {
+function readAccepted(
+  object: VersionedObject | undefined,
+): AcceptedDeployment | string | undefined {
   if (object === undefined) return undefined;
   const parsed = parseAcceptedDeployment(object.value);
   return parsed.ok ? parsed.value : parsed.error;
--- a/packages/command-line/src/readDeploymentFile.ts
+++ b/packages/command-line/src/readDeploymentFile.ts
@@ -38,7 +38,8 @@
   return { ok: false, exitCode: ExitCode.refused };
 }
 
-function printProblems(
+/** Prints problems as text and, when asked for, as one JSON object. */
+export function printProblems(
   problems: readonly ConfigurationProblem[],
   context: CommandContext,
   json: boolean,
