--- a/packages/command-line/src/DeploymentConfirmation.ts
+++ b/packages/command-line/src/DeploymentConfirmation.ts
@@ -1,7 +1,8 @@
 import { parseFencedValue } from '@hickorybridge/coordination';
 import type { Deployment } from '@hickorybridge/configuration';
 import type { PlatformStore } from '@hickorybridge/store';
-import type { SocketAddress } from '@hickorybridge/types';
+import { fail, succeed } from '@hickorybridge/types';
+import type { Result, SocketAddress } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
 import type { KnownNode } from './nodeStatus.js';
 import { fieldsOf, listOf, parseKnownNode, parseNodeStatus } from './nodeStatus.js';
@@ -110,14 +111,12 @@
   async #findReason(node: KnownNode): Promise<string | undefined> {
     const { clientAt, number } = this.#options;
     if (node.operatorsAddress === undefined) return "it gives no operators' address";
-    const answer = await clientAt(node.operatorsAddress).getJson('/status');
-    if (!answer.ok) return answer.error.detail;
-    const status = parseNodeStatus(answer.value);
-    if (!status.ok) return status.error;
-    if (status.value.nodeId !== node.nodeId) {
-      return `its operators' listener is on loopback of its own host (${status.value.nodeId} answers here)`;
+    const answer = await readNumber(clientAt(node.operatorsAddress));
+    if (!answer.ok) return answer.error;
+    const { nodeId, deploymentNumber } = answer.value;
+    if (nodeId !== node.nodeId) {
+      return `its operators' listener is on loopback of its own host (${nodeId} answers here)`;
     }
-    const { deploymentNumber } = status.value;
     return deploymentNumber >= number ? undefined : `number ${deploymentNumber} is in effect there`;
   }
 
@@ -142,3 +141,24 @@
 function keyOf(node: KnownNode): string {
   return `${node.nodeId}/${node.incarnation}`;
 }
+
+/** What a node says of itself. */
+interface EffectiveNumber {
+  readonly nodeId: string;
+  readonly deploymentNumber: number;
+}
+
+/**
+ * Asks a node for the number in effect. `/status` lists the whole fleet, so it is asked only when
+ * the node does not state the number in its answer to `/ready`.
+ */
+async function readNumber(client: OperatorsClient): Promise<Result<EffectiveNumber, string>> {
+  const ready = await client.getJson('/ready');
+  if (!ready.ok) return fail(ready.error.detail);
+  const { nodeId, deploymentNumber } = fieldsOf(ready.value);
+  if (typeof nodeId === 'string' && typeof deploymentNumber === 'number') {
+    return succeed({ nodeId, deploymentNumber });
+  }
+  const answer = await client.getJson('/status');
+  return answer.ok ? parseNodeStatus(answer.value) : fail(answer.error.detail);
+}
