--- a/packages/configuration/src/deploymentSchema.ts
+++ b/packages/configuration/src/deploymentSchema.ts
@@ -12,14 +12,16 @@
   .regex(
     /^[a-z][a-z0-9-]{0,62}$/,
     'must be lower-case letters, digits and hyphens, as in "phase-control"',
-  );
+  )
+  .meta({ title: 'a name, as in "phase-control"' });
 
 const hostName = z
   .string()
   .regex(
     /^(?=.{1,253}$)[a-z0-9]([a-z0-9-]*[a-z0-9])?(\.[a-z0-9]([a-z0-9-]*[a-z0-9])?)*$/,
     'must be a lower-case host name without a port, as in "hire.example.org"',
-  );
+  )
+  .meta({ title: 'a host name without a port, as in "hire.example.org"' });
 
 const share = z.number().min(0).max(1);
 
@@ -31,6 +33,7 @@
   path: z
     .string()
     .refine(isPathPattern, 'must be a path pattern, as in "/boxes/:boxId" or "/files/*"')
+    .meta({ title: 'a path pattern, as in "/boxes/:boxId"' })
     .describe(
       'Path pattern. A segment `:name` matches one segment that is not empty; a last segment `*` matches the rest of the path. The most specific pattern wins.',
     ),
--- a/packages/configuration/src/describeSchema.ts
+++ b/packages/configuration/src/describeSchema.ts
@@ -1,8 +1,10 @@
 import { z } from 'zod';
 
 /** The parts of a JSON schema that matter for a value in a settings file. */
-interface JsonSchema {
+export interface JsonSchema {
   readonly type?: string;
+  /** What the value is, in words, where the type says too little. */
+  readonly title?: string;
   readonly enum?: readonly unknown[];
   readonly minimum?: number;
   readonly maximum?: number;
@@ -10,6 +12,8 @@
   readonly minLength?: number;
   readonly minItems?: number;
   readonly items?: JsonSchema;
+  readonly properties?: Readonly<Record<string, JsonSchema>>;
+  readonly required?: readonly string[];
   readonly description?: string;
   readonly default?: unknown;
 }
@@ -24,7 +28,9 @@
   return z.toJSONSchema(schema, { io: 'input', unrepresentable: 'any' }) as JsonSchema;
 }
 
-function describeJsonSchema(schema: JsonSchema): string {
+/** Says in words which values a JSON schema permits. */
+export function describeJsonSchema(schema: JsonSchema): string {
+  if (schema.title !== undefined) return schema.title;
   if (schema.enum !== undefined) {
     return `one of ${schema.enum.map((value) => JSON.stringify(value)).join(', ')}`;
   }
@@ -36,7 +42,7 @@
     case 'boolean':
       return 'true or false';
     case 'array':
-      return `an array of ${schema.items?.type === 'object' ? 'tables' : 'strings'}`;
+      return `an array of ${describeItems(schema.items)}`;
     case 'object':
       return 'a table';
     default:
@@ -44,6 +50,11 @@
   }
 }
 
+function describeItems(items: JsonSchema | undefined): string {
+  if (items?.title === undefined) return items?.type === 'object' ? 'tables' : 'strings';
+  return `strings, each ${items.title}`;
+}
+
 function describeRange(schema: JsonSchema): string {
   const { minimum, maximum, exclusiveMinimum } = schema;
   const upper =
--- a/packages/configuration/src/nodeSettingsSchema.ts
+++ b/packages/configuration/src/nodeSettingsSchema.ts
@@ -8,19 +8,23 @@
   .refine((text) => parseSocketAddress(text) !== undefined, {
     message: 'must be an IP address and port, as in "127.0.0.1:8080" or "[::1]:8080"',
   })
-  .transform((text) => parseSocketAddress(text) ?? { host: '', port: 0 });
+  .transform((text) => parseSocketAddress(text) ?? { host: '', port: 0 })
+  .meta({ title: 'an IP address and port, as in "127.0.0.1:8080"' });
 
 const name = z
   .string()
   .regex(
     /^[a-z][a-z0-9-]{0,62}$/,
     'must be lower-case letters, digits and hyphens, as in "hall-a-3"',
-  );
+  )
+  .meta({ title: 'a name, as in "hall-a-3"' });
 
-const httpUrl = z.url({
-  protocol: /^https?$/,
-  error: 'must be an http:// or https:// URL, as in "http://127.0.0.1:7000"',
-});
+const httpUrl = z
+  .url({
+    protocol: /^https?$/,
+    error: 'must be an http:// or https:// URL, as in "http://127.0.0.1:7000"',
+  })
+  .meta({ title: 'an http:// or https:// URL' });
 
 const timeout = z.int().min(1).max(maxTimeoutMilliseconds);
 
@@ -56,7 +60,7 @@
 });
 
 const peers = z.strictObject({
-  seeds: z.array(socketAddress).default([]).describe('Peers to ask first.'),
+  seeds: z.array(socketAddress).prefault([]).describe('Peers to ask first.'),
   sharedKey: z
     .string()
     .min(16)
