Lengthen the admission queue to eight places per slot

Cause: in the shifting scenario the saturated region refused bursts that it could have served in time, and the further tries exhausted the retry budget. Change: QUEUE_PLACES_PER_SLOT 3 -> 8; the deadline check still bounds the wait.

--- a/packages/admission/src/LimitedAdmission.ts
+++ b/packages/admission/src/LimitedAdmission.ts
@@ -25,8 +25,11 @@
 
 /** Share of the limit that a cold backend server starts with. */
 const INITIAL_RAMP_SHARE = 0.25;
-/** Longer queues only turn into refusals at the deadline, while another backend server is free. */
-const QUEUE_PLACES_PER_SLOT = 3;
+/**
+ * Bounds the queue where deadlines are long. A shorter queue refuses in bursts that it could have
+ * served in time, and the further tries use up the retry budget.
+ */
+const QUEUE_PLACES_PER_SLOT = 8;
 /** Requests of the smoothed service time that unfinished requests are averaged with. */
 const STUCK_PRIOR_SAMPLES = 4;
 /** Bounds what one very late answer adds to the mean ratio of a window. */
