Weight the waiting time in the choice of a backend server

Cause: with weight 1 a local queue grows until it costs every request as much as the way to the other region, so the whole hot phase pays for it. Change: the waiting time counts four times.

--- a/packages/routing/src/AdaptiveSelector.ts
+++ b/packages/routing/src/AdaptiveSelector.ts
@@ -28,6 +28,11 @@
 const MAXIMUM_FAILURE_SHARE = 0.95;
 /** Waiting without any progress that is not yet a sign of a stall, in mean service times. */
 const STALL_FACTOR = 3;
+/**
+ * Weight of the waiting time. A request that joins a queue also delays those behind it. With weight
+ * 1 a queue grows until it costs every request as much as the way to the other region.
+ */
+const WAITING_WEIGHT = 4;
 /** Weight of the use below the limit, which only decides between otherwise equal candidates. */
 const USE_WEIGHT = 0.1;
 const BYTES_PER_KILOBYTE = 1_000;
@@ -156,7 +161,7 @@
     const serviceTime = this.#serviceTime(service, load, now);
     const limit = load.report?.limit ?? expectedLimit(load, now);
     const occupied = expectedOccupied(service, load, limit, now) + 1;
-    const waiting = Math.max(0, occupied - limit) / limit;
+    const waiting = (WAITING_WEIGHT * Math.max(0, occupied - limit)) / limit;
     const use = Math.min(1, occupied / limit) * USE_WEIGHT;
     const time = this.#delays.to(load.entry) + serviceTime * (1 + waiting + use);
     const failure = load.failureShare * Math.exp((load.failureAt - now) / FAILURE_DECAY);
