Take the way back out of the deadline of a try

Cause: a run at the other region that ends 10 ms before the caller's deadline is wasted, because its answer needs 30 ms. Change: a selector tells the round trip to a backend server, and the deadline that goes with a try is earlier by the way back. A try also tells whether its answer was an error of the backend server, so that one that fails fast does not look idle and fast.

--- a/packages/measure/src/decisions/ModelRequest.ts
+++ b/packages/measure/src/decisions/ModelRequest.ts
@@ -125,7 +125,7 @@
       kind: kind.name,
       weight: kind.weight,
       depth: 0,
-      deadline: this.#deadline,
+      deadline: this.#deadline - this.#router.selector.roundTripTo(attempt.entry) / 2,
       signal: attempt.cancellation.signal,
     };
     attempt.node.admission
--- a/packages/routing/src/AdaptiveSelector.ts
+++ b/packages/routing/src/AdaptiveSelector.ts
@@ -98,7 +98,7 @@
     load.ended(now);
     switch (result.type) {
       case 'answered':
-        load.failed(0, now);
+        load.failed(result.serverError === true ? 1 : 0, now);
         this.observed(entry, result.report, result.elapsedMilliseconds);
         break;
       case 'refused':
@@ -120,6 +120,10 @@
     this.#takeResponse(load, report, elapsedMilliseconds);
   }
 
+  roundTripTo(entry: BackendServerEntry): number {
+    return this.#delays.to(entry);
+  }
+
   #serviceOf(name: string): ServiceLoad {
     const known = this.#services.get(name);
     if (known !== undefined) return known;
--- a/packages/routing/src/BackendServerSelector.ts
+++ b/packages/routing/src/BackendServerSelector.ts
@@ -9,11 +9,19 @@
   readonly expectedBytes: number;
   /** Backend servers that this request has tried already. */
   readonly excluded: ReadonlySet<string>;
+  /** For a hedged request: only a backend server with a free place is worth its load. */
+  readonly hedged?: boolean;
 }
 
 /** How one try ended, as the router saw it. */
 export type TryResult =
-  | { readonly type: 'answered'; readonly report: LoadReport; readonly elapsedMilliseconds: number }
+  | {
+      readonly type: 'answered';
+      readonly report: LoadReport;
+      readonly elapsedMilliseconds: number;
+      /** Whether the answer states an error of the backend server (status 500 and above). */
+      readonly serverError?: boolean;
+    }
   | { readonly type: 'refused'; readonly report: LoadReport | undefined }
   | { readonly type: 'lost' }
   | { readonly type: 'cancelled' };
@@ -28,6 +36,11 @@
   finished(entry: BackendServerEntry, result: TryResult): void;
   /** Takes in a load report that came with an answer's head, before the answer ended. */
   observed(entry: BackendServerEntry, report: LoadReport, elapsedMilliseconds: number): void;
+  /**
+   * Estimates the network round trip to a backend server, in milliseconds; 0 when the policy keeps
+   * no estimate. A deadline sent to it is earlier by the way back, so that the answer is in time.
+   */
+  roundTripTo(entry: BackendServerEntry): number;
 }
 
 /** What every selector needs. */
--- a/packages/routing/src/NearestRegionSelector.ts
+++ b/packages/routing/src/NearestRegionSelector.ts
@@ -46,6 +46,12 @@
   // eslint-disable-next-line class-methods-use-this
   observed(_entry: BackendServerEntry, _report: LoadReport, _elapsedMilliseconds: number): void {}
 
+  // The simple policies do not measure delays.
+  // eslint-disable-next-line class-methods-use-this
+  roundTripTo(_entry: BackendServerEntry): number {
+    return 0;
+  }
+
   protected outstandingOf(entry: BackendServerEntry): number {
     return this.#outstanding.get(entry.backendServerId) ?? 0;
   }
