Do not count refusals that the reported load explains as failures

Cause: in a flash crowd both regions refuse, the failure share of the own region rises first, and the overflow saturates the link between the regions. Change: a refusal whose report shows a full backend server only updates the load.

--- a/packages/routing/src/AdaptiveSelector.ts
+++ b/packages/routing/src/AdaptiveSelector.ts
@@ -102,7 +102,7 @@
         this.observed(entry, result.report, result.elapsedMilliseconds);
         break;
       case 'refused':
-        load.failed(1, now);
+        if (!isSaturated(result.report)) load.failed(1, now);
         if (result.report !== undefined) this.#takeReport(load, result.report);
         break;
       case 'lost':
@@ -189,6 +189,11 @@
   }
 }
 
+/** Whether the load explains a refusal; it is then part of the expected waiting time already. */
+function isSaturated(report: LoadReport | undefined): boolean {
+  return report !== undefined && report.inFlight + report.queued >= report.limit;
+}
+
 /** Requests at the backend server: the report, aged towards the mean, and own ones since. */
 function expectedOccupied(
   service: ServiceLoad,
