--- a/packages/node/src/Node.ts
+++ b/packages/node/src/Node.ts
@@ -27,6 +27,9 @@
 // After the grace limit, requests that were cancelled get this long to learn their outcome.
 const cancellationMilliseconds = 1500;
 
+// A node that learns no claim view within this time is ready for requests without a key.
+const claimViewWaitMilliseconds = 5000;
+
 /** The parts of a node, as `createNode` wires them. */
 export interface NodeParts {
   readonly settings: NodeSettings;
@@ -58,6 +61,8 @@
 
   #stopping: Promise<void> | undefined;
 
+  #startedAt = 0;
+
   constructor(parts: NodeParts) {
     this.#parts = parts;
   }
@@ -78,6 +83,7 @@
       await callers.listen(listeners.callers),
     ];
     for (const result of results) if (!result.ok) return result;
+    this.#startedAt = this.#parts.clock.now();
     membership.start();
     keeper.start(this.#parts.supervisor);
     return succeed(undefined);
@@ -85,9 +91,16 @@
 
   /** Whether the node takes all requests, those with an idempotency key included. */
   ready(): boolean {
-    const { membership, routing, views } = this.#parts;
-    if (this.stopping || !membership.ready()) return false;
-    return routing.router !== undefined && views.current() !== undefined;
+    const { membership, routing } = this.#parts;
+    if (this.stopping || !membership.ready() || routing.router === undefined) return false;
+    return this.#claimsReady();
+  }
+
+  /** A fleet of fewer than three nodes never has a claim view, and is ready without one. */
+  #claimsReady(): boolean {
+    const { clock, views } = this.#parts;
+    if (views.current() !== undefined) return true;
+    return clock.now() - this.#startedAt > claimViewWaitMilliseconds;
   }
 
   /** Routes a caller's request; one with an idempotency key runs at most once. */
