--- a/packages/node/src/Node.ts
+++ b/packages/node/src/Node.ts
@@ -1,4 +1,5 @@
 import type { NodeSettings } from '@hickorybridge/configuration';
+import type { ViewRegister } from '@hickorybridge/idempotency';
 import type { Logger } from '@hickorybridge/logger';
 import type { Membership } from '@hickorybridge/membership';
 import type { PeerPool } from '@hickorybridge/peer-protocol';
@@ -17,13 +18,18 @@
 import type { KeyedRequests } from './claiming/KeyedRequests.js';
 import type { HttpListener, HttpListenError } from './listeners/HttpListener.js';
 import type { OpenExchanges } from './listeners/OpenExchanges.js';
+import type { Observability } from './Observability.js';
 import type { EffectiveRouting } from './routing/EffectiveRouting.js';
 import { failed, type RoutedOutcome, type RoutedRequest } from './routing/RoutedRequest.js';
+import type { ObservedRouting, UnobservedRequest } from './routing/ObservedRouting.js';
 import type { Supervisor } from './Supervisor.js';
 
 // After the grace limit, requests that were cancelled get this long to learn their outcome.
 const cancellationMilliseconds = 1500;
 
+// A node that learns no claim view within this time is ready for requests without a key.
+const claimViewWaitMilliseconds = 5000;
+
 /** The parts of a node, as `createNode` wires them. */
 export interface NodeParts {
   readonly settings: NodeSettings;
@@ -34,8 +40,11 @@
   readonly backendServers: LocalBackendServers;
   readonly routing: EffectiveRouting;
   readonly open: OpenExchanges;
+  readonly observability: Observability;
+  readonly observedRouting: ObservedRouting;
   readonly keyedRequests: KeyedRequests;
   readonly keeper: KeeperDuty;
+  readonly views: ViewRegister;
   /** Aborts the requests that go on without their callers. */
   readonly ending: AbortController;
   readonly supervisor: Supervisor;
@@ -52,6 +61,8 @@
 
   #stopping: Promise<void> | undefined;
 
+  #startedAt = 0;
+
   constructor(parts: NodeParts) {
     this.#parts = parts;
   }
@@ -72,22 +83,35 @@
       await callers.listen(listeners.callers),
     ];
     for (const result of results) if (!result.ok) return result;
+    this.#startedAt = this.#parts.clock.now();
     membership.start();
     keeper.start(this.#parts.supervisor);
     return succeed(undefined);
   }
 
-  /** Whether the node knows a configuration and takes requests. */
+  /** Whether the node takes all requests, those with an idempotency key included. */
   ready(): boolean {
     const { membership, routing } = this.#parts;
-    return !this.stopping && membership.ready() && routing.router !== undefined;
+    if (this.stopping || !membership.ready() || routing.router === undefined) return false;
+    return this.#claimsReady();
+  }
+
+  /** A fleet of fewer than three nodes never has a claim view, and is ready without one. */
+  #claimsReady(): boolean {
+    const { clock, views } = this.#parts;
+    if (views.current() !== undefined) return true;
+    return clock.now() - this.#startedAt > claimViewWaitMilliseconds;
   }
 
   /** Routes a caller's request; one with an idempotency key runs at most once. */
-  async route(request: RoutedRequest): Promise<RoutedOutcome> {
+  async route(request: UnobservedRequest): Promise<RoutedOutcome> {
+    const { keyedRequests, observedRouting } = this.#parts;
     const { idempotencyKey } = request;
-    if (idempotencyKey === undefined) return this.routeUnkeyed(request);
-    return this.#parts.keyedRequests.run(request, idempotencyKey);
+    return observedRouting.observe(request, (observed) =>
+      idempotencyKey === undefined
+        ? this.routeUnkeyed(observed)
+        : keyedRequests.run(observed, idempotencyKey),
+    );
   }
 
   /** Routes a request whose key, if it has one, is claimed already. */
@@ -105,6 +129,8 @@
     const { executor, membership, open, pool, routing } = this.#parts;
     return {
       ...membership.summary(),
+      claimViewVersion: this.#parts.views.current()?.version ?? 0,
+      keepsClaimView: this.#parts.keeper.holdsLease,
       ready: this.ready(),
       stopping: this.stopping,
       deployment: routing.effective?.deployment.name,
@@ -117,11 +143,13 @@
   }
 
   metrics(): string {
-    return `hickorybridge_open_requests ${this.#parts.open.size}\n`;
+    return this.#parts.observability.metrics.render();
   }
 
-  explain(_requestId: string): unknown {
-    return undefined;
+  /** Gives what is remembered of a request; `undefined` when nothing is. */
+  explain(requestId: string): unknown {
+    const found = this.#parts.observability.flights.find(requestId);
+    return found.length === 0 ? undefined : found;
   }
 
   /** Shuts the node down gracefully. Resolves when it has ended; further calls join the first. */
