Send hedged requests only where a place is free

Cause: under saturation hedged requests queue behind the work that made the first try late, and add to it. Change: a selection for a hedged request gives nothing when no sampled backend server has a free place.

--- a/packages/measure/src/decisions/ModelRequest.ts
+++ b/packages/measure/src/decisions/ModelRequest.ts
@@ -83,17 +83,18 @@
   }
 
   #send(attempts: number): void {
-    const entry = this.#select();
+    const entry = this.#select(false);
     if (entry === undefined) this.#fail();
     else this.#sendTo(entry, attempts);
   }
 
-  #select(): BackendServerEntry | undefined {
+  #select(hedged: boolean): BackendServerEntry | undefined {
     return this.#router.selector.select({
       service: this.#service,
       deadline: this.#deadline,
       expectedBytes: REQUEST_BYTES,
       excluded: this.#excluded,
+      hedged,
     });
   }
 
@@ -197,7 +198,7 @@
       remainingMilliseconds: this.#deadline - time.now(),
     };
     if (!this.#budgets.hedges.take(late)) return;
-    const entry = this.#select();
+    const entry = this.#select(true);
     if (entry === undefined) this.#budgets.hedges.giveBack();
     else this.#sendTo(entry, 1);
   }
--- a/packages/routing/src/AdaptiveSelector.ts
+++ b/packages/routing/src/AdaptiveSelector.ts
@@ -77,7 +77,9 @@
       const sample = this.#sample(tiers[distance], places);
       places -= sample.length;
       for (const entry of sample) {
-        const cost = this.#completionTime(service, service.of(entry, now), now) + price;
+        const load = service.of(entry, now);
+        if (request.hedged === true && !hasFreePlace(service, load, now)) continue;
+        const cost = this.#completionTime(service, load, now) + price;
         if (cost < lowest) {
           lowest = cost;
           best = entry;
@@ -163,7 +165,7 @@
 
   #completionTime(service: ServiceLoad, load: BackendServerLoad, now: number): number {
     const serviceTime = this.#serviceTime(service, load, now);
-    const limit = load.report?.limit ?? expectedLimit(load, now);
+    const limit = limitOf(load, now);
     const occupied = expectedOccupied(service, load, limit, now) + 1;
     const waiting = (WAITING_WEIGHT * Math.max(0, occupied - limit)) / limit;
     const use = Math.min(1, occupied / limit) * USE_WEIGHT;
@@ -189,6 +191,15 @@
   }
 }
 
+function limitOf(load: BackendServerLoad, now: number): number {
+  return load.report?.limit ?? expectedLimit(load, now);
+}
+
+function hasFreePlace(service: ServiceLoad, load: BackendServerLoad, now: number): boolean {
+  const limit = limitOf(load, now);
+  return expectedOccupied(service, load, limit, now) + 1 <= limit;
+}
+
 /** Whether the load explains a refusal; it is then part of the expected waiting time already. */
 function isSaturated(report: LoadReport | undefined): boolean {
   return report !== undefined && report.inFlight + report.queued >= report.limit;
