Send hedged requests after 1.5 times the 95th percentile

Cause: at the percentile itself a quiet service uses up the whole budget and gains nothing. Change: the delay is 1.5 times the percentile.

--- a/packages/routing/src/HedgePolicy.ts
+++ b/packages/routing/src/HedgePolicy.ts
@@ -22,6 +22,11 @@
 
 /** Quantile of the response time of a kind after which a request counts as late. */
 const LATE_QUANTILE = 0.95;
+/**
+ * Multiple of the quantile. At the quantile itself a quiet service would use up the whole budget,
+ * and none would be left when a backend server becomes a straggler.
+ */
+const LATE_FACTOR = 1.5;
 /** Hedged requests in a burst at most. */
 const MAXIMUM_HEDGE_TOKENS = 10;
 
@@ -53,7 +58,8 @@
    * `undefined` while there are too few samples.
    */
   delayFor(kind: string): number | undefined {
-    return this.#responseTimes.get(kind)?.value;
+    const value = this.#responseTimes.get(kind)?.value;
+    return value === undefined ? undefined : value * LATE_FACTOR;
   }
 
   /** Decides whether to send a hedged request now. `true` takes a token from the budget. */
