Follow service times faster

Cause: with a share of 0.1 for a new sample, routers keep choosing a straggler for about ten answers. Change: SMOOTHING 0.1 -> 0.2.

--- a/packages/admission/src/ServiceTimes.ts
+++ b/packages/admission/src/ServiceTimes.ts
@@ -1,5 +1,5 @@
 /** Share of a new sample in the smoothed service time. */
-const SMOOTHING = 0.1;
+const SMOOTHING = 0.2;
 /** Share of a new sample in a kind's reference time, which has to outlast a short disturbance. */
 const REFERENCE_SMOOTHING = 0.02;
 
