Forget a slow backend server's service time after 400 ms

Cause: a straggler that has recovered stays without work while the others are saturated. Change: RESPONSE_DECAY 1000 -> 400 ms.

--- a/packages/routing/src/AdaptiveSelector.ts
+++ b/packages/routing/src/AdaptiveSelector.ts
@@ -21,7 +21,7 @@
 /** Time constant by which a reported queue loses its meaning, in milliseconds. */
 const REPORT_DECAY = 100;
 /** Time constant by which a smoothed response time loses its meaning, in milliseconds. */
-const RESPONSE_DECAY = 1_000;
+const RESPONSE_DECAY = 400;
 /** Time constant by which failures are forgotten, in milliseconds. */
 const FAILURE_DECAY = 1_000;
 /** Bounds the failure share, so that the cost stays finite and a recovery can be found. */
