--- a/packages/node/src/Node.ts
+++ b/packages/node/src/Node.ts
@@ -1,4 +1,5 @@
 import type { NodeSettings } from '@hickorybridge/configuration';
+import type { ViewRegister } from '@hickorybridge/idempotency';
 import type { Logger } from '@hickorybridge/logger';
 import type { Membership } from '@hickorybridge/membership';
 import type { PeerPool } from '@hickorybridge/peer-protocol';
@@ -13,10 +14,15 @@
 
 import type { AdmissionExecutor } from './admitting/AdmissionExecutor.js';
 import type { LocalBackendServers } from './admitting/LocalBackendServers.js';
+import type { KeeperDuty } from './claiming/KeeperDuty.js';
+import type { KeyedRequests } from './claiming/KeyedRequests.js';
 import type { HttpListener, HttpListenError } from './listeners/HttpListener.js';
 import type { OpenExchanges } from './listeners/OpenExchanges.js';
+import type { Observability } from './Observability.js';
 import type { EffectiveRouting } from './routing/EffectiveRouting.js';
 import { failed, type RoutedOutcome, type RoutedRequest } from './routing/RoutedRequest.js';
+import type { ObservedRouting, UnobservedRequest } from './routing/ObservedRouting.js';
+import type { Supervisor } from './Supervisor.js';
 
 // After the grace limit, requests that were cancelled get this long to learn their outcome.
 const cancellationMilliseconds = 1500;
@@ -31,6 +37,14 @@
   readonly backendServers: LocalBackendServers;
   readonly routing: EffectiveRouting;
   readonly open: OpenExchanges;
+  readonly observability: Observability;
+  readonly observedRouting: ObservedRouting;
+  readonly keyedRequests: KeyedRequests;
+  readonly keeper: KeeperDuty;
+  readonly views: ViewRegister;
+  /** Aborts the requests that go on without their callers. */
+  readonly ending: AbortController;
+  readonly supervisor: Supervisor;
   readonly callers: HttpListener;
   readonly announcements: HttpListener;
   readonly operators: HttpListener;
@@ -55,7 +69,7 @@
 
   /** Opens the listeners and starts the duties of the node. */
   async start(): Promise<Result<undefined, HttpListenError>> {
-    const { announcements, callers, membership, operators, pool, settings } = this.#parts;
+    const { announcements, callers, keeper, membership, operators, pool, settings } = this.#parts;
     const { listeners } = settings;
     const results = [
       await pool.listen(listeners.peers),
@@ -65,16 +79,30 @@
     ];
     for (const result of results) if (!result.ok) return result;
     membership.start();
+    keeper.start(this.#parts.supervisor);
     return succeed(undefined);
   }
 
-  /** Whether the node knows a configuration and takes requests. */
+  /** Whether the node takes all requests, those with an idempotency key included. */
   ready(): boolean {
-    const { membership, routing } = this.#parts;
-    return !this.stopping && membership.ready() && routing.router !== undefined;
+    const { membership, routing, views } = this.#parts;
+    if (this.stopping || !membership.ready()) return false;
+    return routing.router !== undefined && views.current() !== undefined;
   }
 
-  async route(request: RoutedRequest): Promise<RoutedOutcome> {
+  /** Routes a caller's request; one with an idempotency key runs at most once. */
+  async route(request: UnobservedRequest): Promise<RoutedOutcome> {
+    const { keyedRequests, observedRouting } = this.#parts;
+    const { idempotencyKey } = request;
+    return observedRouting.observe(request, (observed) =>
+      idempotencyKey === undefined
+        ? this.routeUnkeyed(observed)
+        : keyedRequests.run(observed, idempotencyKey),
+    );
+  }
+
+  /** Routes a request whose key, if it has one, is claimed already. */
+  async routeUnkeyed(request: RoutedRequest): Promise<RoutedOutcome> {
     const { router } = this.#parts.routing;
     if (router === undefined) {
       const detail = 'this node has not learnt a configuration yet; ask another node';
@@ -88,6 +116,8 @@
     const { executor, membership, open, pool, routing } = this.#parts;
     return {
       ...membership.summary(),
+      claimViewVersion: this.#parts.views.current()?.version ?? 0,
+      keepsClaimView: this.#parts.keeper.holdsLease,
       ready: this.ready(),
       stopping: this.stopping,
       deployment: routing.effective?.deployment.name,
@@ -100,7 +130,13 @@
   }
 
   metrics(): string {
-    return `hickorybridge_open_requests ${this.#parts.open.size}\n`;
+    return this.#parts.observability.metrics.render();
+  }
+
+  /** Gives what is remembered of a request; `undefined` when nothing is. */
+  explain(requestId: string): unknown {
+    const found = this.#parts.observability.flights.find(requestId);
+    return found.length === 0 ? undefined : found;
   }
 
   /** Shuts the node down gracefully. Resolves when it has ended; further calls join the first. */
@@ -140,6 +176,7 @@
         admittedRequests: executor.open,
       });
       open.cancelAll();
+      this.#parts.ending.abort();
       await clock.sleep(cancellationMilliseconds);
       callers.destroy();
     }
@@ -147,7 +184,8 @@
   }
 
   async #close(): Promise<void> {
-    const { announcements, executor, membership, operators, pool } = this.#parts;
+    const { announcements, executor, membership, operators, pool, supervisor } = this.#parts;
+    await supervisor[Symbol.asyncDispose]();
     await membership[Symbol.asyncDispose]();
     await pool[Symbol.asyncDispose]();
     for (const listener of [announcements, operators]) {
