--- a/packages/idempotency/src/ViewKeeper.ts
+++ b/packages/idempotency/src/ViewKeeper.ts
@@ -61,7 +61,7 @@
 const statusIntervalAfterFailureMilliseconds = 5_000;
 
 /** Wait for nodes in three failure domains before the first view, in milliseconds. */
-const gatheringMilliseconds = 5_000;
+const gatheringMilliseconds = 2_000;
 
 /** Shards repaired in one round, so that one write is not held up by many transfers. */
 const shardsPerRound = 16;
--- a/packages/node/src/Node.ts
+++ b/packages/node/src/Node.ts
@@ -28,7 +28,7 @@
 const cancellationMilliseconds = 1500;
 
 // A node that learns no claim view within this time is ready for requests without a key.
-const claimViewWaitMilliseconds = 5000;
+const claimViewWaitMilliseconds = 10_000;
 
 /** The parts of a node, as `createNode` wires them. */
 export interface NodeParts {
--- a/packages/node/src/ObservedExecutor.ts
+++ b/packages/node/src/ObservedExecutor.ts
@@ -1,4 +1,9 @@
-import type { ExecutionOutcome, RequestBody, RequestExecutor } from '@hickorybridge/peer-protocol';
+import {
+  whenBodyEnds,
+  type ExecutionOutcome,
+  type RequestBody,
+  type RequestExecutor,
+} from '@hickorybridge/peer-protocol';
 import type { FlightRecord, Span } from '@hickorybridge/telemetry';
 import { Outcome, type RequestHead } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
@@ -60,8 +65,7 @@
     const { record, span, startedAt } = observed;
     const { backendServerId, kind, service } = head;
     record.add({ type: 'answered', backendServerId, status: answer.status });
-    body.once('close', () => {
-      const complete = body.readableEnded;
+    whenBodyEnds(body, (complete) => {
       const milliseconds = this.#clock.now() - startedAt;
       if (complete) {
         this.#observability.metrics.admittedDuration.at(service, kind).record(milliseconds);
--- a/packages/node/src/admitting/AdmittedBackendServer.ts
+++ b/packages/node/src/admitting/AdmittedBackendServer.ts
@@ -1,10 +1,14 @@
 import type { AdmissionController, Permit } from '@hickorybridge/admission';
-import type { ExecutionOutcome, RequestBody, RequestExecutor } from '@hickorybridge/peer-protocol';
+import {
+  whenBodyEnds,
+  type ExecutionOutcome,
+  type RequestBody,
+  type RequestExecutor,
+} from '@hickorybridge/peer-protocol';
 import type { Announcement, LoadReport, RequestHead } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
-import type { Readable } from 'node:stream';
 
-import { toExecutionOutcome, type BackendServerClient } from './BackendServerClient.js';
+import type { BackendServerClient } from './BackendServerClient.js';
 
 /** What an admitted backend server is made of. */
 export interface AdmittedBackendServerOptions {
@@ -76,31 +80,22 @@
       const reason = signal.aborted ? 'cancelled' : 'deadline-passed';
       return { type: 'refused', reason, report: this.report() };
     }
-    const cancellation = new AbortController();
-    const cancel = () => cancellation.abort(new Error('the request was cancelled'));
-    const expire = () => cancellation.abort(new Error('the deadline has passed'));
+    const exchange = this.#client.send(head, body);
+    const cancel = () => exchange.cancel('cancelled');
+    const expire = () => exchange.cancel('deadline-passed');
     signal.addEventListener('abort', cancel, { once: true });
     const timer = setTimeout(expire, head.deadline - startedAt);
-    const outcome = await this.#client.send(head, body, cancellation.signal);
+    const outcome = await exchange.outcome;
     clearTimeout(timer);
     signal.removeEventListener('abort', cancel);
     if (outcome.type === 'answered') {
-      this.#releaseAfter(outcome.answer.body, permit, startedAt);
-      return toExecutionOutcome(outcome.answer, this.report());
+      whenBodyEnds(outcome.body, (complete) => {
+        permit.release(complete ? this.#clock.now() - startedAt : undefined);
+      });
+      return { ...outcome, report: this.report() };
     }
     permit.release();
     if (outcome.type === 'lost') return outcome;
     return { type: 'refused', reason: outcome.reason, report: this.report() };
   }
-
-  #releaseAfter(body: Readable, permit: Permit, startedAt: number): void {
-    let complete = false;
-    body.once('end', () => {
-      complete = true;
-    });
-    body.once('close', () => {
-      if (complete) permit.release(this.#clock.now() - startedAt);
-      else permit.release();
-    });
-  }
 }
--- a/packages/node/src/claiming/KeyedRequests.ts
+++ b/packages/node/src/claiming/KeyedRequests.ts
@@ -2,7 +2,6 @@
 import { Outcome, ProblemName } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
 import { createHash } from 'node:crypto';
-import { Readable } from 'node:stream';
 import { match } from 'ts-pattern';
 
 import { failed, type RoutedOutcome, type RoutedRequest } from '../routing/RoutedRequest.js';
@@ -115,10 +114,12 @@
   const split = await splitAnswer(outcome.body);
   if (split.type === 'whole') {
     claim.finished({ status: head.status, headers: head.headers, body: split.data });
-    return { ...outcome, body: Readable.from([split.data], { objectMode: false }) };
+    return { ...outcome, body: { type: 'whole', data: split.data } };
   }
   claim.finished();
-  if (split.type === 'large') return { ...outcome, body: split.body };
+  if (split.type === 'large') {
+    return { ...outcome, body: { type: 'stream', stream: split.body } };
+  }
   const detail = `the request ran, but its answer broke off: ${split.detail}`;
   return failed(ProblemName.connectionLost, Outcome.unknown, detail);
 }
@@ -134,7 +135,7 @@
   return {
     type: 'answered',
     head: { status: answer.status, headers: answer.headers },
-    body: Readable.from([Buffer.from(answer.body)], { objectMode: false }),
+    body: { type: 'whole', data: Buffer.from(answer.body) },
     replayed: true,
   };
 }
--- a/packages/node/src/claiming/splitAnswer.ts
+++ b/packages/node/src/claiming/splitAnswer.ts
@@ -1,4 +1,5 @@
 import { maximumAnswerBytes } from '@hickorybridge/idempotency';
+import { toStream, type AnswerBody } from '@hickorybridge/peer-protocol';
 import { PassThrough, type Readable } from 'node:stream';
 
 /** The body of an answer: whole when it is small enough to be stored. */
@@ -8,7 +9,8 @@
   | { readonly type: 'broken'; readonly detail: string };
 
 /** Reads a small body to its end; gives a larger one back as a stream that starts at the front. */
-export async function splitAnswer(body: Readable): Promise<SplitAnswer> {
+export async function splitAnswer(answer: AnswerBody): Promise<SplitAnswer> {
+  const body = toStream(answer);
   const chunks: Buffer[] = [];
   let bytes = 0;
   const iterator = body.iterator({ destroyOnReturn: false });
--- a/packages/node/src/listeners/CallerExchange.ts
+++ b/packages/node/src/listeners/CallerExchange.ts
@@ -1,6 +1,6 @@
+import { discardBody, type AnswerBody } from '@hickorybridge/peer-protocol';
 import { Outcome, ProblemName, type AnswerHead } from '@hickorybridge/types';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Readable } from 'node:stream';
 import { pipeline } from 'node:stream/promises';
 
 import { HeaderName } from '../headerNames.js';
@@ -60,13 +60,13 @@
     this.#outgoing.writeHead(body.status, headers).end(text);
   }
 
-  async #sendAnswer(head: AnswerHead, body: Readable, replayed: boolean): Promise<void> {
+  async #sendAnswer(head: AnswerHead, body: AnswerBody, replayed: boolean): Promise<void> {
     const headers = [...head.headers, ...this.#ownHeaders(Outcome.answered)];
     if (replayed) headers.push(HeaderName.replayed, 'true');
     try {
       this.#outgoing.writeHead(head.status, headers);
     } catch (error) {
-      body.destroy();
+      discardBody(body);
       const detail = `the answer of the backend server cannot be passed on: ${String(error)}`;
       this.#sendProblem({
         type: 'failed',
@@ -77,7 +77,8 @@
       return;
     }
     // A body that breaks off destroys the connection, so that the caller never takes it as complete.
-    await pipeline(body, this.#outgoing).catch(() => {});
+    if (body.type === 'whole') this.#outgoing.end(body.data);
+    else await pipeline(body.stream, this.#outgoing).catch(() => {});
   }
 
   #ownHeaders(outcome: Outcome): string[] {
--- a/packages/node/src/routing/HedgedTry.ts
+++ b/packages/node/src/routing/HedgedTry.ts
@@ -1,4 +1,4 @@
-import type { ExecutionOutcome } from '@hickorybridge/peer-protocol';
+import { discardBody, type ExecutionOutcome } from '@hickorybridge/peer-protocol';
 
 import type { RequestTry } from './RequestTry.js';
 
@@ -68,5 +68,5 @@
 async function discard(loser: RequestTry): Promise<void> {
   loser.cancel();
   const outcome = await loser.outcome;
-  if (outcome.type === 'answered') outcome.body.on('error', () => {}).destroy();
+  if (outcome.type === 'answered') discardBody(outcome.body);
 }
--- a/packages/node/src/routing/ObservedRouting.ts
+++ b/packages/node/src/routing/ObservedRouting.ts
@@ -1,3 +1,4 @@
+import { whenBodyEnds } from '@hickorybridge/peer-protocol';
 import { Outcome } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
 
@@ -44,9 +45,8 @@
       finish(outcome.outcome, outcome.detail);
       return outcome;
     }
-    const { body } = outcome;
-    body.once('close', () => {
-      if (body.readableEnded) finish(Outcome.answered);
+    whenBodyEnds(outcome.body, (complete) => {
+      if (complete) finish(Outcome.answered);
       else finish(Outcome.unknown, 'the answer was not completed');
     });
     return outcome;
--- a/packages/node/src/routing/RequestTry.ts
+++ b/packages/node/src/routing/RequestTry.ts
@@ -1,4 +1,4 @@
-import type { ExecutionOutcome } from '@hickorybridge/peer-protocol';
+import { whenBodyEnds, type ExecutionOutcome } from '@hickorybridge/peer-protocol';
 import type { BackendServerSelector, TryResult } from '@hickorybridge/routing';
 import type { Metrics, Span, Tracer } from '@hickorybridge/telemetry';
 import type { BackendServerEntry, RequestHead } from '@hickorybridge/types';
@@ -72,7 +72,7 @@
     }
     const { report, body } = outcome;
     selector.observed(entry, report, elapsedMilliseconds);
-    body.once('close', () =>
+    whenBodyEnds(body, () =>
       selector.finished(entry, { type: 'answered', report, elapsedMilliseconds }),
     );
     return outcome;
--- a/packages/node/src/routing/RoutedRequest.ts
+++ b/packages/node/src/routing/RoutedRequest.ts
@@ -1,8 +1,7 @@
 import type { RequestKind, Service } from '@hickorybridge/configuration';
-import type { RequestBody } from '@hickorybridge/peer-protocol';
+import type { AnswerBody, RequestBody } from '@hickorybridge/peer-protocol';
 import type { FlightRecord } from '@hickorybridge/telemetry';
 import type { AnswerHead, HeaderList, Outcome, ProblemName } from '@hickorybridge/types';
-import type { Readable } from 'node:stream';
 
 /** A caller's request after it was matched with the deployment in effect. */
 export interface RoutedRequest {
@@ -31,7 +30,7 @@
   | {
       readonly type: 'answered';
       readonly head: AnswerHead;
-      readonly body: Readable;
+      readonly body: AnswerBody;
       /** True for the stored answer of an earlier request with the same idempotency key. */
       readonly replayed: boolean;
     }
--- a/packages/peer-protocol/src/IncomingStream.ts
+++ b/packages/peer-protocol/src/IncomingStream.ts
@@ -91,8 +91,14 @@
   async #sendAnswer(outcome: Extract<ExecutionOutcome, { type: 'answered' }>): Promise<void> {
     const { stream } = this.#frame;
     const { head, report, body } = outcome;
+    const whole = body.type === 'whole' ? body.data : undefined;
+    this.#connection.send({ type: FrameType.answer, stream, head, report, body: whole });
+    if (body.type === 'stream') await this.#sendAnswerBody(body.stream);
+  }
+
+  async #sendAnswerBody(body: Readable): Promise<void> {
+    const { stream } = this.#frame;
     this.#answerBody = body;
-    this.#connection.send({ type: FrameType.answer, stream, head, report });
     try {
       const complete = await sendBody(body, this.#answerCredit, (data, end) =>
         this.#connection.sendWhenWritable({ type: FrameType.body, stream, data, end }),
--- a/packages/peer-protocol/src/OutgoingStream.ts
+++ b/packages/peer-protocol/src/OutgoingStream.ts
@@ -71,14 +71,20 @@
 
   answered(frame: AnswerFrame): void {
     if (this.#settled) return;
-    const body = new BodyReceiver({
+    const { body: data, head, report } = frame;
+    if (data !== undefined) {
+      this.#finish();
+      this.#settle({ type: 'answered', head, report, body: { type: 'whole', data } });
+      return;
+    }
+    const stream = new BodyReceiver({
       grantCredit: (bytes) =>
         this.#connection.send({ type: FrameType.credit, stream: this.#stream, bytes }),
       creditOnFirstRead: false,
       abandoned: () => this.#abandon(),
     });
-    this.#body = body;
-    this.#settle({ type: 'answered', head: frame.head, report: frame.report, body });
+    this.#body = stream;
+    this.#settle({ type: 'answered', head, report, body: { type: 'stream', stream } });
   }
 
   refused(frame: RefuseFrame): void {
--- a/packages/peer-protocol/src/RequestExecutor.ts
+++ b/packages/peer-protocol/src/RequestExecutor.ts
@@ -1,6 +1,8 @@
 import type { AnswerHead, LoadReport, RefusalReason, RequestHead } from '@hickorybridge/types';
 import type { Readable } from 'node:stream';
 
+import type { AnswerBody } from './AnswerBody.js';
+
 /** The body of a request. A buffered body can be sent again; a stream only until it is read. */
 export type RequestBody =
   | { readonly type: 'none' }
@@ -9,12 +11,11 @@
 
 /** How the execution of a request at a backend server's node ended. */
 export type ExecutionOutcome =
-  /** `body` fails when the answer cannot be completed; it never ends early without an error. */
   | {
       readonly type: 'answered';
       readonly head: AnswerHead;
       readonly report: LoadReport;
-      readonly body: Readable;
+      readonly body: AnswerBody;
     }
   /** The request surely did not run. */
   | {
--- a/packages/peer-protocol/src/WireReader.ts
+++ b/packages/peer-protocol/src/WireReader.ts
@@ -54,6 +54,13 @@
     throw this.#wrongType('bytes', item);
   }
 
+  optionalBytes(): Buffer | undefined {
+    const item = this.#items[this.#position];
+    if (item !== undefined && item !== null) return this.bytes();
+    this.#position += 1;
+    return undefined;
+  }
+
   strings(): string[] {
     const item = this.any();
     if (Array.isArray(item) && item.every((entry) => typeof entry === 'string')) return item;
--- a/packages/peer-protocol/src/frame.ts
+++ b/packages/peer-protocol/src/frame.ts
@@ -95,6 +95,8 @@
   readonly stream: number;
   readonly head: AnswerHead;
   readonly report: LoadReport;
+  /** The whole body, when it is small; otherwise body frames follow. */
+  readonly body: Buffer | undefined;
 }
 
 export interface RefuseFrame {
--- a/packages/peer-protocol/src/frameCodec.ts
+++ b/packages/peer-protocol/src/frameCodec.ts
@@ -89,6 +89,7 @@
         frame.head.status,
         frame.head.headers,
         reportToWire(frame.report),
+        frame.body ?? null,
       ];
     case FrameType.refuse:
       return [frame.type, frame.stream, frame.reason, reportToWire(frame.report)];
@@ -169,6 +170,7 @@
         stream: reader.count(),
         head: { status: statusFrom(reader.count()), headers: reader.headerList() },
         report: requiredReport(reader),
+        body: reader.optionalBytes(),
       };
     case FrameType.refuse:
       return {
--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -1,3 +1,4 @@
+export * from './AnswerBody.js';
 export * from './PeerConnection.js';
 export * from './PeerPool.js';
 export * from './PeerTraffic.js';
