--- a/packages/command-line/src/explainCommand.ts
+++ b/packages/command-line/src/explainCommand.ts
@@ -3,7 +3,7 @@
 import { ExitCode } from './ExitCode.js';
 import { findNode } from './findNode.js';
 import { formatExplanation } from './formatExplanation.js';
-import { listOf } from './nodeStatus.js';
+import { fieldsOf, listOf } from './nodeStatus.js';
 import { describeNodeError, nodeOptions, openNode } from './openNode.js';
 import type { NodeAccess } from './openNode.js';
 import type { OperatorsClient } from './OperatorsClient.js';
@@ -28,12 +28,44 @@
       context.printError(detail);
       return ExitCode.failed;
     }
-    if (isSet(jsonOption, input)) context.print(JSON.stringify(answer.value));
-    else printExplanations(answer.value, context);
+    const own = Array.isArray(answer.value) ? listOf(answer.value) : [answer.value];
+    const explanations = [...own, ...(await askOthers(requestId, own, access, context))];
+    if (isSet(jsonOption, input)) context.print(JSON.stringify(explanations));
+    else explanations.flatMap(formatExplanation).forEach((line) => context.print(line));
     return ExitCode.done;
   },
 };
 
+/** Asks the nodes to which the router has sent the request for what their admission did. */
+async function askOthers(
+  requestId: string,
+  explanations: readonly unknown[],
+  access: NodeAccess,
+  context: CommandContext,
+): Promise<unknown[]> {
+  const asked = new Set(explanations.map((explanation) => fieldsOf(explanation).nodeId));
+  const tried = explanations.flatMap((explanation) =>
+    listOf(fieldsOf(explanation).steps).map((step) => fieldsOf(step).nodeId),
+  );
+  const others = [...new Set(tried)].filter(
+    (nodeId): nodeId is string => typeof nodeId === 'string' && !asked.has(nodeId),
+  );
+  const answers = await Promise.all(
+    others.map(async (nodeId) => {
+      const found = await findNode(nodeId, access);
+      if (!found.ok) {
+        context.printError(`cannot ask ${nodeId}: ${found.error}`);
+        return [];
+      }
+      const answer = await found.value.getJson(`/explain/${encodeURIComponent(requestId)}`);
+      if (answer.ok) return listOf(answer.value);
+      context.printError(`${nodeId} does not explain the request: ${answer.error.detail}`);
+      return [];
+    }),
+  );
+  return answers.flat();
+}
+
 /** A request's identity starts with the name of the node that routed it. */
 async function findRouter(
   requestId: string,
@@ -47,8 +79,3 @@
   context.printError(`asking ${access.first.url}, because ${found.error}`);
   return access.first;
 }
-
-function printExplanations(value: unknown, context: CommandContext): void {
-  const explanations = Array.isArray(value) ? listOf(value) : [value];
-  explanations.flatMap(formatExplanation).forEach((line) => context.print(line));
-}
--- a/scripts/problemMeanings.mjs
+++ b/scripts/problemMeanings.mjs
@@ -47,12 +47,14 @@
   },
   'already-claimed': {
     outcome: 'unknown',
-    meaning: 'Another attempt holds the key and has no stored answer yet.',
+    meaning:
+      'Another attempt holds the key: it may be running, or it ran and its answer is not kept (over 16 KB).',
     advice: 'Repeat it later with the same key to get the stored answer.',
   },
   'idempotency-key-reuse': {
     outcome: 'not-run',
-    meaning: 'The key was used for a request with another method, path or body.',
+    meaning:
+      'The key was used for a request of another kind, method, target or body; a body over 64 KB or without a length is not compared.',
     advice: 'Use a new key for a new request.',
   },
   'idempotency-record-unavailable': {
