Test routing and admission under the failures they are for; use the own response time

Cause of the change in the policy: the smoothed response time was kept but not used, so delays that a report does not show stayed invisible. It now counts half, from answers that did not wait.

--- a/packages/routing/src/AdaptiveSelector.ts
+++ b/packages/routing/src/AdaptiveSelector.ts
@@ -33,6 +33,11 @@
  * 1 a queue grows until it costs every request as much as the way to the other region.
  */
 const WAITING_WEIGHT = 4;
+/**
+ * Weight of the smoothed response time, which counts when it is far longer than the reported
+ * service time: a report does not show delays between the node and its backend server or router.
+ */
+const OWN_RESPONSE_WEIGHT = 0.5;
 /** Weight of the use below the limit, which only decides between otherwise equal candidates. */
 const USE_WEIGHT = 0.1;
 const BYTES_PER_KILOBYTE = 1_000;
@@ -153,14 +158,13 @@
     this.#serviceOf(load.entry.service).reported(report);
   }
 
+  /** Only answers that did not wait tell the delays apart from the queue, which is in the report. */
   #takeResponse(load: BackendServerLoad, report: LoadReport, elapsedMilliseconds: number): void {
     const { serviceMilliseconds } = report;
     const waited = report.inFlight + report.queued > report.limit;
-    if (!waited && serviceMilliseconds > 0) {
-      this.#delays.record(load.entry, elapsedMilliseconds - serviceMilliseconds);
-    }
-    const response = Math.max(0, elapsedMilliseconds - this.#delays.to(load.entry));
-    load.responded(response, this.#clock.now());
+    if (waited || serviceMilliseconds <= 0) return;
+    this.#delays.record(load.entry, elapsedMilliseconds - serviceMilliseconds);
+    load.responded(Math.max(0, elapsedMilliseconds - this.#delays.to(load.entry)));
   }
 
   #completionTime(service: ServiceLoad, load: BackendServerLoad, now: number): number {
@@ -177,7 +181,10 @@
   #serviceTime(service: ServiceLoad, load: BackendServerLoad, now: number): number {
     const mean = service.meanServiceMilliseconds;
     const reported = load.report?.serviceMilliseconds ?? 0;
-    const known = reported > 0 ? reported : mean;
+    const known = Math.max(
+      reported > 0 ? reported : mean,
+      load.responseMilliseconds * OWN_RESPONSE_WEIGHT,
+    );
     const weight = Math.exp((load.reportAt - now) / RESPONSE_DECAY);
     const aged = weight * known + (1 - weight) * mean;
     return Math.max(aged, this.#stall(load, mean, now));
--- a/packages/routing/src/BackendServerLoad.ts
+++ b/packages/routing/src/BackendServerLoad.ts
@@ -22,8 +22,6 @@
   /** Smoothed response time without the network delay, in milliseconds; 0 when unknown. */
   responseMilliseconds = 0;
 
-  responseAt = 0;
-
   /** Share of refused, lost or failed tries, from 0 to 1. */
   failureShare = 0;
 
@@ -68,10 +66,9 @@
     this.ownSince = Math.min(this.outstanding, this.#sentAfter(sampledAt));
   }
 
-  responded(milliseconds: number, now: number): void {
+  responded(milliseconds: number): void {
     const share = this.responseMilliseconds === 0 ? 1 : RESPONSE_SMOOTHING;
     this.responseMilliseconds += share * (milliseconds - this.responseMilliseconds);
-    this.responseAt = now;
   }
 
   /** Counts a try as failed (1) or not (0). */
--- /dev/null
+++ b/packages/routing/src/__tests__/adaptive.test.ts
@@ -0,0 +1,131 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { BackendServerEntry, LoadReport } from '@hickorybridge/types';
+import type { BackendServerSelector, TryResult } from '../BackendServerSelector.js';
+import { Fixture, makeReport } from './fixtures.js';
+
+type Behaviour = (entry: BackendServerEntry) => TryResult;
+
+function answer(changes: Partial<LoadReport>, elapsedMilliseconds: number): TryResult {
+  return { type: 'answered', report: makeReport(changes), elapsedMilliseconds };
+}
+
+/** Sends requests one after the other; gives the number that each backend server got. */
+function sendRequests(
+  fixture: Fixture,
+  selector: BackendServerSelector,
+  count: number,
+  behave: Behaviour,
+): Map<string, number> {
+  const chosen = new Map<string, number>();
+  for (let index = 0; index < count; index += 1) {
+    const entry = selector.select(fixture.request());
+    assert.ok(entry !== undefined);
+    chosen.set(entry.backendServerId, (chosen.get(entry.backendServerId) ?? 0) + 1);
+    selector.sent(entry);
+    fixture.advance(5);
+    selector.finished(entry, behave(entry));
+  }
+  return chosen;
+}
+
+const healthy: Behaviour = () => answer({ inFlight: 3 }, 20);
+
+test('guards against a straggler that keeps its work, or never wins it back', () => {
+  const fixture = new Fixture(8);
+  const selector = fixture.makeSelector();
+  sendRequests(fixture, selector, 50, healthy);
+  const slow = sendRequests(fixture, selector, 50, (entry) =>
+    entry.backendServerId === 'server-0'
+      ? answer({ inFlight: 3, serviceMilliseconds: 200 }, 200)
+      : healthy(entry),
+  );
+  assert.ok((slow.get('server-0') ?? 0) <= 5, `straggler got ${slow.get('server-0')} of 50`);
+  fixture.advance(2_000);
+  const recovered = sendRequests(fixture, selector, 300, (entry) =>
+    entry.backendServerId === 'server-0' ? healthy(entry) : answer({ inFlight: 9 }, 20),
+  );
+  assert.ok((recovered.get('server-0') ?? 0) >= 100, `got ${recovered.get('server-0')} of 300`);
+});
+
+test('guards against new work for a backend server that has stopped answering', () => {
+  const fixture = new Fixture(8);
+  const selector = fixture.makeSelector();
+  sendRequests(fixture, selector, 50, healthy);
+  const silent = fixture.entries[0];
+  assert.ok(silent !== undefined);
+  selector.sent(silent);
+  fixture.advance(200);
+  const chosen = sendRequests(fixture, selector, 20, healthy);
+  assert.equal(chosen.get('server-0') ?? 0, 0);
+});
+
+for (const [name, failure] of [
+  ['is dead although its verdict is up', { type: 'lost' } as const],
+  ['fails fast', { ...answer({ serviceMilliseconds: 1 }, 1), serverError: true } as TryResult],
+  ['refuses without load', { type: 'refused', report: makeReport() } as const],
+] as const) {
+  test(`guards against a black hole: a backend server that ${name}`, () => {
+    const fixture = new Fixture(8);
+    const selector = fixture.makeSelector();
+    sendRequests(fixture, selector, 50, healthy);
+    const chosen = sendRequests(fixture, selector, 100, (entry) =>
+      entry.backendServerId === 'server-0' ? failure : healthy(entry),
+    );
+    assert.ok((chosen.get('server-0') ?? 0) <= 15, `got ${chosen.get('server-0')} of 100`);
+  });
+}
+
+test('guards against herding of many routers with the same stale report', () => {
+  const fixture = new Fixture(40);
+  const chosen = new Map<string, number>();
+  const routers = Array.from({ length: 60 }, (_, seed) => fixture.makeSelector('adaptive', seed));
+  for (const selector of routers) {
+    for (const entry of fixture.entries) {
+      const inFlight = entry.backendServerId === 'server-0' ? 0 : 8;
+      selector.observed(entry, makeReport({ inFlight }), 20);
+    }
+    const entry = selector.select(fixture.request());
+    assert.ok(entry !== undefined);
+    chosen.set(entry.backendServerId, (chosen.get(entry.backendServerId) ?? 0) + 1);
+  }
+  assert.ok((chosen.get('server-0') ?? 0) <= 30, `${chosen.get('server-0')} of 60 chose it`);
+});
+
+test('guards against a cold backend server that is flooded because nothing is known of it', () => {
+  const fixture = new Fixture(8);
+  const selector = fixture.makeSelector();
+  sendRequests(fixture, selector, 50, healthy);
+  fixture.replace('server-0', { incarnation: 2, rampMilliseconds: 10_000 });
+  let cold = 0;
+  for (let index = 0; index < 20; index += 1) {
+    const entry = selector.select(fixture.request());
+    assert.ok(entry !== undefined);
+    selector.sent(entry);
+    if (entry.backendServerId === 'server-0') cold += 1;
+  }
+  assert.ok(cold >= 1 && cold <= 7, `cold backend server got ${cold} of 20`);
+});
+
+test('guards against a hedged request that joins a queue', () => {
+  const fixture = new Fixture(8);
+  const selector = fixture.makeSelector();
+  for (const entry of fixture.entries) {
+    selector.observed(entry, makeReport({ inFlight: 10, queued: 2 }), 20);
+  }
+  assert.equal(selector.select({ ...fixture.request(), hedged: true }), undefined);
+  assert.ok(selector.select(fixture.request()) !== undefined);
+});
+
+test('guards against work that stays in a saturated region, or crosses without need', () => {
+  const fixture = new Fixture(8);
+  const selector = fixture.makeSelector();
+  const regionsFor = (own: Partial<LoadReport>): Set<string> => {
+    for (const entry of fixture.entries) {
+      selector.observed(entry, makeReport(entry.region === 'south' ? own : {}), 20);
+    }
+    return new Set([selector.select(fixture.request())?.region ?? '']);
+  };
+  assert.deepEqual(regionsFor({ inFlight: 9 }), new Set(['south']));
+  assert.deepEqual(regionsFor({ inFlight: 10, queued: 40 }), new Set(['north']));
+});
--- a/packages/routing/src/__tests__/fixtures.ts
+++ b/packages/routing/src/__tests__/fixtures.ts
@@ -47,6 +47,10 @@
     });
   }
 
+  advance(milliseconds: number): void {
+    this.time += milliseconds;
+  }
+
   replace(id: string, changes: Partial<BackendServerEntry>): void {
     this.entries = this.entries.map((entry) =>
       entry.backendServerId === id ? { ...entry, ...changes } : entry,
