--- a/packages/idempotency/src/ClaimClient.ts
+++ b/packages/idempotency/src/ClaimClient.ts
@@ -55,7 +55,8 @@
 }
 
 const defaultPatienceMilliseconds = 3_000;
-const attemptBytes = 12;
+/** Random bytes in the name of a client, which all names of its attempts start with. */
+const clientNameBytes = 9;
 
 /** First and longest pause between two rounds, in milliseconds. */
 const firstPauseMilliseconds = 10;
@@ -85,11 +86,13 @@
 
   readonly #nameAttempt: () => string;
 
+  readonly #nearest = new WeakMap<ShardView, ShardView['holders']>();
+
   constructor(options: ClaimClientOptions) {
     this.#options = options;
     this.#clock = options.clock;
     this.#updater = new RecordUpdater(options);
-    this.#nameAttempt = options.nameAttempt ?? randomAttempt;
+    this.#nameAttempt = options.nameAttempt ?? createAttemptNames();
   }
 
   /** Tries to win the key for one attempt. Ends before the deadline and never throws. */
@@ -133,7 +136,7 @@
     if (view === undefined) return withoutView;
     const round = new ClaimRound({
       ...this.#options,
-      message: { ...claim, viewId: view.id, viewNumber: view.number },
+      message: { ...claim, viewId: view.id },
       holders: this.#nearestFirst(view),
       giveUpAt,
     });
@@ -143,10 +146,14 @@
   }
 
   #nearestFirst(view: ShardView): ShardView['holders'] {
+    const known = this.#nearest.get(view);
+    if (known !== undefined) return known;
     const { location } = this.#options;
-    return [...view.holders].sort(
+    const holders = [...view.holders].sort(
       (first, second) => distanceBetween(location, first) - distanceBetween(location, second),
     );
+    this.#nearest.set(view, holders);
+    return holders;
   }
 
   #makeHandle(claim: ClaimedAttempt, asked: AskedHolders, startedAt: number): ClaimHandle {
@@ -160,8 +167,14 @@
   }
 }
 
-function randomAttempt(): string {
-  return randomBytes(attemptBytes).toString('base64url');
+/** Names attempts by a random name of this client and a counter: no claim pays for randomness. */
+function createAttemptNames(): () => string {
+  const clientName = randomBytes(clientNameBytes).toString('base64url');
+  let count = 0;
+  return () => {
+    count += 1;
+    return `${clientName}${count.toString(36)}`;
+  };
 }
 
 function canRepeat(outcome: RoundOutcome): boolean {
--- a/packages/idempotency/src/ClaimHolder.ts
+++ b/packages/idempotency/src/ClaimHolder.ts
@@ -8,6 +8,7 @@
 import type { RecordLimits } from './RecordBudget.js';
 import { ShardRecords } from './ShardRecords.js';
 import type { PreparedView } from './ShardRecords.js';
+import { decodeClaim, decodeFinish, decodeRelease } from './claimCodec.js';
 import { RecordState } from './claimRecord.js';
 import type { ClaimRecord } from './claimRecord.js';
 import { longestClaimMilliseconds, shardCount } from './claimView.js';
@@ -45,8 +46,11 @@
 /** Six hours: far longer than a partition, and the longest outage of the store to bridge. */
 export const defaultConfirmationLimitMilliseconds = 6 * 3_600_000;
 
-/** 48,000 records and 6 MB of answers stay within about 24 MB of a node's 64 MB. */
-export const defaultRecordLimits: RecordLimits = { records: 48_000, answerBytes: 6_000_000 };
+/**
+ * At 142 bytes a record and less than a byte for each counted byte of an answer
+ * (docs/measurements/claims.md), these limits come to about 17 MB of a node's 64 MB.
+ */
+export const defaultRecordLimits: RecordLimits = { records: 80_000, answerBytes: 6_000_000 };
 
 /** Answers the control calls of claims on a node, and keeps records in memory. */
 export class ClaimHolder {
@@ -120,16 +124,17 @@
 
   #registerHandlers(): void {
     const { channel } = this.#options;
-    channel.handle(ClaimCall.claim, (body) => this.#claim(body as ClaimMessage));
-    channel.handle(ClaimCall.finish, (body) => this.#finish(body as FinishMessage));
-    channel.handle(ClaimCall.release, (body) => this.#release(body as ReleaseMessage));
+    channel.handle(ClaimCall.claim, (body) => this.#claim(decodeClaim(body)));
+    channel.handle(ClaimCall.finish, (body) => this.#finish(decodeFinish(body)));
+    channel.handle(ClaimCall.release, (body) => this.#release(decodeRelease(body)));
     channel.handle(ClaimCall.seal, (body) => this.#seal(body as SealMessage));
     channel.handle(ClaimCall.prepare, (body) => this.#prepare(body as PrepareMessage));
     channel.handle(ClaimCall.pull, (body) => this.#pull(body as PullMessage));
     channel.handle(ClaimCall.status, () => this.#status());
   }
 
-  #claim(message: ClaimMessage): ClaimReply {
+  #claim(message: ClaimMessage | undefined): ClaimReply {
+    if (message === undefined) return { type: 'malformed' };
     const now = this.#clock.now();
     const shard = this.#shards.get(message.shard);
     const view = this.#activeView(shard, message.viewId, now);
@@ -161,7 +166,8 @@
   }
 
   /** Only a granted attempt finishes, so its answer replaces what stands. */
-  #finish(message: FinishMessage): RecordReply {
+  #finish(message: FinishMessage | undefined): RecordReply {
+    if (message === undefined) return { type: 'malformed' };
     const now = this.#clock.now();
     const shard = this.#shards.get(message.shard);
     const view = shard?.prepared(message.viewId);
@@ -179,7 +185,8 @@
       : { type: 'stored' };
   }
 
-  #release(message: ReleaseMessage): RecordReply {
+  #release(message: ReleaseMessage | undefined): RecordReply {
+    if (message === undefined) return { type: 'malformed' };
     const now = this.#clock.now();
     const shard = this.#shards.get(message.shard);
     const view = shard?.prepared(message.viewId);
--- a/packages/idempotency/src/ClaimRound.ts
+++ b/packages/idempotency/src/ClaimRound.ts
@@ -4,6 +4,7 @@
 
 import type { ViewRegister } from './ViewRegister.js';
 import type { StoredAnswer } from './claimRecord.js';
+import { encodeClaim } from './claimCodec.js';
 import { quorumSize } from './claimView.js';
 import type { HolderCandidate } from './claimView.js';
 import { ClaimCall } from './messages.js';
@@ -85,18 +86,16 @@
     });
     const first = this.#options.holders.slice(0, quorumSize);
     for (const holder of first) this.#ask(holder);
-    const timer = new AbortController();
-    this.#askSpareLater(timer.signal);
-    const outcome = await decided;
-    timer.abort();
-    return outcome;
+    this.#askSpareLater();
+    return decided;
   }
 
-  async #askSpareLater(signal: AbortSignal): Promise<void> {
+  /** The wait runs on after the decision: an abort costs more than the rest of a claim's timers. */
+  async #askSpareLater(): Promise<void> {
     const farthest = this.#options.holders[quorumSize - 1] ?? this.#options.location;
     const isFar = distanceBetween(this.#options.location, farthest) === Distance.otherRegion;
     const delay = isFar ? spareDelayMilliseconds.far : spareDelayMilliseconds.near;
-    await this.#options.clock.sleep(delay, signal);
+    await this.#options.clock.sleep(delay);
     this.#askSpare();
   }
 
@@ -110,7 +109,8 @@
     this.#asked.add(holder.nodeId);
     const { channel, clock, message, giveUpAt } = this.#options;
     const timeout = Math.max(1, Math.min(callTimeoutMilliseconds, giveUpAt - clock.now()));
-    const reply = await channel.call(holder.nodeId, ClaimCall.claim, message, timeout);
+    const body = encodeClaim(message);
+    const reply = await channel.call(holder.nodeId, ClaimCall.claim, body, timeout);
     this.#take(reply.ok ? (reply.value as ClaimReply) : { type: 'no-reply' });
   }
 
--- a/packages/idempotency/src/RecordTable.ts
+++ b/packages/idempotency/src/RecordTable.ts
@@ -1,11 +1,16 @@
-import { RecordState, answerBytes, mergeRecords } from './claimRecord.js';
-import type { ClaimRecord } from './claimRecord.js';
 import type { RecordBudget } from './RecordBudget.js';
+import { answerBytes, mergeRecords } from './claimRecord.js';
+import type { ClaimRecord } from './claimRecord.js';
+import { flattenText, packRecord, unpackRecord } from './packRecord.js';
 
 /** Parts of the lifetime in which records are dropped together. */
 const generationsPerLifetime = 8;
 
-type Generation = Map<string, ClaimRecord>;
+/** Packed records that were made in the same part of the lifetime, by digest. */
+interface Generation {
+  readonly records: Map<string, string>;
+  answerBytes: number;
+}
 
 /**
  * The records of one shard. Records of the same part of their lifetime share a map, which is
@@ -26,30 +31,24 @@
     this.#budget = budget;
   }
 
-  get size(): number {
-    let size = 0;
-    for (const generation of this.#generations.values()) size += generation.size;
-    return size;
-  }
-
   /** Finds the record of a key that has not expired. */
   find(digest: string, now: number): ClaimRecord | undefined {
     for (const generation of this.#generations.values()) {
-      const record = generation.get(digest);
-      if (record !== undefined) return this.#isExpired(record, now) ? undefined : record;
+      const packed = generation.records.get(digest);
+      if (packed === undefined) continue;
+      const record = unpackRecord(packed);
+      return this.#isExpired(record, now) ? undefined : record;
     }
     return undefined;
   }
 
   /** Stores or replaces the record of a key. */
   put(digest: string, record: ClaimRecord): void {
-    const index = Math.floor(record.createdAt / this.#span);
-    this.#removeOutside(digest, index);
-    const generation = this.#generationAt(index);
-    const earlier = generation.get(digest);
-    if (earlier === undefined) this.#budget.addRecord();
-    else this.#budget.removeAnswer(answerBytes(earlier.answer));
-    generation.set(digest, this.#withinAnswerBudget(record));
+    this.#remove(digest);
+    const generation = this.#generationAt(Math.floor(record.createdAt / this.#span));
+    const kept = this.#withinAnswerBudget(record, generation);
+    generation.records.set(flattenText(digest), packRecord(kept));
+    this.#budget.addRecord();
   }
 
   /** Merges a record of another holder. */
@@ -61,7 +60,9 @@
   /** Drops generations whose records have all expired. */
   expire(now: number): void {
     for (const [index, generation] of this.#generations) {
-      if ((index + 1) * this.#span + this.#lifetime > now) continue;
+      // Times are rounded up to a whole millisecond when records are packed.
+      const youngest = (index + 1) * this.#span + 1;
+      if (youngest + this.#lifetime > now) continue;
       this.#forget(generation);
       this.#generations.delete(index);
     }
@@ -75,7 +76,7 @@
 
   /** Lists the digests of all records. */
   digests(): string[] {
-    return [...this.#generations.values()].flatMap((generation) => [...generation.keys()]);
+    return [...this.#generations.values()].flatMap((generation) => [...generation.records.keys()]);
   }
 
   #isExpired(record: ClaimRecord, now: number): boolean {
@@ -85,30 +86,33 @@
   #generationAt(index: number): Generation {
     const existing = this.#generations.get(index);
     if (existing !== undefined) return existing;
-    const created: Generation = new Map();
+    const created: Generation = { records: new Map(), answerBytes: 0 };
     this.#generations.set(index, created);
     return created;
   }
 
-  #removeOutside(digest: string, index: number): void {
-    for (const [other, generation] of this.#generations) {
-      if (other === index) continue;
-      const record = generation.get(digest);
-      if (record === undefined) continue;
-      generation.delete(digest);
+  #remove(digest: string): void {
+    for (const generation of this.#generations.values()) {
+      const packed = generation.records.get(digest);
+      if (packed === undefined) continue;
+      const bytes = answerBytes(unpackRecord(packed).answer);
+      generation.records.delete(digest);
+      generation.answerBytes -= bytes;
       this.#budget.removeRecords(1);
-      this.#budget.removeAnswer(answerBytes(record.answer));
+      this.#budget.removeAnswer(bytes);
     }
   }
 
-  #withinAnswerBudget(record: ClaimRecord): ClaimRecord {
-    if (record.state !== RecordState.finished) return record;
-    if (this.#budget.addAnswer(answerBytes(record.answer))) return record;
-    return { ...record, answer: undefined };
+  #withinAnswerBudget(record: ClaimRecord, generation: Generation): ClaimRecord {
+    const bytes = answerBytes(record.answer);
+    if (!this.#budget.addAnswer(bytes)) return { ...record, answer: undefined };
+    const changed = generation;
+    changed.answerBytes += bytes;
+    return record;
   }
 
   #forget(generation: Generation): void {
-    this.#budget.removeRecords(generation.size);
-    for (const record of generation.values()) this.#budget.removeAnswer(answerBytes(record.answer));
+    this.#budget.removeRecords(generation.records.size);
+    this.#budget.removeAnswer(generation.answerBytes);
   }
 }
--- a/packages/idempotency/src/RecordUpdater.ts
+++ b/packages/idempotency/src/RecordUpdater.ts
@@ -2,13 +2,15 @@
 import type { Clock } from '@hickorybridge/utils';
 
 import type { ViewRegister } from './ViewRegister.js';
+import { encodeFinish, encodeRelease } from './claimCodec.js';
+import type { ClaimWire } from './claimCodec.js';
 import type { StoredAnswer } from './claimRecord.js';
 import { quorumSize } from './claimView.js';
 import { ClaimCall } from './messages.js';
-import type { ClaimMessage, FinishMessage, RecordReply, ReleaseMessage } from './messages.js';
+import type { ClaimMessage, FinishMessage, RecordReply } from './messages.js';
 
 /** The attempt of a claim, without a view. */
-export type ClaimedAttempt = Omit<ClaimMessage, 'viewId' | 'viewNumber'>;
+export type ClaimedAttempt = Omit<ClaimMessage, 'viewId'>;
 
 /** Holders that were asked for a claim, in one view. */
 export interface AskedHolders {
@@ -16,7 +18,7 @@
   readonly nodeIds: readonly string[];
 }
 
-type RecordMessage = Omit<FinishMessage, 'viewId'> | Omit<ReleaseMessage, 'viewId'>;
+type RecordMessage = Omit<FinishMessage, 'viewId'>;
 
 /** What an updater works with. */
 export interface RecordUpdaterOptions {
@@ -51,8 +53,7 @@
 
   /** Gives the key free at a quorum. Returns whether this succeeded. */
   release(claim: ClaimedAttempt, asked: AskedHolders): Promise<boolean> {
-    const { shard, digest, attempt } = claim;
-    return this.#repeat(ClaimCall.release, { shard, digest, attempt }, asked);
+    return this.#repeat(ClaimCall.release, claim, asked);
   }
 
   async #repeat(name: string, message: RecordMessage, asked: AskedHolders): Promise<boolean> {
@@ -68,7 +69,7 @@
   async #tellHolders(name: string, message: RecordMessage, asked?: AskedHolders): Promise<boolean> {
     const view = this.#options.views.shard(message.shard);
     if (view === undefined) return false;
-    const body = { ...message, viewId: view.id };
+    const body = encodeUpdate(name, { ...message, viewId: view.id });
     const nodeIds =
       asked?.viewId === view.id ? asked.nodeIds : view.holders.map((holder) => holder.nodeId);
     const stored = await Promise.all(nodeIds.map((nodeId) => this.#tell(nodeId, name, body)));
@@ -84,3 +85,7 @@
     return value.type === 'stored';
   }
 }
+
+function encodeUpdate(name: string, message: FinishMessage): ClaimWire {
+  return name === ClaimCall.finish ? encodeFinish(message) : encodeRelease(message);
+}
--- a/packages/idempotency/src/__tests__/holder.test.ts
+++ b/packages/idempotency/src/__tests__/holder.test.ts
@@ -4,17 +4,31 @@
 
 import { ClaimHolder } from '../ClaimHolder.js';
 import { chooseHolders, countFailureDomains } from '../chooseHolders.js';
+import { encodeClaim, encodeFinish, encodeRelease } from '../claimCodec.js';
 import { deriveClaimKey, shortenFingerprint } from '../claimKey.js';
 import { RecordState, mergeRecords } from '../claimRecord.js';
 import type { ClaimRecord } from '../claimRecord.js';
+import { packRecord, unpackRecord } from '../packRecord.js';
 import { ClaimCall, History } from '../messages.js';
-import type { ClaimMessage, ClaimReply, PullReply } from '../messages.js';
+import type {
+  ClaimMessage,
+  ClaimReply,
+  FinishMessage,
+  SealMessage,
+  PullReply,
+} from '../messages.js';
 import { SimulatedCluster, fourDomains } from './SimulatedCluster.js';
 
 const keeper = 'south-1-0';
 const key = deriveClaimKey('laboratory', 'key');
 const fingerprint = shortenFingerprint('same');
 
+const encoders: Record<string, ((message: FinishMessage) => unknown) | undefined> = {
+  [ClaimCall.claim]: encodeClaim,
+  [ClaimCall.finish]: encodeFinish,
+  [ClaimCall.release]: encodeRelease,
+};
+
 /** A cluster whose keeper does not hold the key, and direct calls to the key's holders. */
 async function startCluster(): Promise<SimulatedCluster> {
   for (let seed = 1; ; seed += 1) {
@@ -37,10 +51,16 @@
   body: object,
 ): unknown {
   const { process } = cluster.node(nodeId);
-  return process.handlers.get(name)?.(body, process.identity);
+  const encode = encoders[name];
+  const wire = encode === undefined ? body : encode(body as FinishMessage);
+  return process.handlers.get(name)?.(wire, process.identity);
 }
 
-function claimBy(cluster: SimulatedCluster, attempt: string, change: object = {}): ClaimMessage {
+function claimBy(
+  cluster: SimulatedCluster,
+  attempt: string,
+  change: object = {},
+): ClaimMessage & SealMessage {
   const { id, number } = cluster.shard(key.shard);
   return { ...key, viewId: id, viewNumber: number, attempt, fingerprint, ...change };
 }
@@ -159,6 +179,29 @@
   assert.deepEqual(mergeRecords(record, younger).rivals, ['b']);
 });
 
+test('a packed record loses nothing, and its time is never earlier', () => {
+  const body = Buffer.from([0, 10, 32, 128, 255]);
+  const record: ClaimRecord = {
+    attempt: 'a-1',
+    rivals: ['b_2', 'c'],
+    fingerprint: '',
+    state: RecordState.finished,
+    answer: { status: 201, headers: ['a b', 'ü€\n'], body },
+    createdAt: -12.5,
+  };
+  assert.deepEqual(unpackRecord(packRecord(record)), { ...record, createdAt: -12 });
+  const bare = { ...record, rivals: [], answer: undefined, createdAt: 5 };
+  assert.deepEqual(unpackRecord(packRecord(bare)), bare);
+});
+
+test('a malformed claim is refused and leaves no record', async () => {
+  const cluster = await startCluster();
+  const [first = ''] = holdersOf(cluster);
+  assert.equal(claimAt(cluster, first, claimBy(cluster, 'a b')), 'malformed');
+  assert.equal(claimAt(cluster, first, claimBy(cluster, 'a', { digest: 7 })), 'malformed');
+  assert.equal(cluster.node(first).holder.recordCount, 0);
+});
+
 test('records move in messages of at most 200 KB, and all of them move', async () => {
   const cluster = await startCluster();
   const [first = '', second = '', third = ''] = holdersOf(cluster);
--- a/packages/idempotency/src/messages.ts
+++ b/packages/idempotency/src/messages.ts
@@ -12,10 +12,9 @@
   status: 'claims/status',
 } as const;
 
-/** Asks a holder to grant a key to an attempt. */
+/** Asks a holder to grant a key to an attempt. Sent in the form of `claimCodec`. */
 export interface ClaimMessage {
   readonly shard: number;
-  readonly viewNumber: number;
   readonly viewId: string;
   readonly digest: string;
   readonly attempt: string;
@@ -34,7 +33,8 @@
   /** There is no record, but a record of this key may have been lost. */
   | { readonly type: 'history-incomplete' }
   /** The holder's memory for records is used up. */
-  | { readonly type: 'full' };
+  | { readonly type: 'full' }
+  | { readonly type: 'malformed' };
 
 /** Tells a holder that the granted attempt has ended. */
 export interface FinishMessage {
@@ -57,6 +57,7 @@
 /** Reply to finish and release. */
 export type RecordReply =
   | { readonly type: 'stored' }
+  | { readonly type: 'malformed' }
   | { readonly type: 'inactive'; readonly current?: ShardView | undefined };
 
 /** Asks a holder to grant nothing more in this view and earlier ones. */
