--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -4,6 +4,8 @@
 import path from 'node:path';
 
 const root = path.resolve(import.meta.dirname, '..');
+// A test that hangs fails with its name instead of holding up the whole run.
+const testTimeoutMilliseconds = 120_000;
 const knownRedFile = path.join(root, 'KNOWN-RED.txt');
 
 /** Lists `packages/NAME/dist/__tests__/*.test.js`, sorted, as paths from the root. */
@@ -43,12 +45,22 @@
 const files = listTestFiles().filter(
   (file) => filters.length === 0 || filters.some((filter) => file.includes(filter)),
 );
+if (files.length === 0) {
+  console.error(`no test file matches: ${filters.join(', ')}`);
+  process.exit(1);
+}
 const knownRed = readKnownRed();
 for (const name of knownRed) console.log(`known red, not run: ${name}`);
 
 const result = spawnSync(
   process.execPath,
-  ['--test', '--test-concurrency=4', '--test-reporter=spec', ...files],
+  [
+    '--test',
+    '--test-concurrency=4',
+    `--test-timeout=${testTimeoutMilliseconds}`,
+    '--test-reporter=spec',
+    ...files,
+  ],
   {
     cwd: root,
     stdio: 'inherit',
