--- a/packages/command-line/src/DeploymentConfirmation.ts
+++ b/packages/command-line/src/DeploymentConfirmation.ts
@@ -1,12 +1,12 @@
 import { parseFencedValue } from '@hickorybridge/coordination';
 import type { Deployment } from '@hickorybridge/configuration';
 import type { PlatformStore } from '@hickorybridge/store';
-import { fail, succeed } from '@hickorybridge/types';
-import type { Result, SocketAddress } from '@hickorybridge/types';
+import type { SocketAddress } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
 import type { KnownNode } from './nodeStatus.js';
 import { fieldsOf, listOf, parseKnownNode, parseNodeStatus } from './nodeStatus.js';
 import type { OperatorsClient } from './OperatorsClient.js';
+import { forEachNode, readEffectiveNumber } from './readEffectiveNumber.js';
 
 /** How far a deployment has come in one failure domain. */
 export interface DomainProgress {
@@ -35,8 +35,6 @@
 
 const rosterPrefix = 'rosters/';
 const pollMilliseconds = 500;
-/** Bounds the connections of the command line. */
-const nodesAtOnce = 32;
 
 /** Tells whether a deployment is confirmed in every failure domain. */
 export function isConfirmed(domains: readonly DomainProgress[]): boolean {
@@ -79,9 +77,7 @@
     await this.#readRosters();
     await this.#askInformant();
     const open = this.#nodes.filter((node) => !this.#confirmed.has(keyOf(node)));
-    for (let index = 0; index < open.length; index += nodesAtOnce) {
-      await Promise.all(open.slice(index, index + nodesAtOnce).map((node) => this.#askNode(node)));
-    }
+    await forEachNode(open, (node) => this.#askNode(node));
   }
 
   async #readRosters(): Promise<void> {
@@ -110,14 +106,9 @@
   /** Gives why a node is not confirmed, or `undefined` when it is. */
   async #findReason(node: KnownNode): Promise<string | undefined> {
     const { clientAt, number } = this.#options;
-    if (node.operatorsAddress === undefined) return "it gives no operators' address";
-    const answer = await readNumber(clientAt(node.operatorsAddress));
+    const answer = await readEffectiveNumber(node, clientAt);
     if (!answer.ok) return answer.error;
-    const { nodeId, deploymentNumber } = answer.value;
-    if (nodeId !== node.nodeId) {
-      return `its operators' listener is on loopback of its own host (${nodeId} answers here)`;
-    }
-    return deploymentNumber >= number ? undefined : `number ${deploymentNumber} is in effect there`;
+    return answer.value >= number ? undefined : `number ${answer.value} is in effect there`;
   }
 
   #summarize(): DomainProgress[] {
@@ -141,24 +132,3 @@
 function keyOf(node: KnownNode): string {
   return `${node.nodeId}/${node.incarnation}`;
 }
-
-/** What a node says of itself. */
-interface EffectiveNumber {
-  readonly nodeId: string;
-  readonly deploymentNumber: number;
-}
-
-/**
- * Asks a node for the number in effect. `/status` lists the whole fleet, so it is asked only when
- * the node does not state the number in its answer to `/ready`.
- */
-async function readNumber(client: OperatorsClient): Promise<Result<EffectiveNumber, string>> {
-  const ready = await client.getJson('/ready');
-  if (!ready.ok) return fail(ready.error.detail);
-  const { nodeId, deploymentNumber } = fieldsOf(ready.value);
-  if (typeof nodeId === 'string' && typeof deploymentNumber === 'number') {
-    return succeed({ nodeId, deploymentNumber });
-  }
-  const answer = await client.getJson('/status');
-  return answer.ok ? parseNodeStatus(answer.value) : fail(answer.error.detail);
-}
--- a/packages/command-line/src/__tests__/runCommandLine.test.ts
+++ b/packages/command-line/src/__tests__/runCommandLine.test.ts
@@ -1,42 +1,19 @@
 import assert from 'node:assert/strict';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { after, describe, it } from 'node:test';
-import { runCommandLine } from '../index.js';
 import { kindRates } from '../kindRates.js';
 import { parseMetrics } from '../parseMetrics.js';
+import { FakeNode } from './FakeNode.js';
 import { MemoryStore } from './MemoryStore.js';
+import { runInMemory as run } from './runInMemory.js';
 
 const root = path.resolve(import.meta.dirname, '../../../..');
 const litoteca = path.join(root, 'examples/litoteca.toml');
 const directory = mkdtempSync(path.join(tmpdir(), 'hickorybridge-'));
 after(() => rmSync(directory, { recursive: true }));
 
-/** Runs a command against a store in memory; time passes only in sleeps. */
-async function run(store: MemoryStore, ...words: string[]) {
-  const output: string[] = [];
-  const errors: string[] = [];
-  let now = 0;
-  const code = await runCommandLine(words, {
-    clock: {
-      now: () => now,
-      wallTime: () => now,
-      sleep: async (milliseconds) => {
-        now += milliseconds;
-      },
-    },
-    print: (line) => output.push(line),
-    printError: (line) => errors.push(line),
-    environment: {},
-    openStore: () => store,
-    operator: 'test',
-  });
-  return { code, output: output.join('\n'), errors: errors.join('\n') };
-}
-
 const address = ['--store', 'http://127.0.0.1:1'];
 
 describe('command line', () => {
@@ -94,20 +71,16 @@
 });
 
 describe('apply --wait', () => {
-  it('guards against a confirmation from a wrong node, an old number or an empty domain', async (t) => {
-    let deploymentNumber = 0;
-    const server = createServer((_, response) => {
-      response.end(JSON.stringify({ ready: true, nodeId: 'a', deploymentNumber }));
-    }).listen(0, '127.0.0.1');
-    t.after(() => server.close());
-    await new Promise((resolve) => {
-      server.once('listening', resolve);
-    });
-    const { port } = server.address() as AddressInfo;
+  it('guards against a confirmation from a wrong node, an old number or an empty domain', async () => {
+    await using node = await FakeNode.start();
+    const answerWith = (deploymentNumber: number) => {
+      node.answers['GET /ready'] = { ready: true, nodeId: 'a', deploymentNumber };
+    };
+    answerWith(0);
     const store = new MemoryStore();
     const putRosters = (nodeIds: readonly string[]) =>
       ['montevideo-a', 'montevideo-b', 'minas-a', 'minas-b'].forEach((failureDomain) => {
-        const operatorsAddress = { host: '127.0.0.1', port };
+        const operatorsAddress = node.address;
         const nodes = nodeIds.map((nodeId) => ({ nodeId, failureDomain, operatorsAddress }));
         const key = `rosters/${failureDomain}`;
         const value = JSON.stringify({ token: 1, writeId: 'w', content: { failureDomain, nodes } });
@@ -121,7 +94,7 @@
     const old = await apply();
     assert.equal(old.code, 4);
     assert.match(old.errors, /a: number 0 is in effect there/);
-    deploymentNumber = 1;
+    answerWith(1);
     const other = await apply();
     assert.equal(other.code, 4);
     assert.match(other.errors, /minas-b: 1 of 2 nodes confirmed/);
--- a/packages/configuration/src/RequestMatcher.ts
+++ b/packages/configuration/src/RequestMatcher.ts
@@ -43,12 +43,19 @@
 
   /** `host` is the Host header, with or without a port; `target` is path and query. */
   match(host: string, method: string, target: string): RequestMatch {
-    const table = this.#hosts.get(host) ?? this.#hosts.get(normalizeHost(host));
+    const table = this.#findTable(host);
     if (table === undefined) return noSuchService;
     const root = table.methods.get(method);
     if (root === undefined || target.charCodeAt(0) !== slash) return table.noSuchKind;
     return matchFrom(root, target, 1, endOfPath(target)) ?? table.noSuchKind;
   }
+
+  /** Most callers send the name as it is declared, with or without a port. */
+  #findTable(host: string): ServiceTable | undefined {
+    const colon = host.indexOf(':');
+    const name = colon === -1 ? host : host.slice(0, colon);
+    return this.#hosts.get(name) ?? this.#hosts.get(normalizeName(name));
+  }
 }
 
 function buildTable(service: Service): ServiceTable {
@@ -118,7 +125,7 @@
   return query === -1 ? target.length : query;
 }
 
-/** Removes the port and one final dot; host names are compared in lower case. */
-function normalizeHost(host: string): string {
-  return host.replace(/:\d*$/, '').replace(/\.$/, '').toLowerCase();
+/** Removes one final dot; host names are compared in lower case. */
+function normalizeName(name: string): string {
+  return name.replace(/\.$/, '').toLowerCase();
 }
