--- a/packages/command-line/src/__tests__/applyDeployment.test.ts
+++ b/packages/command-line/src/__tests__/applyDeployment.test.ts
@@ -65,6 +65,12 @@
     assert.equal(outcome.type === 'replaced' && outcome.certain, true);
   });
 
+  it('guards against a value that the store cannot hold', async () => {
+    const store = new MemoryStore();
+    assert.equal((await apply(store, '#'.repeat(1_000_000))).type, 'failed');
+    assert.equal(store.objects.size, 0);
+  });
+
   it('guards against a write while the store cannot be read', async () => {
     const store = new MemoryStore();
     store.down = true;
--- a/packages/command-line/src/applyDeployment.ts
+++ b/packages/command-line/src/applyDeployment.ts
@@ -42,6 +42,9 @@
 /** With the first delay doubled each time, a lost answer is looked for over about three seconds. */
 const resolutionReads = 5;
 
+/** The store holds values up to 1 MB. */
+const maxValueBytes = 1_000_000;
+
 /** Writes a deployment by one conditional update and finds out how it ended. */
 export async function applyDeployment(options: ApplyOptions): Promise<ApplyOutcome> {
   const read = await options.store.read(deploymentKey);
@@ -70,13 +73,19 @@
     appliedBy: operator,
     previousApplyId: current?.applyId,
   };
+  const value = formatAcceptedDeployment(accepted);
+  const bytes = Buffer.byteLength(value);
+  if (bytes > maxValueBytes) {
+    const detail = `the deployment takes ${bytes} bytes, and the store holds at most ${maxValueBytes}`;
+    return { type: 'failed', detail };
+  }
   const outcome = await conditionalUpdate({
     store,
     clock,
     key: deploymentKey,
-    value: formatAcceptedDeployment(accepted),
+    value,
     expectedVersion,
-    isOwn: (value) => applyIdOf(value) === accepted.applyId,
+    isOwn: (standing) => applyIdOf(standing) === accepted.applyId,
     resolutionReads,
   });
   switch (outcome.type) {
--- a/packages/command-line/src/runCommandLine.ts
+++ b/packages/command-line/src/runCommandLine.ts
@@ -52,6 +52,11 @@
   const message = error instanceof Error ? error.message : String(error);
   context.printError(isUsage ? message : `${name} failed unexpectedly: ${message}`);
   if (showStack && error instanceof Error) context.printError(error.stack ?? '');
-  else context.printError(isUsage ? 'see --help' : 'add --stack for the stack trace');
+  else context.printError(isUsage ? `see ${helpFor(name)}` : 'add --stack for the stack trace');
   return isUsage ? ExitCode.wrongUsage : ExitCode.failed;
 }
+
+function helpFor(name: string): string {
+  const known = commands.some((command) => command.name === name);
+  return known ? `hickorybridge ${name} --help` : 'hickorybridge --help';
+}
--- a/packages/configuration/src/problemsOfIssue.ts
+++ b/packages/configuration/src/problemsOfIssue.ts
@@ -89,6 +89,8 @@
 }
 
 function formatValue(value: unknown): string {
+  // TOML has numbers that JSON lacks.
+  if (typeof value === 'number' && !Number.isFinite(value)) return String(value).toLowerCase();
   const text = JSON.stringify(value, (_key, inner: unknown) =>
     typeof inner === 'bigint' ? inner.toString() : inner,
   );
