--- a/packages/command-line/src/OperatorsClient.ts
+++ b/packages/command-line/src/OperatorsClient.ts
@@ -1,5 +1,6 @@
 import { fail, succeed } from '@hickorybridge/types';
 import type { Result } from '@hickorybridge/types';
+import { match } from 'ts-pattern';
 import { request } from 'undici';
 
 /** Why a node gave no usable answer. */
@@ -79,22 +80,16 @@
 }
 
 function judgeStatus(target: string, status: number, body: string): Result<string, OperatorsError> {
-  switch (status) {
-    case 200:
-    case 202:
-    case 503:
-      return succeed(body);
-    case 401:
-    case 403:
-      return fail({
-        type: 'unauthorized',
-        detail: `${target} needs the shared key: add --key-file FILE`,
-      });
-    case 404:
-      return fail({ type: 'not-found', detail: `${target} answered with status 404` });
-    default:
-      return fail({ type: 'malformed', detail: `${target} answered with status ${status}` });
-  }
+  return match<number, Result<string, OperatorsError>>(status)
+    .with(200, 202, 503, () => succeed(body))
+    .with(401, 403, () => {
+      const detail = `${target} needs the shared key: add --key-file FILE`;
+      return fail({ type: 'unauthorized', detail });
+    })
+    .with(404, () => fail({ type: 'not-found', detail: `${target} answered with status 404` }))
+    .otherwise(() =>
+      fail({ type: 'malformed', detail: `${target} answered with status ${status}` }),
+    );
 }
 
 function describeError(error: unknown): string {
--- a/packages/command-line/src/applyDeployment.ts
+++ b/packages/command-line/src/applyDeployment.ts
@@ -9,6 +9,7 @@
 import type { VersionedObject } from '@hickorybridge/coordination';
 import type { PlatformStore } from '@hickorybridge/store';
 import type { Clock } from '@hickorybridge/utils';
+import { match } from 'ts-pattern';
 
 /** One apply. */
 export interface ApplyOptions {
@@ -88,16 +89,16 @@
     isOwn: (standing) => applyIdOf(standing) === accepted.applyId,
     resolutionReads,
   });
-  switch (outcome.type) {
-    case 'done':
-      return { type: 'accepted', accepted };
-    case 'unknown':
-      return { type: 'unknown', applyId: accepted.applyId, detail: outcome.detail };
-    case 'refused':
-      return { type: 'refused', standing: knownStanding(outcome.current) };
-    default:
-      return judgeReplaced(accepted, outcome.current);
-  }
+  const { applyId } = accepted;
+  return match<typeof outcome, ApplyOutcome>(outcome)
+    .with({ type: 'done' }, () => ({ type: 'accepted', accepted }))
+    .with({ type: 'unknown' }, ({ detail }) => ({ type: 'unknown', applyId, detail }))
+    .with({ type: 'refused' }, ({ current: standing }) => ({
+      type: 'refused',
+      standing: knownStanding(standing),
+    }))
+    .with({ type: 'superseded' }, ({ current: standing }) => judgeReplaced(accepted, standing))
+    .exhaustive();
 }
 
 /** The next apply names the one before it, which tells whether ours was accepted in between. */
--- a/packages/configuration/src/describeSchema.ts
+++ b/packages/configuration/src/describeSchema.ts
@@ -1,3 +1,4 @@
+import { match } from 'ts-pattern';
 import { z } from 'zod';
 
 /** The parts of a JSON schema that matter for a value in a settings file. */
@@ -34,20 +35,13 @@
   if (schema.enum !== undefined) {
     return `one of ${schema.enum.map((value) => JSON.stringify(value)).join(', ')}`;
   }
-  switch (schema.type) {
-    case 'integer':
-      return `a whole number${describeRange(schema)}`;
-    case 'number':
-      return `a number${describeRange(schema)}`;
-    case 'boolean':
-      return 'true or false';
-    case 'array':
-      return `an array of ${describeItems(schema.items)}`;
-    case 'object':
-      return 'a table';
-    default:
-      return 'a string in quotes';
-  }
+  return match(schema.type)
+    .with('integer', () => `a whole number${describeRange(schema)}`)
+    .with('number', () => `a number${describeRange(schema)}`)
+    .with('boolean', () => 'true or false')
+    .with('array', () => `an array of ${describeItems(schema.items)}`)
+    .with('object', () => 'a table')
+    .otherwise(() => 'a string in quotes');
 }
 
 function describeItems(items: JsonSchema | undefined): string {
--- a/packages/configuration/src/problemsOfIssue.ts
+++ b/packages/configuration/src/problemsOfIssue.ts
@@ -1,3 +1,4 @@
+import { match, P } from 'ts-pattern';
 import type { z } from 'zod';
 import type { ConfigurationProblem } from './ConfigurationProblem.js';
 import { describeSchema } from './describeSchema.js';
@@ -68,24 +69,23 @@
   const schema = schemaAt(place.schema, path);
   const permitted = schema === undefined ? issue.message : describeSchema(schema);
   if (value === undefined) return ['the key is missing', `add it; it is ${permitted}`];
-  switch (issue.code) {
-    case 'custom':
-    case 'invalid_format':
-      return ['the value is not valid', `it ${issue.message}`];
-    case 'too_small':
-      if (issue.origin === 'array') return ['the array is empty', 'add an entry'];
-      if (issue.origin === 'string') {
-        return ['the text is too short', `use at least ${issue.minimum} characters`];
-      }
-      return ['the value is out of range', `use ${permitted}`];
-    case 'too_big':
-      if (issue.origin === 'array') {
-        return ['the array is too long', `use at most ${issue.maximum} entries`];
-      }
-      return ['the value is out of range', `use ${permitted}`];
-    default:
-      return ['the value is not valid', `use ${permitted}`];
-  }
+  const outOfRange = ['the value is out of range', `use ${permitted}`] as const;
+  return match<z.core.$ZodIssue, readonly [string, string]>(issue)
+    .with({ code: P.union('custom', 'invalid_format') }, ({ message }) => [
+      'the value is not valid',
+      `it ${message}`,
+    ])
+    .with({ code: 'too_small', origin: 'array' }, () => ['the array is empty', 'add an entry'])
+    .with({ code: 'too_small', origin: 'string' }, ({ minimum }) => [
+      'the text is too short',
+      `use at least ${minimum} characters`,
+    ])
+    .with({ code: 'too_big', origin: 'array' }, ({ maximum }) => [
+      'the array is too long',
+      `use at most ${maximum} entries`,
+    ])
+    .with({ code: P.union('too_small', 'too_big') }, () => outOfRange)
+    .otherwise(() => ['the value is not valid', `use ${permitted}`]);
 }
 
 function formatValue(value: unknown): string {
