--- a/packages/coordination/src/simulation/SimulatedStore.ts
+++ b/packages/coordination/src/simulation/SimulatedStore.ts
@@ -1,12 +1,11 @@
 import { fail, type Result, succeed } from '@hickorybridge/types';
-import type { RandomSource } from '@hickorybridge/utils';
+import type { RandomSource, Clock } from '@hickorybridge/utils';
 import type {
   ConditionalStore,
   ConditionalWriteOutcome,
   StoreFailure,
   VersionedObject,
 } from '../conditionalStore.js';
-import type { SimulatedClock } from './SimulatedClock.js';
 
 /** Objects that changed since a revision. */
 export interface SimulatedWatchResult {
@@ -35,7 +34,7 @@
   /** Answers to writes that are lost although the write takes effect. */
   answersToLose = 0;
 
-  readonly #clock: SimulatedClock;
+  readonly #clock: Clock;
 
   readonly #objects = new Map<string, HeldObject>();
 
@@ -51,7 +50,7 @@
 
   readonly #random: RandomSource | undefined;
 
-  constructor(clock: SimulatedClock, random?: RandomSource) {
+  constructor(clock: Clock, random?: RandomSource) {
     this.#clock = clock;
     this.#random = random;
   }
@@ -164,16 +163,16 @@
 
   #waitForChange(milliseconds: number, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
-      let cancel = () => {};
+      const limit = new AbortController();
       const wake = () => {
-        cancel();
+        limit.abort();
         signal?.removeEventListener('abort', wake);
         this.#waiting.delete(wake);
         resolve();
       };
-      cancel = this.#clock.after(milliseconds, wake);
       this.#waiting.add(wake);
       signal?.addEventListener('abort', wake, { once: true });
+      this.#clock.sleep(milliseconds, limit.signal).then(wake);
     });
   }
 
