Keeper: move shards to nodes that start later; seal only for nodes that answer

Cause: the nodes that start first would hold all 64 shards for good, which breaks the bound of memory. A shard was also sealed for a new holder that could not be reached, and then stood still until membership dropped it.

Change: a node with more than twice the average of shards and one gives some up, two shards a round, when another node can take them without a worse spread. The keeper asks new holders for a sign of life before it seals, and avoids for 30 s a node on which a preparation failed. The tests use the simulated clock of the coordination package.

--- a/packages/idempotency/src/ShardRepair.ts
+++ b/packages/idempotency/src/ShardRepair.ts
@@ -3,17 +3,27 @@
 import type { ControlChannel } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
 
+import type { HolderLoad } from './HolderLoad.js';
 import { chooseHolders } from './chooseHolders.js';
 import { isSameNode, quorumSize } from './claimView.js';
 import type { HolderCandidate, ShardView } from './claimView.js';
 import { ClaimCall, History } from './messages.js';
-import type { PrepareMessage, PrepareReply, SealMessage, SealReply } from './messages.js';
+import type {
+  PrepareMessage,
+  PrepareReply,
+  SealMessage,
+  SealReply,
+  StatusReply,
+} from './messages.js';
 
 /** What a repair works with. */
 export interface ShardRepairOptions {
   readonly channel: ControlChannel;
   readonly clock: Clock;
   readonly live: readonly HolderCandidate[];
+  /** Live nodes that may become holders: those on which nothing failed of late. */
+  readonly candidates: readonly HolderCandidate[];
+  readonly load: HolderLoad;
   /** Whether the time has passed after which no holder of a frozen view can grant. */
   readonly isFreezeOver: (view: ShardView) => boolean;
   readonly nameView?: () => string;
@@ -26,7 +36,12 @@
   /** Two holders may be alive out of reach: the view has to be frozen. */
   | { readonly type: 'freeze'; readonly view: ShardView }
   /** Nothing can be done now; `detail` says why. */
-  | { readonly type: 'postponed'; readonly detail: string };
+  | {
+      readonly type: 'postponed';
+      readonly detail: string;
+      /** The node on which the repair failed. */
+      readonly nodeId?: string;
+    };
 
 /** What became of a holder of the former view. */
 const HolderState = {
@@ -42,6 +57,8 @@
 
 type HolderState = (typeof HolderState)[keyof typeof HolderState];
 
+const statusTimeoutMilliseconds = 1_000;
+const reachabilityTries = 3;
 const sealTimeoutMilliseconds = 2_000;
 const prepareTimeoutMilliseconds = 2_000;
 
@@ -61,7 +78,7 @@
 
   /** Prepares the first view of a shard. */
   async makeFirst(shard: number): Promise<RepairOutcome> {
-    const holders = chooseHolders(shard, this.#options.live);
+    const holders = chooseHolders(shard, this.#options.candidates);
     if (holders === undefined) return postponeForNodes(this.#options.live.length);
     return this.#prepareAll(
       { shard, number: 1, id: this.#nameView(), holders, historyStart: 0, frozen: false },
@@ -71,15 +88,20 @@
 
   /** Prepares the view after `former`, whose holders in `kept` are to stay. */
   async replace(former: ShardView, kept: readonly HolderCandidate[]): Promise<RepairOutcome> {
-    const planned = chooseHolders(former.shard, this.#options.live, kept);
-    if (planned === undefined) return postponeForNodes(this.#options.live.length);
+    const reachable = await this.#findReachable(former, kept);
+    if (reachable === undefined) return postponeForNodes(this.#options.live.length);
     const states = await this.#sealAll(former);
     const sealed = former.holders.filter((_, index) => states[index] === HolderState.sealed);
     const history = sealed.length >= quorumSize ? History.collected : History.lost;
     const obstacle = history === History.lost ? this.#obstacle(former, states) : undefined;
     if (obstacle !== undefined) return obstacle;
-    const stay = kept.filter((holder) => sealed.some((other) => isSameNode(holder, other)));
-    const holders = chooseHolders(former.shard, this.#withoutSilent(former, states), stay);
+    const stay = kept.filter((holder) => includesNode(sealed, holder));
+    const holders = chooseHolders(
+      former.shard,
+      withoutSilent(reachable, former, states),
+      stay,
+      this.#options.load,
+    );
     if (holders === undefined) return postponeForNodes(this.#options.live.length);
     const historyStart = history === History.lost ? this.#options.clock.wallTime() : undefined;
     const view = {
@@ -93,6 +115,33 @@
     return this.#prepareAll(view, { history, formerViewId: former.id, sources: sealed });
   }
 
+  /**
+   * Finds the candidates without those that are needed and do not answer. This comes before the
+   * seal, because a shard that is sealed for a node that cannot prepare stands still.
+   */
+  async #findReachable(
+    former: ShardView,
+    kept: readonly HolderCandidate[],
+  ): Promise<readonly HolderCandidate[] | undefined> {
+    let { candidates } = this.#options;
+    for (let tries = 0; tries < reachabilityTries; tries += 1) {
+      const planned = chooseHolders(former.shard, candidates, kept, this.#options.load);
+      if (planned === undefined) return undefined;
+      const added = planned.filter((node) => !includesNode(former.holders, node));
+      const answers = await Promise.all(added.map((node) => this.#answers(node)));
+      if (answers.every(Boolean)) return candidates;
+      const silent = added.filter((_, index) => !answers[index]);
+      candidates = candidates.filter((node) => !includesNode(silent, node));
+    }
+    return undefined;
+  }
+
+  async #answers(node: HolderCandidate): Promise<boolean> {
+    const { channel } = this.#options;
+    const reply = await channel.call(node.nodeId, ClaimCall.status, {}, statusTimeoutMilliseconds);
+    return reply.ok && (reply.value as StatusReply).incarnation === node.incarnation;
+  }
+
   /**
    * Says why history may not be declared lost yet. While two holders of the former view may
    * still grant to each other, a new view could grant what they have granted.
@@ -139,12 +188,6 @@
     return present.incarnation > holder.incarnation ? HolderState.gone : HolderState.silent;
   }
 
-  /** A live node that did not answer the seal would not answer the preparation either. */
-  #withoutSilent(former: ShardView, states: readonly HolderState[]): readonly HolderCandidate[] {
-    const silent = former.holders.filter((_, index) => states[index] === HolderState.silent);
-    return this.#options.live.filter((node) => !silent.some((other) => isSameNode(node, other)));
-  }
-
   async #prepareAll(
     view: ShardView,
     origin: Pick<PrepareMessage, 'history' | 'formerViewId' | 'sources'>,
@@ -160,10 +203,10 @@
         }),
       ),
     );
-    const failure = replies.find((detail) => detail !== undefined);
-    return failure === undefined
-      ? { type: 'prepared', view }
-      : { type: 'postponed', detail: failure };
+    const failed = replies.findIndex((detail) => detail !== undefined);
+    if (failed < 0) return { type: 'prepared', view };
+    const nodeId = view.holders[failed]?.nodeId ?? '';
+    return { type: 'postponed', detail: replies[failed] ?? '', nodeId };
   }
 
   /** Repeats the call until the node is ready; gives the reason when it is not in time. */
@@ -197,6 +240,23 @@
   }
 }
 
+function includesNode(nodes: readonly HolderCandidate[], node: HolderCandidate): boolean {
+  return nodes.some((other) => isSameNode(node, other));
+}
+
+/** A node that did not answer the seal would not answer the preparation either. */
+function withoutSilent(
+  candidates: readonly HolderCandidate[],
+  former: ShardView,
+  states: readonly HolderState[],
+): readonly HolderCandidate[] {
+  const silent = former.holders.filter((_, index) => states[index] === HolderState.silent);
+  return candidates.filter((node) => !includesNode(silent, node));
+}
+
 function postponeForNodes(count: number): RepairOutcome {
-  return { type: 'postponed', detail: `three live nodes are needed, there are ${count}` };
+  return {
+    type: 'postponed',
+    detail: `three nodes that answer are needed; ${count} are said to be live`,
+  };
 }
--- a/packages/idempotency/src/ViewKeeper.ts
+++ b/packages/idempotency/src/ViewKeeper.ts
@@ -5,10 +5,11 @@
 import type { Clock } from '@hickorybridge/utils';
 
 import { defaultConfirmationLimitMilliseconds } from './ClaimHolder.js';
+import { HolderLoad } from './HolderLoad.js';
 import { ShardRepair } from './ShardRepair.js';
 import type { RepairOutcome } from './ShardRepair.js';
 import type { ViewRegister } from './ViewRegister.js';
-import { countFailureDomains } from './chooseHolders.js';
+import { chooseHolders, countFailureDomains } from './chooseHolders.js';
 import {
   holderCount,
   isSameNode,
@@ -69,6 +70,9 @@
 /** Shards moved in one round only for a better spread. */
 const movesPerRound = 2;
 
+/** Time for which a node is not chosen after it could not prepare a view, in milliseconds. */
+const avoidanceMilliseconds = 30_000;
+
 /** Allowance for clocks that run at different rates. */
 const clockRateAllowance = 1.01;
 
@@ -84,6 +88,9 @@
   /** Shards whose holders are not all ready, from the last question for their state. */
   #impaired = new Map<number, readonly HolderCandidate[]>();
 
+  /** Monotonic time until which a node is not chosen, by its name. */
+  readonly #avoidedUntil = new Map<string, number>();
+
   #round = 0;
 
   /** Monotonic time at which this keeper first found enough nodes for a first view. */
@@ -133,7 +140,7 @@
 
   async #makeFirst(token: number): Promise<KeeperRound> {
     if (this.#isGathering()) return { type: 'postponed', detail: 'nodes are still being found' };
-    const repair = this.#makeRepair();
+    const repair = this.#makeRepair(undefined);
     const shards = Array.from({ length: shardCount }, (_, shard) => shard);
     const outcomes = await Promise.all(shards.map((shard) => repair.makeFirst(shard)));
     const postponed = outcomes.find((outcome) => outcome.type === 'postponed');
@@ -154,12 +161,13 @@
   async #repair(view: ClaimView, token: number): Promise<KeeperRound> {
     const due = this.#shardsToRepair(view);
     if (due.length === 0) return { type: 'unchanged' };
-    const repair = this.#makeRepair();
+    const repair = this.#makeRepair(view);
     const outcomes = await Promise.all(
-      due.map((entry) => repair.replace(entry, this.#holdersToKeep(entry))),
+      due.map((entry) => repair.replace(entry, this.#holdersToKeep(entry, view))),
     );
     const changed = new Map(outcomes.flatMap(viewOf).map((entry) => [entry.shard, entry]));
     if (outcomes.some((outcome) => outcome.type === 'postponed')) this.#askStatusSoon();
+    outcomes.forEach((outcome) => this.#avoidAfter(outcome));
     if (changed.size === 0) return this.#postpone(outcomes.map(detailOf).join('; '));
     const shards = view.shards.map((entry) => changed.get(entry.shard) ?? entry);
     return this.#write(shards, token, view.version, [...changed.keys()]);
@@ -168,7 +176,47 @@
   #shardsToRepair(view: ClaimView): readonly ShardView[] {
     const broken = view.shards.filter((entry) => this.#isBroken(entry));
     if (broken.length > 0) return rotate(broken, this.#round).slice(0, shardsPerRound);
-    return view.shards.filter((entry) => this.#canSpread(entry)).slice(0, movesPerRound);
+    return this.#shardsToMove(view);
+  }
+
+  /** Finds a few shards whose holders can be better spread over failure domains or nodes. */
+  #shardsToMove(view: ClaimView): readonly ShardView[] {
+    const load = this.#loadOf(view);
+    const due: ShardView[] = [];
+    for (const entry of view.shards) {
+      if (this.#canSpread(entry) || this.#replaceableHolder(entry, load)) due.push(entry);
+      if (due.length === movesPerRound) break;
+    }
+    return due;
+  }
+
+  /** The overloaded holder that another node can replace without a worse spread. */
+  #replaceableHolder(entry: ShardView, load: HolderLoad): HolderCandidate | undefined {
+    const overloaded = entry.holders.find((holder) => load.isOverloaded(holder));
+    if (overloaded === undefined) return undefined;
+    const kept = entry.holders.filter((holder) => holder !== overloaded);
+    const planned = chooseHolders(entry.shard, this.#candidates(), kept, load) ?? kept;
+    const isBetter = !planned.some((node) => load.isFull(node) && !kept.includes(node));
+    const isAsSpread = countFailureDomains(planned) >= countFailureDomains(entry.holders);
+    return isBetter && isAsSpread && planned !== kept ? overloaded : undefined;
+  }
+
+  #avoidAfter(outcome: RepairOutcome): void {
+    if (outcome.type !== 'postponed' || outcome.nodeId === undefined) return;
+    const until = this.#options.clock.now() + avoidanceMilliseconds;
+    this.#avoidedUntil.set(outcome.nodeId, until);
+  }
+
+  #loadOf(view: ClaimView | undefined): HolderLoad {
+    return new HolderLoad(view, this.#options.liveNodes().length);
+  }
+
+  /** Live nodes on which no preparation failed of late, as long as these are enough. */
+  #candidates(): readonly HolderCandidate[] {
+    const now = this.#options.clock.now();
+    const live = this.#options.liveNodes();
+    const preferred = live.filter((node) => (this.#avoidedUntil.get(node.nodeId) ?? 0) <= now);
+    return preferred.length >= holderCount ? preferred : live;
   }
 
   #isBroken(entry: ShardView): boolean {
@@ -183,11 +231,18 @@
     );
   }
 
-  #holdersToKeep(entry: ShardView): readonly HolderCandidate[] {
+  #holdersToKeep(entry: ShardView, view: ClaimView): readonly HolderCandidate[] {
     const impaired = this.#impaired.get(entry.shard) ?? [];
+    const candidates = this.#candidates();
     const usable = this.#liveHolders(entry).filter(
-      (holder) => !impaired.some((other) => isSameNode(other, holder)),
+      (holder) =>
+        candidates.some((other) => isSameNode(other, holder)) &&
+        !impaired.some((other) => isSameNode(other, holder)),
     );
+    if (usable.length === entry.holders.length && !this.#canSpread(entry)) {
+      const overloaded = this.#replaceableHolder(entry, this.#loadOf(view));
+      return usable.filter((holder) => holder !== overloaded);
+    }
     if (!this.#canSpread(entry)) return usable;
     return usable.filter(
       (holder, index) =>
@@ -269,12 +324,14 @@
     return since !== undefined && this.#options.clock.now() - since > limit * clockRateAllowance;
   }
 
-  #makeRepair(): ShardRepair {
+  #makeRepair(current: ClaimView | undefined): ShardRepair {
     const { channel, clock, liveNodes, nameView } = this.#options;
     return new ShardRepair({
       channel,
       clock,
       live: liveNodes(),
+      candidates: this.#candidates(),
+      load: this.#loadOf(current),
       isFreezeOver: (view) => this.#isFreezeOver(view),
       ...(nameView && { nameView }),
     });
--- a/packages/idempotency/src/__tests__/SimulatedCluster.ts
+++ b/packages/idempotency/src/__tests__/SimulatedCluster.ts
@@ -1,3 +1,4 @@
+import { SimulatedClock } from '@hickorybridge/coordination';
 import { RandomSource } from '@hickorybridge/utils';
 
 import { ClaimClient } from '../ClaimClient.js';
@@ -13,7 +14,6 @@
 import { SimulatedNetwork } from './SimulatedNetwork.js';
 import { SimulatedProcess } from './SimulatedProcess.js';
 import { SimulatedStore } from './SimulatedStore.js';
-import { SimulatedTime } from './SimulatedTime.js';
 
 /** Everything of one simulated node. */
 export interface SimulatedNode {
@@ -53,7 +53,7 @@
 
 /** Nodes with claims on a simulated network and store. */
 export class SimulatedCluster {
-  readonly time = new SimulatedTime();
+  readonly time = new SimulatedClock();
 
   readonly random: RandomSource;
 
@@ -190,7 +190,7 @@
   }
 
   #record(key: string, handle: ClaimHandle): void {
-    if (handle.isValid) this.grants.push({ key, at: this.time.now, isReleased: false });
+    if (handle.isValid) this.grants.push({ key, at: this.time.now(), isReleased: false });
   }
 
   #assemble(identity: HolderCandidate): SimulatedNode {
--- a/packages/idempotency/src/__tests__/SimulatedNetwork.ts
+++ b/packages/idempotency/src/__tests__/SimulatedNetwork.ts
@@ -1,9 +1,9 @@
+import type { SimulatedClock } from '@hickorybridge/coordination';
 import { fail, succeed } from '@hickorybridge/types';
 import type { ControlCallError, ControlChannel, Result } from '@hickorybridge/types';
 import type { RandomSource } from '@hickorybridge/utils';
 
 import type { SimulatedProcess } from './SimulatedProcess.js';
-import type { SimulatedTime } from './SimulatedTime.js';
 
 /** Faults of the network; probabilities are from 0 to 1. */
 export interface NetworkFaults {
@@ -32,7 +32,7 @@
   readonly #processes = new Map<string, SimulatedProcess>();
 
   constructor(
-    readonly time: SimulatedTime,
+    readonly time: SimulatedClock,
     readonly random: RandomSource,
   ) {}
 
@@ -61,7 +61,7 @@
         from.whenRunning(() => resolve(result));
       const copy = structuredClone(body);
       this.#deliver(from.identity.nodeId, to, () => this.#handle(from, to, name, copy, finish));
-      this.time.after(timeout, () => finish(fail({ type: 'timeout' })));
+      this.time.sleep(timeout).then(() => finish(fail({ type: 'timeout' })));
     });
   }
 
@@ -86,7 +86,7 @@
     const copies = this.random.next() < this.faults.duplication ? 2 : 1;
     for (let copy = 0; copy < copies; copy += 1) {
       if (this.random.next() < this.faults.loss) continue;
-      this.time.after(this.random.next() * this.faults.longestDelay, () => {
+      this.time.sleep(this.random.next() * this.faults.longestDelay).then(() => {
         if (!this.cuts.has(`${from}>${to}`)) arrive();
       });
     }
--- a/packages/idempotency/src/__tests__/SimulatedProcess.ts
+++ b/packages/idempotency/src/__tests__/SimulatedProcess.ts
@@ -1,8 +1,8 @@
+import type { SimulatedClock } from '@hickorybridge/coordination';
 import type { ControlHandler } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
 
 import type { HolderCandidate } from '../claimView.js';
-import type { SimulatedTime } from './SimulatedTime.js';
 
 /** One run of a simulated process. A paused one neither receives messages nor runs timers. */
 export class SimulatedProcess {
@@ -18,39 +18,33 @@
 
   constructor(
     readonly identity: HolderCandidate,
-    readonly time: SimulatedTime,
+    readonly time: SimulatedClock,
   ) {
     // Monotonic clocks of different processes have nothing to do with each other.
     const clockOffset = identity.incarnation * 1_234_567;
     this.clock = {
-      now: () => time.now + clockOffset,
-      wallTime: () => 1_700_000_000_000 + time.now + this.wallClockError,
+      now: () => time.now() + clockOffset,
+      wallTime: () => 1_700_000_000_000 + time.now() + this.wallClockError,
       sleep: (milliseconds, signal) => this.#sleep(milliseconds, signal),
     };
   }
 
   pause(milliseconds: number): void {
-    this.#pausedUntil = Math.max(this.#pausedUntil, this.time.now + milliseconds);
+    this.#pausedUntil = Math.max(this.#pausedUntil, this.time.now() + milliseconds);
   }
 
   /** Runs a step now, or when the process is resumed; never after its end. */
   whenRunning(step: () => void): void {
     if (!this.isAlive) return;
-    if (this.time.now >= this.#pausedUntil) step();
-    else this.time.after(this.#pausedUntil - this.time.now, () => this.whenRunning(step));
+    const rest = this.#pausedUntil - this.time.now();
+    if (rest <= 0) step();
+    else this.time.sleep(rest).then(() => this.whenRunning(step));
   }
 
-  #sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
+  async #sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
+    await this.time.sleep(milliseconds, signal);
     return new Promise((resolve) => {
-      if (signal?.aborted) {
-        resolve();
-        return;
-      }
-      const timer = this.time.after(milliseconds, () => this.whenRunning(resolve));
-      signal?.addEventListener('abort', () => {
-        this.time.cancel(timer);
-        this.whenRunning(resolve);
-      });
+      this.whenRunning(resolve);
     });
   }
 }
--- a/packages/idempotency/src/__tests__/claims.test.ts
+++ b/packages/idempotency/src/__tests__/claims.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 
 import type { ClaimOutcome } from '../ClaimClient.js';
+import { chooseHolders } from '../chooseHolders.js';
 import { deriveClaimKey } from '../claimKey.js';
 import { ClaimCall } from '../messages.js';
 import { SimulatedCluster, fourDomains } from './SimulatedCluster.js';
@@ -290,3 +291,40 @@
   assert.equal((await claim(cluster, keeper, 'key')).type, 'granted');
   assert.notEqual((await cluster.settle(late)).type, 'granted');
 });
+
+test('a first view on few nodes moves to the nodes that start later', async () => {
+  const nodes = fourDomains(4);
+  const cluster = new SimulatedCluster({ seed: 1, nodes });
+  for (const node of nodes) if (!node.nodeId.endsWith('-0')) cluster.live.delete(node.nodeId);
+  cluster.giveLease(keeper);
+  await cluster.keep(keeper);
+  assert.equal((await claim(cluster, keeper, 'key')).type, 'granted');
+  for (const { process } of cluster.nodes.values()) {
+    cluster.live.set(process.identity.nodeId, process.identity);
+  }
+  await cluster.keep(keeper, 80);
+  const uses = new Map<string, number>();
+  for (const { nodeId } of cluster.storedView()?.shards.flatMap((shard) => shard.holders) ?? []) {
+    uses.set(nodeId, (uses.get(nodeId) ?? 0) + 1);
+  }
+  assert.ok(
+    Math.max(...uses.values()) <= 25,
+    `most shards at one node: ${Math.max(...uses.values())}`,
+  );
+  assert.equal((await claim(cluster, 'north-1-0', 'key')).type, 'claimed-elsewhere');
+});
+
+test('a shard is not sealed for a node that does not answer the keeper', async () => {
+  const cluster = await startCluster();
+  const key = keyAwayFromKeeper(cluster);
+  const { holders, router } = rolesFor(cluster, key);
+  cluster.stop(holders[0] ?? '');
+  const { shard } = deriveClaimKey('laboratory', key);
+  const kept = cluster.shard(shard).holders.slice(1);
+  const preferred = chooseHolders(shard, [...cluster.live.values()], kept)?.at(-1)?.nodeId ?? '';
+  cluster.network.cuts.add(`${keeper}>${preferred}`);
+  await cluster.keep(keeper, 10);
+  assert.equal(cluster.shard(shard).number, 2);
+  assert.ok(!rolesFor(cluster, key).holders.includes(preferred));
+  assert.equal((await claim(cluster, router, key)).type, 'granted');
+});
--- a/packages/idempotency/src/chooseHolders.ts
+++ b/packages/idempotency/src/chooseHolders.ts
@@ -1,21 +1,26 @@
 import { rendezvousOrder } from '@hickorybridge/utils';
 
+import type { HolderLoad } from './HolderLoad.js';
 import { holderCount } from './claimView.js';
 import type { HolderCandidate } from './claimView.js';
 
 /**
  * Chooses three different nodes for a shard, in three failure domains when there are as many, and
  * otherwise spread as far as possible. Nodes in `kept` stay. The order of preference comes from
- * rendezvous hashing, so a change of the live nodes moves few shards. Gives `undefined` with
- * fewer than three nodes.
+ * rendezvous hashing, so a change of the live nodes moves few shards; nodes with many shards come
+ * last. Gives `undefined` with fewer than three nodes.
  */
 export function chooseHolders(
   shard: number,
   live: readonly HolderCandidate[],
   kept: readonly HolderCandidate[] = [],
+  load?: HolderLoad,
 ): readonly HolderCandidate[] | undefined {
   const chosen = [...kept];
-  const ordered = orderByPreference(shard, live);
+  const ordered = [...orderByPreference(shard, live)];
+  if (load !== undefined) {
+    ordered.sort((first, second) => Number(load.isFull(first)) - Number(load.isFull(second)));
+  }
   while (chosen.length < holderCount) {
     const next = chooseNext(ordered, chosen);
     if (next === undefined) return undefined;
