--- a/packages/measure/src/measureDecisions.ts
+++ b/packages/measure/src/measureDecisions.ts
@@ -7,6 +7,7 @@
 import { MODEL_DEPLOYMENTS, type ModelDeployment } from './decisions/modelDeployments.js';
 import { runModel } from './decisions/runModel.js';
 import { SCENARIO_NAMES, type ScenarioName, makeScenario } from './decisions/scenarios.js';
+import { timeSelections } from './decisions/timeSelections.js';
 
 /** Options of the measurement. */
 export interface MeasureDecisionsOptions {
@@ -55,7 +56,10 @@
     results[deployment.name] = summarize(comparisons);
   }
   const baseline = BASELINES.map(({ label }) => label);
-  print(JSON.stringify({ measure: 'decisions', seed, commit, baseline, ...results }));
+  const selectionMicroseconds = round(timeSelections(seed));
+  print(`selection with bookkeeping, 640 backend servers: ${selectionMicroseconds} microseconds`);
+  const head = { measure: 'decisions', seed, commit, baseline, selectionMicroseconds };
+  print(JSON.stringify({ ...head, ...results }));
 }
 
 async function compare(
