--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -1,22 +1,36 @@
 import type { NodeSettings } from '@hickorybridge/configuration';
+import { ClaimClient, ClaimHolder, ViewRegister } from '@hickorybridge/idempotency';
 import type { Logger } from '@hickorybridge/logger';
-import { createMembership, type Membership } from '@hickorybridge/membership';
+import { createMembership, PacedStore, type Membership } from '@hickorybridge/membership';
 import { PeerPool } from '@hickorybridge/peer-protocol';
 import type { PlatformStore } from '@hickorybridge/store';
+import { createMetrics, FlightRecorder, type Tracer } from '@hickorybridge/telemetry';
 import type { NodeIdentity } from '@hickorybridge/types';
 import type { Clock, RandomSource } from '@hickorybridge/utils';
 
 import { AdmissionExecutor } from './admitting/AdmissionExecutor.js';
 import { LocalBackendServers } from './admitting/LocalBackendServers.js';
+import { KeeperDuty } from './claiming/KeeperDuty.js';
+import { KeyedRequests } from './claiming/KeyedRequests.js';
 import { createAnnouncementsApplication } from './listeners/createAnnouncementsApplication.js';
 import { createCallersApplication } from './listeners/createCallersApplication.js';
 import { createOperatorsApplication } from './listeners/createOperatorsApplication.js';
 import { HttpListener } from './listeners/HttpListener.js';
 import { OpenExchanges } from './listeners/OpenExchanges.js';
 import { Node } from './Node.js';
+import type { Observability } from './Observability.js';
+import { ObservedExecutor } from './ObservedExecutor.js';
 import { createRequestIds } from './requestIds.js';
 import { EffectiveRouting } from './routing/EffectiveRouting.js';
+import { ObservedRouting } from './routing/ObservedRouting.js';
 import type { SendToNode } from './routing/RequestTry.js';
+import { Supervisor } from './Supervisor.js';
+
+/** Prefix of the objects that all nodes follow for claims. */
+const claimsPrefix = 'claims/';
+
+// Records of keys have to outlast every re-sending; a deployment may ask for less, never for more.
+const retentionMilliseconds = 2 * 3_600_000;
 
 /** What a node is made of. Tests may give their own clock, store and random numbers. */
 export interface CreateNodeOptions {
@@ -25,16 +39,21 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
+  readonly tracer: Tracer;
 }
 
 /** Wires the parts of a node. The node does nothing until it is started. */
 export function createNode(options: CreateNodeOptions): Node {
-  const { settings, store, clock, random, logger } = options;
+  const { settings, store, clock, random, logger, tracer } = options;
   const { listeners, node, peers } = settings;
   const identity: NodeIdentity = { nodeId: node.id, incarnation: Math.floor(clock.wallTime()) };
   const location = { region: node.region, failureDomain: node.failureDomain };
+  const flights = new FlightRecorder({ nodeId: identity.nodeId, clock });
+  const observability: Observability = { metrics: createMetrics(), flights, tracer };
   const executor = new AdmissionExecutor(identity);
+  const observedExecutor = new ObservedExecutor(executor, observability, clock);
   let membership: Membership;
+  let result: Node;
   const pool = new PeerPool({
     endpoint: {
       identity,
@@ -43,7 +62,7 @@
       deploymentNumber: () => membership.deployment()?.number ?? 0,
     },
     addressOf: (nodeId) => membership.peerAddressOf(nodeId),
-    executor,
+    executor: observedExecutor,
     introduced: (introduction) => {
       membership.noticeDeploymentNumber(
         introduction.identity.nodeId,
@@ -64,23 +83,45 @@
     clock,
     random: random.fork(),
     logger,
+    sharedPrefixes: [claimsPrefix],
   });
   const backendServers = new LocalBackendServers({ membership, executor, clock, logger });
   const send: SendToNode = (entry, head, request, signal) =>
     entry.nodeId === identity.nodeId
-      ? executor.execute(head, request.body, signal)
+      ? observedExecutor.execute(head, request.body, signal)
       : pool.execute(entry.nodeId, head, request.body, signal);
   const routing = new EffectiveRouting({
     directory: membership,
     context: { location, nodeId: identity.nodeId },
     send,
+    observability,
     clock,
     random: random.fork(),
     logger,
   });
   membership.onDeployment((accepted) => routing.apply(accepted));
   const open = new OpenExchanges();
-  const result: Node = new Node({
+  const views = new ViewRegister();
+  const holder = new ClaimHolder({ identity, channel: pool, clock, retentionMilliseconds, logger });
+  const claims = new ClaimClient({ channel: pool, views, clock, location, retentionMilliseconds });
+  const ending = new AbortController();
+  const keyedRequests = new KeyedRequests({
+    claims,
+    route: (request) => result.routeUnkeyed(request),
+    ending: ending.signal,
+    clock,
+  });
+  const keeper = new KeeperDuty({
+    identity,
+    membership,
+    store: new PacedStore({ store, clock, random: random.fork() }),
+    channel: pool,
+    views,
+    holder,
+    clock,
+    logger,
+  });
+  result = new Node({
     settings,
     identity,
     pool,
@@ -89,6 +130,13 @@
     backendServers,
     routing,
     open,
+    observability,
+    observedRouting: new ObservedRouting(observability, clock),
+    keyedRequests,
+    keeper,
+    views,
+    ending,
+    supervisor: new Supervisor('node', clock, logger),
     clock,
     logger,
     callers: new HttpListener(
@@ -114,7 +162,7 @@
         ready: () => result.ready(),
         status: () => result.status(),
         metrics: () => result.metrics(),
-        explain: () => undefined,
+        explain: (requestId) => result.explain(requestId),
         drain: () => result.stop(),
       }),
     ),
--- a/packages/node/src/routing/RoutedRequest.ts
+++ b/packages/node/src/routing/RoutedRequest.ts
@@ -1,7 +1,7 @@
 import type { RequestKind, Service } from '@hickorybridge/configuration';
-import type { RequestBody } from '@hickorybridge/peer-protocol';
+import type { AnswerBody, RequestBody } from '@hickorybridge/peer-protocol';
+import type { FlightRecord } from '@hickorybridge/telemetry';
 import type { AnswerHead, HeaderList, Outcome, ProblemName } from '@hickorybridge/types';
-import type { Readable } from 'node:stream';
 
 /** A caller's request after it was matched with the deployment in effect. */
 export interface RoutedRequest {
@@ -21,6 +21,8 @@
   readonly traceparent: string | undefined;
   /** Aborts when the caller has gone away. */
   readonly signal: AbortSignal;
+  /** Record of the request's steps, for `explain`. */
+  readonly flight: FlightRecord;
 }
 
 /** What the caller is told. */
@@ -28,7 +30,7 @@
   | {
       readonly type: 'answered';
       readonly head: AnswerHead;
-      readonly body: Readable;
+      readonly body: AnswerBody;
       /** True for the stored answer of an earlier request with the same idempotency key. */
       readonly replayed: boolean;
     }
