Judge a trial of the concurrency limit only in a steady state

Cause: a trace of the limit with 4 of 13 slots left to the backend server shows it jump between 9 and 13. The trial started while the queue inside the backend server still grew, so the ratio before it was too small and the backend server was taken for slow at any concurrency; windows of 12 samples also erred often by chance. Change: saturation has to show in two windows, windows have at least 30 samples, requests dispatched before a change are not counted, and reference times are learnt at most at half of the limit.

Figures: the trace now settles between 4 and 7 (4 are right) and is back at 13 within 0.75 s.

--- a/packages/admission/src/ConcurrencyLimit.ts
+++ b/packages/admission/src/ConcurrencyLimit.ts
@@ -4,15 +4,18 @@
 const REDUCTION_FACTOR = 0.7;
 /** Growth of the limit after a window in which it was in use and the service time was good. */
 const GROWTH_FACTOR = 0.15;
-/** Completions in a window at least; fewer make the mean ratio too noisy. */
-const MINIMUM_WINDOW_SAMPLES = 12;
+/**
+ * Completions in a window at least. With service times that vary by half of their mean, the means
+ * of two windows of 30 differ by 13% from chance alone; a trial has to tell 1 from 0.7.
+ */
+const MINIMUM_WINDOW_SAMPLES = 30;
 /** Completions in a window, in multiples of the limit. */
-const WINDOW_SAMPLES_PER_PLACE = 2;
+const WINDOW_SAMPLES_PER_PLACE = 3;
 /**
  * Time between trial reductions while the limit is in constant use, in milliseconds. They find out
  * that a reference time was learnt from a saturated backend server.
  */
-const TRIAL_INTERVAL = 2_000;
+const TRIAL_INTERVAL = 1_000;
 
 /** A reduction whose effect is not known yet. */
 interface Trial {
@@ -46,8 +49,14 @@
 
   #lastTrialAt: number;
 
-  /** The window after a change still holds requests dispatched before it, and is not judged. */
-  #settling = false;
+  /**
+   * Whether the last window looked saturated. While the queue inside the backend server still
+   * grows, a window shows less than the full service time, and a trial would be misjudged.
+   */
+  #suspected = false;
+
+  /** Completions after a change that belong to requests dispatched before it. */
+  #settling = 0;
 
   constructor(maximum: number, now: number) {
     this.#maximum = maximum;
@@ -69,16 +78,16 @@
    * times are to be multiplied, 1 when they hold.
    */
   completed(ratio: number, now: number): number {
+    if (this.#settling > 0) {
+      this.#settling -= 1;
+      return 1;
+    }
     this.#window.samples += 1;
     this.#window.ratioSum += ratio;
     const wanted = Math.max(MINIMUM_WINDOW_SAMPLES, this.value * WINDOW_SAMPLES_PER_PLACE);
     if (this.#window.samples < wanted) return 1;
     const window = this.#window;
     this.#window = emptyWindow();
-    if (this.#settling) {
-      this.#settling = false;
-      return 1;
-    }
     return this.#judge(window, now);
   }
 
@@ -86,8 +95,11 @@
     const ratio = window.ratioSum / window.samples;
     if (this.#trial !== undefined) return this.#concludeTrial(this.#trial, ratio);
     if (!window.used) return 1;
+    const suspectedBefore = this.#suspected;
+    this.#suspected = ratio > SATURATION_RATIO;
+    if (this.#suspected && !suspectedBefore) return 1;
     const trialDue = now - this.#lastTrialAt >= TRIAL_INTERVAL;
-    if (ratio > SATURATION_RATIO || trialDue) {
+    if (this.#suspected || trialDue) {
       this.#startTrial(ratio, now);
     } else {
       this.#limit = Math.min(this.#maximum, this.#limit + Math.max(1, this.#limit * GROWTH_FACTOR));
@@ -99,8 +111,8 @@
     this.#lastTrialAt = now;
     if (this.value <= 1) return;
     this.#trial = { limitBefore: this.#limit, ratioBefore: ratio };
+    this.#settling = this.value;
     this.#limit = Math.max(1, this.#limit * REDUCTION_FACTOR);
-    this.#settling = true;
   }
 
   #concludeTrial(trial: Trial, ratio: number): number {
@@ -108,8 +120,8 @@
     const proportional = trial.ratioBefore * (this.#limit / trial.limitBefore);
     const saturated = ratio < (trial.ratioBefore + proportional) / 2;
     if (saturated) return Math.min(1, ratio);
+    this.#settling = this.value;
     this.#limit = trial.limitBefore;
-    this.#settling = true;
     return Math.max(1, ratio);
   }
 }
--- a/packages/admission/src/LimitedAdmission.ts
+++ b/packages/admission/src/LimitedAdmission.ts
@@ -32,6 +32,8 @@
 const QUEUE_PLACES_PER_SLOT = 8;
 /** Requests of the smoothed service time that unfinished requests are averaged with. */
 const STUCK_PRIOR_SAMPLES = 4;
+/** Share of the limit in use up to which service times count as those without saturation. */
+const UNSATURATED_SHARE = 0.5;
 /** Bounds what one very late answer adds to the mean ratio of a window. */
 const MAXIMUM_RATIO = 10;
 /** Shortest sleep of the queue watch, in milliseconds, so that it cannot spin. */
@@ -197,9 +199,9 @@
   }
 
   #recordServiceTime(request: AdmissionRequest, milliseconds: number): void {
-    const saturated = this.#queue.length > 0;
+    const unsaturated = this.#inFlight.size < this.#limit.value * UNSATURATED_SHARE;
     const now = this.#clock.now();
-    const ratio = this.#serviceTimes.record(request.kind, milliseconds, now, !saturated);
+    const ratio = this.#serviceTimes.record(request.kind, milliseconds, now, unsaturated);
     const factor = this.#limit.completed(Math.min(ratio, MAXIMUM_RATIO), now);
     if (factor !== 1) this.#serviceTimes.scaleReferences(factor);
   }
