Try a lower limit every three seconds instead of every second

Cause: each trial takes 30% of the places away for some tens of milliseconds, which shows when a region is saturated. Change: TRIAL_INTERVAL 1000 -> 3000 ms.

--- a/packages/admission/src/ConcurrencyLimit.ts
+++ b/packages/admission/src/ConcurrencyLimit.ts
@@ -15,7 +15,7 @@
  * Time between trial reductions while the limit is in constant use, in milliseconds. They find out
  * that a reference time was learnt from a saturated backend server.
  */
-const TRIAL_INTERVAL = 1_000;
+const TRIAL_INTERVAL = 3_000;
 
 /** A reduction whose effect is not known yet. */
 interface Trial {
