Fleet summary with the numbers of all nodes; cheaper roles and pushes

Cause: only reporters know the deployment numbers of other nodes, so the status of one node could not confirm a change; and a node that was no reporter showed number 0 for nodes that it knew only by their records. Change: fleetSummary asks a reporter of each failure domain and names those that do not answer. Holders of a role are found without passing over the whole failure domain, a push measures each value once, and a node does not dial itself as its own seed; seeds that never answer are tried at most every 10 s once the node serves.

--- a/packages/coordination/src/Disseminator.ts
+++ b/packages/coordination/src/Disseminator.ts
@@ -15,6 +15,7 @@
 } from './disseminationMessages.js';
 import {
   compareVersions,
+  type EntryStamp,
   type EntryVersion,
   stampOf,
   type VersionedEntry,
@@ -179,13 +180,13 @@
   }
 
   async #pushTo(peer: string, keys: readonly string[]): Promise<void> {
-    const entries = this.#entriesOf(keys);
-    const small = entries.filter((entry) => sizeOf(entry.value) <= offerThresholdBytes);
-    const large = entries.filter((entry) => sizeOf(entry.value) > offerThresholdBytes);
-    const message: PushMessage = {
-      entries: limitEntries(small),
-      offers: large.map((entry) => stampOf(entry)),
-    };
+    const small: VersionedEntry<Value>[] = [];
+    const offers: EntryStamp[] = [];
+    for (const entry of this.#entriesOf(keys)) {
+      if (sizeOf(entry.value) <= offerThresholdBytes) small.push(entry);
+      else offers.push(stampOf(entry));
+    }
+    const message: PushMessage = { entries: limitEntries(small), offers };
     const reply = await this.#call(peer, 'push', message);
     if (reply !== undefined) await this.#send(peer, parsePushReply(reply.value).wanted);
   }
--- a/packages/membership/src/Bootstrap.ts
+++ b/packages/membership/src/Bootstrap.ts
@@ -16,6 +16,9 @@
 const callTimeoutMilliseconds = 1000;
 const retryMilliseconds = 500;
 
+/** Seeds that never answer are tried more and more rarely. */
+const maximumRetryMilliseconds = 10_000;
+
 /** One peer alone may be old; three that know a deployment are enough. */
 const neededAnswers = 3;
 
@@ -24,6 +27,8 @@
   readonly identity: NodeIdentity;
   readonly location: Location;
   readonly seeds: readonly SocketAddress[];
+  /** Address of this node, which may be among the seeds. */
+  readonly peerAddress: SocketAddress;
   readonly store: PlatformStore;
   readonly channel: ControlChannel;
   readonly clock: Clock;
@@ -103,20 +108,23 @@
 
   /** Asks peers until a deployment is confirmed and, when there are others, one has answered. */
   async askPeers(signal: AbortSignal): Promise<void> {
-    const { clock, seeds } = this.#options;
+    const { clock } = this.#options;
+    let delay = retryMilliseconds;
     while (!signal.aborted) {
       if (!this.#joined) await this.#joinSeeds();
       await this.#askKnownPeers(signal);
-      const alone = seeds.length === 0 && this.#storeAnswered && this.#peers().length === 0;
+      const alone = this.#seeds().length === 0 && this.#peers().length === 0;
       if (this.finished && (this.#joined || alone)) return;
-      await clock.sleep(retryMilliseconds, signal);
+      await clock.sleep(delay, signal);
+      // A node that may not serve yet keeps asking quickly.
+      if (this.finished) delay = Math.min(delay * 2, maximumRetryMilliseconds);
     }
   }
 
   async #joinSeeds(): Promise<void> {
-    const { seeds, channel } = this.#options;
+    const { channel } = this.#options;
     const results = await Promise.all(
-      seeds.map((seed) => channel.connect(seed, callTimeoutMilliseconds)),
+      this.#seeds().map((seed) => channel.connect(seed, callTimeoutMilliseconds)),
     );
     for (const result of results) {
       if (!result.ok || result.value.nodeId === this.#options.identity.nodeId) continue;
@@ -149,6 +157,11 @@
     onJoined();
   }
 
+  #seeds(): SocketAddress[] {
+    const { seeds, peerAddress } = this.#options;
+    return seeds.filter(({ host, port }) => host !== peerAddress.host || port !== peerAddress.port);
+  }
+
   #hasEnoughAnswers(): boolean {
     return this.#confirmedBy.size >= neededAnswers;
   }
--- a/packages/membership/src/LivenessTracker.ts
+++ b/packages/membership/src/LivenessTracker.ts
@@ -1,11 +1,6 @@
 import type { ControlChannel, Location, NodeIdentity } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
-import {
-  encodeHeartbeatReply,
-  heartbeatCallName,
-  type HeartbeatMessage,
-  parseHeartbeat,
-} from './Heartbeats.js';
+import { encodeHeartbeatReply, heartbeatCallName, parseHeartbeat } from './Heartbeats.js';
 import type { NodeIndex } from './NodeIndex.js';
 import type { NodeRecord } from './NodeRecord.js';
 import { type RoleAssignment, RoleName } from './RoleAssignment.js';
@@ -24,6 +19,13 @@
 const callTimeoutMilliseconds = 1000;
 const lastHeardCallName = 'membership/last-heard';
 
+/** The last heartbeat of a node. */
+export interface ReceivedHeartbeat {
+  /** 0 when there is no deployment in effect there. */
+  readonly deploymentNumber: number;
+  readonly ageMilliseconds: number;
+}
+
 /** Settings of the tracker. */
 export interface LivenessTrackerOptions {
   readonly identity: NodeIdentity;
@@ -40,16 +42,17 @@
   readonly onExpired: (records: readonly NodeRecord[]) => void;
 }
 
-interface Heard {
+interface SignOfLife {
   readonly at: number;
-  readonly message: HeartbeatMessage;
+  /** Deployment number of a heartbeat; absent when the sign was a new record. */
+  readonly number?: number;
 }
 
 /** The reporter's side of the heartbeats: removes the nodes of its failure domain that are gone. */
 export class LivenessTracker {
   readonly #options: LivenessTrackerOptions;
 
-  readonly #heard = new Map<string, Heard>();
+  readonly #heard = new Map<string, SignOfLife>();
 
   #reporterSince: number | undefined;
 
@@ -63,24 +66,20 @@
     channel.handle(lastHeardCallName, (body) => this.#handleLastHeard(body));
   }
 
-  /** Gives the deployment number of a node's last heartbeat, when this node receives them. */
-  deploymentNumberOf(nodeId: string): number | undefined {
-    return this.#heard.get(nodeId)?.message.number;
-  }
-
-  /** Gives the monotonic time of the last sign of life, in milliseconds. */
-  lastHeardAt(nodeId: string): number | undefined {
-    return this.#heard.get(nodeId)?.at;
+  /** Gives the last heartbeat of a node, when this node receives its heartbeats. */
+  heartbeatOf(nodeId: string): ReceivedHeartbeat | undefined {
+    const heard = this.#heard.get(nodeId);
+    if (heard?.number === undefined) return undefined;
+    const ageMilliseconds = this.#options.clock.now() - heard.at;
+    // An older one is left over from the time when this node was a reporter.
+    if (ageMilliseconds > 2 * heartbeatExpiryMilliseconds) return undefined;
+    return { deploymentNumber: heard.number, ageMilliseconds };
   }
 
   /** A new record is a sign of life as well. */
-  noteRecord(record: NodeRecord): void {
-    if (record.failureDomain !== this.#options.location.failureDomain) return;
-    const number = this.#heard.get(record.nodeId)?.message.number ?? 0;
-    this.#heard.set(record.nodeId, {
-      at: this.#options.clock.now(),
-      message: { number, sequence: record.sequence },
-    });
+  noteRecord({ nodeId, failureDomain }: NodeRecord): void {
+    if (failureDomain !== this.#options.location.failureDomain) return;
+    this.#noteSign(nodeId, this.#options.clock.now(), this.#heard.get(nodeId)?.number);
   }
 
   /** Drops what is known about a node that was removed. */
@@ -145,17 +144,20 @@
     const now = clock.now();
     for (const { nodeId, ageMilliseconds } of parseAges(result.value)) {
       if (!expired.has(nodeId) || ageMilliseconds > heartbeatExpiryMilliseconds) continue;
-      const message = this.#heard.get(nodeId)?.message ?? { number: 0, sequence: 0 };
-      this.#heard.set(nodeId, { at: now - ageMilliseconds, message });
+      this.#noteSign(nodeId, now - ageMilliseconds, this.#heard.get(nodeId)?.number);
     }
   }
 
+  #noteSign(nodeId: string, at: number, number: number | undefined): void {
+    this.#heard.set(nodeId, number === undefined ? { at } : { at, number });
+  }
+
   #handleHeartbeat(body: unknown, from: NodeIdentity): readonly number[] {
     const { index, clock, deploymentNumber } = this.#options;
     const message = parseHeartbeat(body);
     const record = index.get(from.nodeId);
     if (record === undefined || record.incarnation <= from.incarnation) {
-      this.#heard.set(from.nodeId, { at: clock.now(), message });
+      this.#noteSign(from.nodeId, clock.now(), message.number);
     }
     const known = record?.incarnation === from.incarnation && record.sequence === message.sequence;
     return encodeHeartbeatReply({ number: deploymentNumber(), known });
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -15,11 +15,12 @@
 } from '@hickorybridge/types';
 import { Bootstrap, currentDeploymentKey } from './Bootstrap.js';
 import { CountingChannel } from './CountingChannel.js';
+import { FleetInquiry } from './FleetInquiry.js';
 import { Heartbeats } from './Heartbeats.js';
 import { LivenessTracker } from './LivenessTracker.js';
 import { type AnnounceOutcome, LocalAnnouncements } from './LocalAnnouncements.js';
 import type { LocalChange, MembershipOptions } from './MembershipOptions.js';
-import type { MembershipSummary, NodeSummary } from './MembershipSummary.js';
+import type { FleetSummary, MembershipSummary, NodeSummary } from './MembershipSummary.js';
 import { NeighbourSet } from './NeighbourSet.js';
 import { NodeIndex } from './NodeIndex.js';
 import {
@@ -91,6 +92,8 @@
 
   readonly #rosterWriter: RosterWriter;
 
+  readonly #inquiry: FleetInquiry;
+
   readonly #bootstrap: Bootstrap;
 
   #sequence = 0;
@@ -143,6 +146,17 @@
       lastContactAt: () => this.#lastContactAt(),
       onExpired: (records) => this.#removeExpired(records),
     });
+    this.#inquiry = new FleetInquiry({
+      channel,
+      index,
+      roles,
+      tracker: this.#tracker,
+      describeOwn: () => ({
+        nodeId: identity.nodeId,
+        deploymentNumber: this.#register.number,
+        ageMilliseconds: 0,
+      }),
+    });
     this.#rosterWriter = new RosterWriter({
       identity,
       location,
@@ -322,6 +336,23 @@
     };
   }
 
+  /**
+   * Gives the summary with the deployment numbers of all nodes, asked from the reporters of each
+   * failure domain. Takes up to two seconds when reporters do not answer.
+   */
+  async fleetSummary(): Promise<FleetSummary> {
+    const { contacts, unreachableFailureDomains } = await this.#inquiry.ask();
+    const byNode = new Map(contacts.map((contact) => [contact.nodeId, contact]));
+    const summary = this.summary();
+    const nodes = summary.nodes.map((node): NodeSummary => {
+      const contact = byNode.get(node.nodeId);
+      if (contact === undefined) return node;
+      const { deploymentNumber, ageMilliseconds } = contact;
+      return { ...node, deploymentNumber, lastContactMilliseconds: ageMilliseconds };
+    });
+    return { ...summary, nodes, unreachableFailureDomains };
+  }
+
   /** Tells the peers that this node is gone and stops all duties. */
   async [Symbol.asyncDispose](): Promise<void> {
     if (this.#gone) return;
@@ -541,18 +572,20 @@
       operatorsAddress: record.operatorsAddress,
       leaving: record.leaving,
       backendServers: record.backendServers.length,
-      deploymentNumber: own ? this.#register.number : this.#tracker.deploymentNumberOf(nodeId),
+      deploymentNumber: own
+        ? this.#register.number
+        : this.#tracker.heartbeatOf(nodeId)?.deploymentNumber,
       lastContactMilliseconds: own ? 0 : this.#ageOfContact(nodeId),
     };
   }
 
   #ageOfContact(nodeId: string): number | undefined {
-    const times = [
-      this.#tracker.lastHeardAt(nodeId),
-      this.#channel.contactOf(nodeId)?.lastAnswerAt,
-    ].filter((time) => time !== undefined);
-    if (times.length === 0) return undefined;
-    return Math.round(this.#options.clock.now() - Math.max(...times));
+    const answeredAt = this.#channel.contactOf(nodeId)?.lastAnswerAt;
+    const ages = [
+      this.#tracker.heartbeatOf(nodeId)?.ageMilliseconds,
+      answeredAt === undefined ? undefined : this.#options.clock.now() - answeredAt,
+    ].filter((age) => age !== undefined);
+    return ages.length === 0 ? undefined : Math.round(Math.min(...ages));
   }
 }
 
--- a/packages/membership/src/MembershipSummary.ts
+++ b/packages/membership/src/MembershipSummary.ts
@@ -31,3 +31,9 @@
   readonly bytesSent: number;
   readonly bytesReceived: number;
 }
+
+/** What the reporters of all failure domains know about the fleet. */
+export interface FleetSummary extends MembershipSummary {
+  /** Failure domains whose nodes cannot be confirmed, because no reporter there answers. */
+  readonly unreachableFailureDomains: readonly string[];
+}
--- a/packages/membership/src/RoleAssignment.ts
+++ b/packages/membership/src/RoleAssignment.ts
@@ -36,9 +36,17 @@
   /** Lists the holders of a role, the first first; peers that do not answer are passed over. */
   holders(role: RoleName): string[] {
     const { identity, isFailing } = this.#options;
-    return this.#order(role)
-      .filter((nodeId) => nodeId === identity.nodeId || !isFailing(nodeId))
-      .slice(0, holdersPerRole);
+    const holders: string[] = [];
+    for (const nodeId of this.#order(role)) {
+      if (holders.length === holdersPerRole) break;
+      if (nodeId === identity.nodeId || !isFailing(nodeId)) holders.push(nodeId);
+    }
+    return holders;
+  }
+
+  /** Lists the holders of a role in any failure domain, whether they answer or not. */
+  holdersIn(role: RoleName, failureDomain: string): string[] {
+    return orderIn(this.#options.index, role, failureDomain).slice(0, holdersPerRole);
   }
 
   /** Tells whether this node holds a role. */
@@ -62,13 +70,17 @@
     const { index, location, identity } = this.#options;
     const cached = this.#orders.get(role);
     if (cached?.revision === index.revision) return cached.order;
-    const names = index
-      .inFailureDomain(location.failureDomain)
-      .filter((record) => !record.leaving)
-      .map((record) => record.nodeId);
-    const candidates = names.length === 0 ? [identity.nodeId] : names;
-    const order = rendezvousOrder(`${role}/${location.failureDomain}`, candidates);
+    const known = orderIn(index, role, location.failureDomain);
+    const order = known.length === 0 ? [identity.nodeId] : known;
     this.#orders.set(role, { revision: index.revision, order });
     return order;
   }
 }
+
+function orderIn(index: NodeIndex, role: RoleName, failureDomain: string): string[] {
+  const names = index
+    .inFailureDomain(failureDomain)
+    .filter((record) => !record.leaving)
+    .map((record) => record.nodeId);
+  return rendezvousOrder(`${role}/${failureDomain}`, names);
+}
--- a/packages/membership/src/__tests__/convergence.test.ts
+++ b/packages/membership/src/__tests__/convergence.test.ts
@@ -58,3 +58,27 @@
   assert.deepEqual(membership?.peerAddressOf('n2'), addressOf(2));
   assert.equal(membership?.peerAddressOf('n9'), undefined);
 });
+
+// Guards against a status that shows a change as confirmed on the far side of a partition.
+test('the fleet summary has all numbers, and names the domains that cannot be asked', async () => {
+  await using fleet = new Fleet(5, 4);
+  fleet.applyDeployment(6);
+  fleet.startAll(12);
+  await fleet.clock.advance(15_000);
+  const membership = fleet.nodes.get('n1')?.membership;
+  const ask = async () => {
+    const summary = membership?.fleetSummary();
+    await fleet.clock.advance(3000);
+    return summary;
+  };
+  const whole = await ask();
+  assert.deepEqual(
+    whole?.nodes.map(({ deploymentNumber }) => deploymentNumber),
+    Array.from({ length: 12 }, () => 6),
+  );
+  assert.deepEqual(whole?.unreachableFailureDomains, []);
+  // Failure domains d0 and d2 are in the other region.
+  const regionOf = (nodeId: string) => Number(nodeId.slice(1)) % 2;
+  fleet.network.cut((from, to) => regionOf(from) !== regionOf(to));
+  assert.deepEqual((await ask())?.unreachableFailureDomains, ['d0', 'd2']);
+});
