A reporter that was cut off from its peers removes nobody

Cause: a mutation of the isolation check survived the tests. The test written for it failed: a reporter that only the store answered counted as connected, and after the cut it removed its whole failure domain 1 s after the first answer, before the next heartbeats came. The end of an isolation gives everyone a new term, as the end of a pause does. Further tests for mutations that survived: an old copy of a removed node, a node without answers from its reporters, live nodes during the loss of both reporters.

--- a/packages/membership/src/LivenessTracker.ts
+++ b/packages/membership/src/LivenessTracker.ts
@@ -13,9 +13,18 @@
 /** A check that comes this late means that this process was paused. */
 const pauseMilliseconds = 3 * checkIntervalMilliseconds;
 
-/** Without an answer from anyone for this time, this node is taken to be cut off itself. */
+/** Without a word from any peer for this time, this node is taken to be cut off itself. */
 const isolationMilliseconds = 6000;
 
+/** A node that the store answers but no peer for this time takes the peers to be gone after all. */
+const soleSurvivorMilliseconds = 60_000;
+
+/** The lease of the roster is renewed every 4 s, so a reachable store has answered within this. */
+const storeContactMilliseconds = 10_000;
+
+/** With one peer only, the end of that peer and a cut look alike, and the store decides. */
+const pairOfNodes = 2;
+
 const callTimeoutMilliseconds = 1000;
 const lastHeardCallName = 'membership/last-heard';
 
@@ -36,8 +45,10 @@
   readonly roles: RoleAssignment;
   /** Number of the deployment in effect here. */
   readonly deploymentNumber: () => number;
-  /** Monotonic time of the last answer of any peer or of the store. */
-  readonly lastContactAt: () => number | undefined;
+  /** Monotonic time of the last answer of any peer, in milliseconds. */
+  readonly lastPeerAnswerAt: () => number | undefined;
+  /** Monotonic time of the last answer of the store, in milliseconds. */
+  readonly lastStoreAnswerAt: () => number | undefined;
   /** Removes nodes from which there is no heartbeat. */
   readonly onExpired: (records: readonly NodeRecord[]) => void;
 }
@@ -105,9 +116,10 @@
       this.#reporterSince = undefined;
       return;
     }
-    // Heartbeats that arrived during a pause may still be unread: everyone gets a new term.
-    if (paused || this.#reporterSince === undefined) this.#reporterSince = now;
-    if (this.#isIsolated(now) || this.#expired(now).length === 0) return;
+    // After a pause or a cut the next heartbeats are still on their way: everyone gets a new term.
+    const isolated = this.#isIsolated(now);
+    if (paused || isolated || this.#reporterSince === undefined) this.#reporterSince = now;
+    if (this.#expired(now).length === 0) return;
     await this.#askOtherReporter(this.#expired(now));
     const expired = this.#expired(clock.now());
     if (expired.length > 0) onExpired(expired);
@@ -123,11 +135,14 @@
     });
   }
 
-  /** A node that hears from nobody must not remove everyone else. */
+  /** A node that hears from no peer must not remove everyone else, even if the store answers. */
   #isIsolated(now: number): boolean {
-    const lastContactAt = this.#options.lastContactAt() ?? 0;
+    const { index, lastPeerAnswerAt, lastStoreAnswerAt } = this.#options;
     const lastHeardAt = Math.max(0, ...[...this.#heard.values()].map(({ at }) => at));
-    return now - Math.max(lastContactAt, lastHeardAt) > isolationMilliseconds;
+    const silence = now - Math.max(lastPeerAnswerAt() ?? 0, lastHeardAt);
+    if (silence <= isolationMilliseconds) return false;
+    const storeAnswers = now - (lastStoreAnswerAt() ?? -Infinity) <= storeContactMilliseconds;
+    return !(storeAnswers && (index.size <= pairOfNodes || silence > soleSurvivorMilliseconds));
   }
 
   /** The other reporter may hear a node that a cut separates from this one. */
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -143,7 +143,8 @@
       index,
       roles,
       deploymentNumber,
-      lastContactAt: () => this.#lastContactAt(),
+      lastPeerAnswerAt: () => channel.lastContactAt,
+      lastStoreAnswerAt: () => store.lastAnswerAt,
       onExpired: (records) => this.#removeExpired(records),
     });
     this.#inquiry = new FleetInquiry({
@@ -549,12 +550,6 @@
     for (const listener of this.#localListeners) listener(change);
   }
 
-  #lastContactAt(): number | undefined {
-    const times = [this.#channel.lastContactAt, this.#store.lastAnswerAt];
-    const known = times.filter((time) => time !== undefined);
-    return known.length === 0 ? undefined : Math.max(...known);
-  }
-
   #createWriteId(): string {
     const { nodeId, incarnation } = this.#options.identity;
     this.#writes += 1;
--- a/packages/membership/src/__tests__/failures.test.ts
+++ b/packages/membership/src/__tests__/failures.test.ts
@@ -9,21 +9,100 @@
   return (content?.nodes ?? []).map(({ nodeId }) => nodeId).sort();
 }
 
-// Guards against a dead node that keeps its place because both of its reporters died with it.
-test('dead nodes leave all memories and the roster, reporters included', async () => {
-  await using fleet = await startedFleet(11, 12);
-  const reporters = fleet
+/** Gives the names of the reporters of failure domain d0, which holds the even nodes. */
+function reportersOf(fleet: Fleet): string[] {
+  return fleet
     .memberships()
     .map((membership) => membership.summary())
     .filter(({ location, roles }) => location.failureDomain === 'd0' && roles.includes('reporter'))
-    .map(({ identity }) => Number(identity.nodeId.slice(1)));
+    .map(({ identity }) => identity.nodeId);
+}
+
+/** Lets time pass and checks at each step that some nodes list all of some others. */
+async function passListing(
+  fleet: Fleet,
+  seconds: number,
+  viewers: readonly string[],
+  listed: readonly string[],
+): Promise<void> {
+  for (let step = 0; step < seconds * 5; step += 1) {
+    await fleet.clock.advance(200);
+    for (const viewer of viewers) {
+      const names =
+        fleet.nodes
+          .get(viewer)
+          ?.membership.nodes()
+          .map(({ nodeId }) => nodeId) ?? [];
+      const missing = listed.filter((name) => !names.includes(name));
+      assert.deepEqual(missing, [], `not listed by ${viewer} after ${(step + 1) / 5} s`);
+    }
+  }
+}
+
+// Guards against a dead node that keeps its place because both of its reporters died with it, and
+// against live nodes that the new reporters remove because heartbeats still go to the dead ones.
+test('dead nodes leave all memories and the roster, reporters included', async () => {
+  await using fleet = await startedFleet(11, 12);
+  const reporters = reportersOf(fleet);
   assert.equal(reporters.length, 2);
-  for (const index of reporters) fleet.kill(index);
-  const gone = await fleet.clock.advanceUntil(() => fleet.agrees(), 40_000, 100);
-  assert.ok(gone !== undefined, 'dead reporters are still listed after 40 s');
+  for (const reporter of reporters) fleet.kill(Number(reporter.slice(1)));
+  const live = [...fleet.nodes.keys()];
+  await passListing(fleet, 40, live, live);
+  assert.ok(fleet.agrees(), 'dead reporters are still listed after 40 s');
   await fleet.clock.advance(20_000);
-  const expected = [0, 2, 4, 6, 8, 10].filter((index) => !reporters.includes(index));
-  assert.deepEqual(rosterNames(fleet, 'd0'), expected.map((index) => `n${index}`).sort());
+  const expected = live.filter((name) => Number(name.slice(1)) % 2 === 0);
+  assert.deepEqual(rosterNames(fleet, 'd0'), expected.sort());
+});
+
+// Guards against a removed node that a peer brings back which was cut off during the removal.
+test('a removed node does not come back through an old copy', async () => {
+  await using fleet = await startedFleet(23, 12);
+  const [dead, cutOff] = ['n1', 'n3', 'n5', 'n7', 'n9', 'n11'].filter(
+    (name) => !fleet.nodes.get(name)?.membership.summary().roles.includes('reporter'),
+  );
+  fleet.network.cut((from, to) => from === cutOff || to === cutOff);
+  fleet.kill(Number(dead?.slice(1)));
+  await fleet.clock.advance(16_000);
+  const viewers = [...fleet.nodes.keys()].filter((name) => name !== cutOff);
+  const listsDead = (name: string) =>
+    fleet.nodes.get(name)?.membership.peerAddressOf(dead ?? '') !== undefined;
+  assert.deepEqual(viewers.filter(listsDead), []);
+  assert.ok(listsDead(cutOff ?? ''), 'the node that was cut off has no old copy');
+  fleet.network.cut();
+  for (let step = 0; step < 100; step += 1) {
+    await fleet.clock.advance(100);
+    assert.deepEqual(viewers.filter(listsDead), [], `listed again after ${(step + 1) * 100} ms`);
+  }
+  assert.ok(fleet.agrees());
+});
+
+// Guards against a cut that only the node sees: its reporters hear it although it hears them not.
+test('a node that gets no answers from its reporters stays listed', async () => {
+  await using fleet = await startedFleet(24, 12);
+  const reporters = reportersOf(fleet);
+  const victim = ['n0', 'n2', 'n4', 'n6'].find((name) => !reporters.includes(name)) ?? '';
+  fleet.network.cut((from, to) => reporters.includes(from) && to === victim);
+  await passListing(fleet, 60, [...fleet.nodes.keys()], [victim]);
+});
+
+// Guards against a reporter that is cut off from its peers, but not from the store, and removes all.
+test('a reporter that hears from no peer removes nobody', async () => {
+  await using fleet = await startedFleet(25, 12);
+  const [reporter] = reportersOf(fleet);
+  const others = [...fleet.nodes.keys()].filter((name) => name !== reporter);
+  fleet.network.cut((from, to) => from === reporter || to === reporter);
+  await passListing(fleet, 40, [...fleet.nodes.keys()], others);
+  fleet.network.cut();
+  await passListing(fleet, 20, [...fleet.nodes.keys()], others);
+  assert.ok(fleet.agrees());
+});
+
+// Guards against the survivor of a pair that lists its dead peer for ever.
+test('the survivor of two nodes removes the other one', async () => {
+  await using fleet = await startedFleet(26, 2, 1);
+  fleet.kill(0);
+  const removed = await fleet.clock.advanceUntil(() => fleet.agrees(), 20_000, 100);
+  assert.ok(removed !== undefined, 'the dead peer is listed after 20 s');
 });
 
 // Guards against a process that was replaced and still answers under its old name.
