Claims: tell a finished attempt without a kept answer from one that is running

Change: a holder says that the attempt has finished, also without an answer, and the caller is told at once.

--- a/packages/idempotency/src/ClaimClient.ts
+++ b/packages/idempotency/src/ClaimClient.ts
@@ -31,8 +31,8 @@
 export type ClaimOutcome =
   /** The attempt may run. The handle must be told how it ended. */
   | { readonly type: 'granted'; readonly claim: ClaimHandle }
-  /** An earlier attempt has finished with this answer. */
-  | { readonly type: 'finished'; readonly answer: StoredAnswer }
+  /** An earlier attempt has finished; without an answer it may have run and none is kept. */
+  | { readonly type: 'finished'; readonly answer?: StoredAnswer | undefined }
   /** Another attempt holds the key: it may run, or has run and its answer is not kept. */
   | { readonly type: 'claimed-elsewhere' }
   /** The key was used with another fingerprint. */
--- a/packages/idempotency/src/ClaimHolder.ts
+++ b/packages/idempotency/src/ClaimHolder.ts
@@ -323,7 +323,7 @@
   if (record.state === RecordState.released) return isOwn ? { type: 'claimed' } : undefined;
   if (isOwn) return record.state === RecordState.claimed ? undefined : { type: 'claimed' };
   if (!isContested && record.fingerprint !== message.fingerprint) return { type: 'key-reuse' };
-  if (record.answer !== undefined) return { type: 'finished', answer: record.answer };
+  if (record.state === RecordState.finished) return { type: 'finished', answer: record.answer };
   return { type: 'claimed' };
 }
 
--- a/packages/idempotency/src/ClaimRound.ts
+++ b/packages/idempotency/src/ClaimRound.ts
@@ -22,7 +22,7 @@
 /** How one round of questions to the holders ended. */
 export type RoundOutcome =
   | { readonly type: 'granted' }
-  | { readonly type: 'finished'; readonly answer: StoredAnswer }
+  | { readonly type: 'finished'; readonly answer?: StoredAnswer | undefined }
   | { readonly type: 'key-reuse' }
   | { readonly type: 'claimed-elsewhere' }
   /** `isFinal` says that another round cannot help within a request's time. */
--- a/packages/idempotency/src/messages.ts
+++ b/packages/idempotency/src/messages.ts
@@ -24,9 +24,10 @@
 /** A holder's reply to a claim. */
 export type ClaimReply =
   | { readonly type: 'granted' }
-  /** Another attempt holds the key; it is not finished or its answer is not kept. */
+  /** Another attempt holds the key and is not finished. */
   | { readonly type: 'claimed' }
-  | { readonly type: 'finished'; readonly answer: StoredAnswer }
+  /** An attempt has finished; its answer is absent when it was too large or never came. */
+  | { readonly type: 'finished'; readonly answer?: StoredAnswer | undefined }
   | { readonly type: 'key-reuse' }
   /** The holder does not act in this view; `current` is the newest entry that it knows. */
   | { readonly type: 'inactive'; readonly current?: ShardView | undefined }
--- a/packages/node/src/claiming/KeyedRequests.ts
+++ b/packages/node/src/claiming/KeyedRequests.ts
@@ -48,12 +48,20 @@
     request.flight.add({ type: 'claim', result: outcome.type });
     return match(outcome)
       .with({ type: 'granted' }, ({ claim }) => this.#runClaimed(request, claim))
-      .with({ type: 'finished' }, ({ answer }) => replay(answer))
+      .with({ type: 'finished' }, ({ answer }) =>
+        answer === undefined
+          ? failed(
+              ProblemName.alreadyClaimed,
+              Outcome.unknown,
+              'a request with this key has ended; it may have run, and its answer is not kept',
+            )
+          : replay(answer),
+      )
       .with({ type: 'claimed-elsewhere' }, () =>
         failed(
           ProblemName.alreadyClaimed,
           Outcome.unknown,
-          'another request with this key may be running, or has run and its answer is not kept',
+          'another request with this key may still be running',
         ),
       )
       .with({ type: 'key-reuse' }, () =>
