--- a/packages/admission/src/__tests__/LimitedAdmission.test.ts
+++ b/packages/admission/src/__tests__/LimitedAdmission.test.ts
@@ -73,6 +73,18 @@
   assert.deepEqual(await late, { type: 'refused', reason: 'deadline-unreachable' });
 });
 
+test('guards against a late run after a pause of the process', async () => {
+  const clock = new ManualClock();
+  const admission = makeAdmission(clock);
+  const first = permitOf(await admission.admit(makeRequest(clock)));
+  await admission.admit(makeRequest(clock));
+  const queued = admission.admit(makeRequest(clock, { deadline: clock.now() + 100 }));
+  const paused = clock.advance(150);
+  first.release();
+  assert.deepEqual(await queued, { type: 'refused', reason: 'deadline-passed' });
+  await paused;
+});
+
 test('guards against a drain that ends with work in flight or takes new work', async () => {
   const clock = new ManualClock();
   const admission = makeAdmission(clock);
--- a/packages/routing/src/AdaptiveSelector.ts
+++ b/packages/routing/src/AdaptiveSelector.ts
@@ -22,6 +22,11 @@
 const REPORT_DECAY = 100;
 /** Time constant by which a smoothed response time loses its meaning, in milliseconds. */
 const RESPONSE_DECAY = 400;
+/**
+ * Factor of the mean that is expected when nothing recent is known. Below 1, so that a backend
+ * server without recent reports is tried now and then, also when the others have no queue.
+ */
+const UNKNOWN_SERVICE_FACTOR = 0.9;
 /** Time constant by which failures are forgotten, in milliseconds. */
 const FAILURE_DECAY = 1_000;
 /** Bounds the failure share, so that the cost stays finite and a recovery can be found. */
@@ -186,7 +191,7 @@
       load.responseMilliseconds * OWN_RESPONSE_WEIGHT,
     );
     const weight = Math.exp((load.reportAt - now) / RESPONSE_DECAY);
-    const aged = weight * known + (1 - weight) * mean;
+    const aged = weight * known + (1 - weight) * mean * UNKNOWN_SERVICE_FACTOR;
     return Math.max(aged, this.#stall(load, mean, now));
   }
 
