--- a/packages/idempotency/src/__tests__/SimulatedNetwork.ts
+++ b/packages/idempotency/src/__tests__/SimulatedNetwork.ts
@@ -1,9 +1,9 @@
+import type { SimulatedClock } from '@hickorybridge/coordination';
 import { fail, succeed } from '@hickorybridge/types';
 import type { ControlCallError, ControlChannel, Result } from '@hickorybridge/types';
 import type { RandomSource } from '@hickorybridge/utils';
 
 import type { SimulatedProcess } from './SimulatedProcess.js';
-import type { SimulatedTime } from './SimulatedTime.js';
 
 /** Faults of the network; probabilities are from 0 to 1. */
 export interface NetworkFaults {
@@ -26,10 +26,13 @@
   /** Is shown each call before it is sent; lets a test act at a certain step. */
   onCall: ((name: string, from: string, to: string) => void) | undefined;
 
+  /** Is shown each reply before it is sent. */
+  onReply: ((reply: unknown) => void) | undefined;
+
   readonly #processes = new Map<string, SimulatedProcess>();
 
   constructor(
-    readonly time: SimulatedTime,
+    readonly time: SimulatedClock,
     readonly random: RandomSource,
   ) {}
 
@@ -58,7 +61,7 @@
         from.whenRunning(() => resolve(result));
       const copy = structuredClone(body);
       this.#deliver(from.identity.nodeId, to, () => this.#handle(from, to, name, copy, finish));
-      this.time.after(timeout, () => finish(fail({ type: 'timeout' })));
+      this.time.sleep(timeout).then(() => finish(fail({ type: 'timeout' })));
     });
   }
 
@@ -74,6 +77,7 @@
       const handler = receiver.handlers.get(name);
       if (handler === undefined) return;
       const reply = structuredClone(handler(body, from.identity));
+      this.onReply?.(reply);
       this.#deliver(to, from.identity.nodeId, () => finish(succeed(reply)));
     });
   }
@@ -82,7 +86,7 @@
     const copies = this.random.next() < this.faults.duplication ? 2 : 1;
     for (let copy = 0; copy < copies; copy += 1) {
       if (this.random.next() < this.faults.loss) continue;
-      this.time.after(this.random.next() * this.faults.longestDelay, () => {
+      this.time.sleep(this.random.next() * this.faults.longestDelay).then(() => {
         if (!this.cuts.has(`${from}>${to}`)) arrive();
       });
     }
