--- a/packages/measure/src/claims/ClaimFleet.ts
+++ b/packages/measure/src/claims/ClaimFleet.ts
@@ -6,7 +6,6 @@
   ViewRegister,
 } from '@hickorybridge/idempotency';
 import type { HolderCandidate } from '@hickorybridge/idempotency';
-import { SimulatedStore } from '@hickorybridge/coordination';
 import {
   FrameType,
   decodeFrame,
@@ -22,6 +21,8 @@
 } from '@hickorybridge/types';
 import { systemClock } from '@hickorybridge/utils';
 
+import { MemoryStore } from './MemoryStore.js';
+
 /** One node of the fleet. */
 export interface FleetNode {
   readonly identity: HolderCandidate;
@@ -42,6 +43,7 @@
 }
 
 const retentionMilliseconds = 2 * 3_600_000;
+const storeMilliseconds = 2;
 const keeperIntervalMilliseconds = 100;
 const spreadMilliseconds = 60;
 
@@ -56,7 +58,7 @@
 
   readonly #delays: FleetDelays;
 
-  readonly #store = new SimulatedStore(systemClock);
+  readonly #store = new MemoryStore(storeMilliseconds);
 
   readonly #ending = new AbortController();
 
--- a/packages/routing/src/AdaptiveSelector.ts
+++ b/packages/routing/src/AdaptiveSelector.ts
@@ -21,13 +21,23 @@
 /** Time constant by which a reported queue loses its meaning, in milliseconds. */
 const REPORT_DECAY = 100;
 /** Time constant by which a smoothed response time loses its meaning, in milliseconds. */
-const RESPONSE_DECAY = 1_000;
+const RESPONSE_DECAY = 400;
 /** Time constant by which failures are forgotten, in milliseconds. */
 const FAILURE_DECAY = 1_000;
 /** Bounds the failure share, so that the cost stays finite and a recovery can be found. */
 const MAXIMUM_FAILURE_SHARE = 0.95;
 /** Waiting without any progress that is not yet a sign of a stall, in mean service times. */
 const STALL_FACTOR = 3;
+/**
+ * Weight of the waiting time. A request that joins a queue also delays those behind it. With weight
+ * 1 a queue grows until it costs every request as much as the way to the other region.
+ */
+const WAITING_WEIGHT = 4;
+/**
+ * Weight of the smoothed response time, which counts when it is far longer than the reported
+ * service time: a report does not show delays between the node and its backend server or router.
+ */
+const OWN_RESPONSE_WEIGHT = 0.5;
 /** Weight of the use below the limit, which only decides between otherwise equal candidates. */
 const USE_WEIGHT = 0.1;
 const BYTES_PER_KILOBYTE = 1_000;
@@ -72,7 +82,9 @@
       const sample = this.#sample(tiers[distance], places);
       places -= sample.length;
       for (const entry of sample) {
-        const cost = this.#completionTime(service, service.of(entry, now), now) + price;
+        const load = service.of(entry, now);
+        if (request.hedged === true && !hasFreePlace(service, load, now)) continue;
+        const cost = this.#completionTime(service, load, now) + price;
         if (cost < lowest) {
           lowest = cost;
           best = entry;
@@ -93,11 +105,11 @@
     load.ended(now);
     switch (result.type) {
       case 'answered':
-        load.failed(0, now);
+        load.failed(result.serverError === true ? 1 : 0, now);
         this.observed(entry, result.report, result.elapsedMilliseconds);
         break;
       case 'refused':
-        load.failed(1, now);
+        if (!isSaturated(result.report)) load.failed(1, now);
         if (result.report !== undefined) this.#takeReport(load, result.report);
         break;
       case 'lost':
@@ -115,6 +127,10 @@
     this.#takeResponse(load, report, elapsedMilliseconds);
   }
 
+  roundTripTo(entry: BackendServerEntry): number {
+    return this.#delays.to(entry);
+  }
+
   #serviceOf(name: string): ServiceLoad {
     const known = this.#services.get(name);
     if (known !== undefined) return known;
@@ -142,21 +158,20 @@
     this.#serviceOf(load.entry.service).reported(report);
   }
 
+  /** Only answers that did not wait tell the delays apart from the queue, which is in the report. */
   #takeResponse(load: BackendServerLoad, report: LoadReport, elapsedMilliseconds: number): void {
     const { serviceMilliseconds } = report;
     const waited = report.inFlight + report.queued > report.limit;
-    if (!waited && serviceMilliseconds > 0) {
-      this.#delays.record(load.entry, elapsedMilliseconds - serviceMilliseconds);
-    }
-    const response = Math.max(0, elapsedMilliseconds - this.#delays.to(load.entry));
-    load.responded(response, this.#clock.now());
+    if (waited || serviceMilliseconds <= 0) return;
+    this.#delays.record(load.entry, elapsedMilliseconds - serviceMilliseconds);
+    load.responded(Math.max(0, elapsedMilliseconds - this.#delays.to(load.entry)));
   }
 
   #completionTime(service: ServiceLoad, load: BackendServerLoad, now: number): number {
     const serviceTime = this.#serviceTime(service, load, now);
-    const limit = load.report?.limit ?? expectedLimit(load, now);
+    const limit = limitOf(load, now);
     const occupied = expectedOccupied(service, load, limit, now) + 1;
-    const waiting = Math.max(0, occupied - limit) / limit;
+    const waiting = (WAITING_WEIGHT * Math.max(0, occupied - limit)) / limit;
     const use = Math.min(1, occupied / limit) * USE_WEIGHT;
     const time = this.#delays.to(load.entry) + serviceTime * (1 + waiting + use);
     const failure = load.failureShare * Math.exp((load.failureAt - now) / FAILURE_DECAY);
@@ -166,7 +181,10 @@
   #serviceTime(service: ServiceLoad, load: BackendServerLoad, now: number): number {
     const mean = service.meanServiceMilliseconds;
     const reported = load.report?.serviceMilliseconds ?? 0;
-    const known = reported > 0 ? reported : mean;
+    const known = Math.max(
+      reported > 0 ? reported : mean,
+      load.responseMilliseconds * OWN_RESPONSE_WEIGHT,
+    );
     const weight = Math.exp((load.reportAt - now) / RESPONSE_DECAY);
     const aged = weight * known + (1 - weight) * mean;
     return Math.max(aged, this.#stall(load, mean, now));
@@ -180,6 +198,20 @@
   }
 }
 
+function limitOf(load: BackendServerLoad, now: number): number {
+  return load.report?.limit ?? expectedLimit(load, now);
+}
+
+function hasFreePlace(service: ServiceLoad, load: BackendServerLoad, now: number): boolean {
+  const limit = limitOf(load, now);
+  return expectedOccupied(service, load, limit, now) + 1 <= limit;
+}
+
+/** Whether the load explains a refusal; it is then part of the expected waiting time already. */
+function isSaturated(report: LoadReport | undefined): boolean {
+  return report !== undefined && report.inFlight + report.queued >= report.limit;
+}
+
 /** Requests at the backend server: the report, aged towards the mean, and own ones since. */
 function expectedOccupied(
   service: ServiceLoad,
