--- a/packages/idempotency/src/__tests__/neverTwice.test.ts
+++ b/packages/idempotency/src/__tests__/neverTwice.test.ts
@@ -11,7 +11,7 @@
 const runs = Number(process.env.HICKORYBRIDGE_CLAIM_RUNS ?? 60);
 const seed = Number(process.env.HICKORYBRIDGE_CLAIM_SEED ?? 20_261_204);
 
-const retention = 30_000;
+const retention = 20_000;
 const confirmationLimit = 10_000;
 
 /** The keys are few and of one shard, so that claims and repairs meet. */
@@ -20,7 +20,7 @@
 function findKeys(): string[] {
   const names = Array.from({ length: 1_000 }, (_, index) => `key-${index}`);
   const shard = 5;
-  return names.filter((name) => deriveClaimKey('laboratory', name).shard === shard).slice(0, 2);
+  return names.filter((name) => deriveClaimKey('laboratory', name).shard === shard).slice(0, 6);
 }
 
 interface Step {
@@ -34,13 +34,17 @@
 const kinds = [
   'claim',
   'claim',
+  'claim',
+  'claim-twice',
+  'claim-twice',
   'claim-twice',
   'end',
   'pause',
   'cut',
   'heal',
+  'heal',
+  'calm',
   'restart',
-  'stop',
   'believe-dead',
   'believe-alive',
   'new-keeper',
@@ -53,11 +57,12 @@
   'wait-long',
 ] as const;
 
+/** `choice` selects a key or the strength of a fault. */
 const step: fc.Arbitrary<Step> = fc.record({
   kind: fc.constantFrom(...kinds),
   node: fc.nat(7),
   other: fc.nat(7),
-  choice: fc.nat(5),
+  choice: fc.nat(11),
   wait: fc.oneof(fc.nat(50), fc.nat(3_000)),
 });
 
@@ -82,7 +87,7 @@
 
   async run(one: Step): Promise<void> {
     this.#act(one);
-    const wait = one.kind === 'wait-long' ? one.choice * 5_000 : one.wait;
+    const wait = one.kind === 'wait-long' ? one.choice * 2_000 : one.wait;
     await this.cluster.time.advance(wait);
   }
 
@@ -114,15 +119,17 @@
         return cluster.node(target).process.pause(one.wait * 10);
       case 'cut':
         cluster.network.cuts.add(`${target}>${other}`);
-        if (one.choice > 2) cluster.network.cuts.add(`${other}>${target}`);
+        if (one.choice > 5) cluster.network.cuts.add(`${other}>${target}`);
         return undefined;
       case 'heal':
         return this.#heal();
       case 'restart':
         cluster.start(target);
         return undefined;
-      case 'stop':
-        return cluster.stop(target);
+      case 'calm':
+        this.#heal();
+        this.#setStoreFaults(0);
+        return this.#believeAlive();
       case 'believe-dead':
         cluster.live.delete(target);
         return undefined;
@@ -134,11 +141,11 @@
       case 'keep':
         return this.#keepAll();
       case 'store':
-        return this.#setStoreFaults(one.choice);
+        return this.#setStoreFaults(one.choice % 6);
       case 'network':
-        return this.#setNetworkFaults(one.choice);
+        return this.#setNetworkFaults(one.choice % 6);
       case 'spread':
-        return cluster.spread((index) => one.choice < 3 || index % 2 === one.node % 2);
+        return cluster.spread((index) => one.choice < 6 || index % 2 === one.node % 2);
       case 'confirm':
         return this.#confirm(name);
       default:
@@ -173,7 +180,7 @@
     const open = this.#open.shift();
     const grant = open && this.cluster.grants[open.grant];
     if (open === undefined || grant === undefined) return;
-    if (choice < 3) {
+    if (choice % 2 === 0) {
       grant.isReleased = true;
       open.handle.release().catch(() => {});
       return;
--- a/packages/measure/src/measureClaims.ts
+++ b/packages/measure/src/measureClaims.ts
@@ -1,18 +1,12 @@
-import { SimulatedStore } from '@hickorybridge/coordination';
 import { RandomSource, systemClock } from '@hickorybridge/utils';
+import type { MeasureContext, MeasureResult } from './Measure.js';
 
 import { ClaimFleet } from './claims/ClaimFleet.js';
+import { MemoryStore } from './claims/MemoryStore.js';
 import type { FleetNode } from './claims/ClaimFleet.js';
 import { measureMemory } from './claims/measureMemory.js';
 import { measureReplacement } from './claims/measureReplacement.js';
 
-/** What the measure of claims gets. */
-export interface MeasureClaimsOptions {
-  readonly seed: number;
-  /** Prints a line for people. */
-  readonly print: (line: string) => void;
-}
-
 /** Enough that a router is seldom a holder of its own claims. */
 const nodesPerDomain = 16;
 const rounds = 20_000;
@@ -27,10 +21,7 @@
  * callers see while holders are replaced. The baseline is one conditional create in the store for
  * each key, at 1 ms a write and at most 300 writes a second. Takes about a minute.
  */
-export async function measureClaims(
-  options: MeasureClaimsOptions,
-): Promise<Record<string, unknown> & { readonly baseline: unknown }> {
-  const { seed, print } = options;
+export async function measureClaims({ seed, print }: MeasureContext): Promise<MeasureResult> {
   const baseline = await measureBaseline();
   print(`baseline: ${JSON.stringify(baseline)}`);
   const claims = await measureThroughput(seed);
@@ -87,8 +78,7 @@
 }
 
 async function measureBaseline(): Promise<Record<string, number>> {
-  const store = new SimulatedStore(systemClock);
-  store.delayMilliseconds = baselineWriteMilliseconds;
+  const store = new MemoryStore(baselineWriteMilliseconds);
   const startedAt = systemClock.now();
   const writes: Promise<unknown>[] = [];
   while (writes.length < baselineWrites) {
--- a/packages/node/src/Node.ts
+++ b/packages/node/src/Node.ts
@@ -19,6 +19,7 @@
 import type { HttpListener, HttpListenError } from './listeners/HttpListener.js';
 import type { OpenExchanges } from './listeners/OpenExchanges.js';
 import type { Observability } from './Observability.js';
+import { registerGauges, updateControlBytes } from './registerGauges.js';
 import type { EffectiveRouting } from './routing/EffectiveRouting.js';
 import { failed, type RoutedOutcome, type RoutedRequest } from './routing/RoutedRequest.js';
 import type { ObservedRouting, UnobservedRequest } from './routing/ObservedRouting.js';
@@ -55,6 +56,14 @@
   readonly logger: Logger;
 }
 
+/** Whether a node takes requests, and with which deployment. */
+export interface Readiness {
+  readonly ready: boolean;
+  readonly nodeId: string;
+  /** Number of the deployment in effect; 0 before the first. */
+  readonly deploymentNumber: number;
+}
+
 /** One node: a router for callers and the admission side of its host's backend servers. */
 export class Node implements AsyncDisposable {
   readonly #parts: NodeParts;
@@ -65,6 +74,7 @@
 
   constructor(parts: NodeParts) {
     this.#parts = parts;
+    registerGauges(this, parts);
   }
 
   /** True from the start of the graceful shutdown. */
@@ -124,11 +134,18 @@
     return router.route(request);
   }
 
+  /** Describes the readiness for operators, cheaper than the whole status. */
+  readiness(): Readiness {
+    const { identity, routing } = this.#parts;
+    const deploymentNumber = routing.effective?.number ?? 0;
+    return { ready: this.ready(), nodeId: identity.nodeId, deploymentNumber };
+  }
+
   /** Makes the status for operators. */
-  status(): unknown {
+  async status(): Promise<unknown> {
     const { executor, membership, open, pool, routing } = this.#parts;
     return {
-      ...membership.summary(),
+      ...(await membership.fleetSummary()),
       claimViewVersion: this.#parts.views.current()?.version ?? 0,
       keepsClaimView: this.#parts.keeper.holdsLease,
       ready: this.ready(),
@@ -143,6 +160,7 @@
   }
 
   metrics(): string {
+    updateControlBytes(this.#parts);
     return this.#parts.observability.metrics.render();
   }
 
--- a/packages/node/src/admitting/AdmittedBackendServer.ts
+++ b/packages/node/src/admitting/AdmittedBackendServer.ts
@@ -10,6 +10,9 @@
 
 import type { BackendServerClient } from './BackendServerClient.js';
 
+// An error may come much faster than an answer and says nothing about the service time.
+const firstServerError = 500;
+
 /** What an admitted backend server is made of. */
 export interface AdmittedBackendServerOptions {
   readonly announcement: Announcement;
@@ -90,7 +93,8 @@
     signal.removeEventListener('abort', cancel);
     if (outcome.type === 'answered') {
       whenBodyEnds(outcome.body, (complete) => {
-        permit.release(complete ? this.#clock.now() - startedAt : undefined);
+        const usable = complete && outcome.head.status < firstServerError;
+        permit.release(usable ? this.#clock.now() - startedAt : undefined);
       });
       return { ...outcome, report: this.report() };
     }
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -159,7 +159,7 @@
     operators: new HttpListener(
       createOperatorsApplication({
         sharedKey: peers.sharedKey,
-        ready: () => result.ready(),
+        readiness: () => result.readiness(),
         status: () => result.status(),
         metrics: () => result.metrics(),
         explain: (requestId) => result.explain(requestId),
--- a/packages/node/src/listeners/createOperatorsApplication.ts
+++ b/packages/node/src/listeners/createOperatorsApplication.ts
@@ -1,15 +1,16 @@
 import { Hono } from 'hono';
 import { bearerAuth } from 'hono/bearer-auth';
 
+import type { Readiness } from '../Node.js';
 import type { ListenerEnvironment } from './HttpListener.js';
 
 /** What the operators' listener needs. */
 export interface OperatorsApplicationOptions {
   /** Key that operators have to send as a bearer token; none is needed without one. */
   readonly sharedKey: string | undefined;
-  readonly ready: () => boolean;
+  readonly readiness: () => Readiness;
   /** The node's status, as a JSON value. */
-  readonly status: () => unknown;
+  readonly status: () => Promise<unknown>;
   /** Metrics in the text format of Prometheus. */
   readonly metrics: () => string;
   /** What became of a request; `undefined` when it is not remembered. */
@@ -25,11 +26,11 @@
   const application = new Hono<ListenerEnvironment>();
   application.get('/live', (context) => context.json({ live: true }));
   application.get('/ready', (context) => {
-    const ready = options.ready();
-    return context.json({ ready }, ready ? 200 : 503);
+    const readiness = options.readiness();
+    return context.json(readiness, readiness.ready ? 200 : 503);
   });
   if (options.sharedKey !== undefined) application.use(bearerAuth({ token: options.sharedKey }));
-  application.get('/status', (context) => context.json(options.status() as object));
+  application.get('/status', async (context) => context.json((await options.status()) as object));
   application.get('/metrics', (context) => context.text(options.metrics()));
   application.get('/explain/:id', (context) => {
     const explanation = options.explain(context.req.param('id'));
--- a/packages/node/src/routing/RequestTry.ts
+++ b/packages/node/src/routing/RequestTry.ts
@@ -6,6 +6,8 @@
 
 import type { RoutedRequest } from './RoutedRequest.js';
 
+const firstServerError = 500;
+
 /** Sends a request to the node of a backend server; the own node's is reached directly. */
 export type SendToNode = (
   entry: BackendServerEntry,
@@ -62,7 +64,12 @@
     const { clock, entry, request, selector, send } = this.#options;
     selector.sent(entry);
     const span = this.#begin();
-    const head = createHead(request, entry, this.attempts, span?.traceparent);
+    const deadline = this.#deadlineAtBackendServer();
+    const head = createHead(request, entry, {
+      attempts: this.attempts,
+      deadline,
+      traceparent: span?.traceparent,
+    });
     const outcome = await send(entry, head, request, this.#cancellation.signal);
     const elapsedMilliseconds = clock.now() - this.#startedAt;
     this.#record(outcome, span);
@@ -71,13 +78,20 @@
       return outcome;
     }
     const { report, body } = outcome;
+    const serverError = outcome.head.status >= firstServerError;
     selector.observed(entry, report, elapsedMilliseconds);
     whenBodyEnds(body, () =>
-      selector.finished(entry, { type: 'answered', report, elapsedMilliseconds }),
+      selector.finished(entry, { type: 'answered', report, elapsedMilliseconds, serverError }),
     );
     return outcome;
   }
 
+  /** The answer needs the way back, so the work has to end earlier by it. */
+  #deadlineAtBackendServer(): number {
+    const { entry, request, selector } = this.#options;
+    return request.deadline - selector.roundTripTo(entry);
+  }
+
   #begin(): Span | undefined {
     const { entry, hedged, request, tracer } = this.#options;
     const { backendServerId, failureDomain, nodeId, region, service } = entry;
@@ -117,8 +131,7 @@
 function createHead(
   request: RoutedRequest,
   entry: BackendServerEntry,
-  attempts: number,
-  traceparent: string | undefined,
+  own: { attempts: number; deadline: number; traceparent: string | undefined },
 ): RequestHead {
   return {
     requestId: request.requestId,
@@ -131,9 +144,9 @@
     method: request.method,
     target: request.target,
     headers: request.headers,
-    deadline: request.deadline,
+    deadline: own.deadline,
     depth: request.depth,
-    attempts,
-    traceparent: traceparent ?? request.traceparent,
+    attempts: own.attempts,
+    traceparent: own.traceparent ?? request.traceparent,
   };
 }
--- a/packages/node/src/routing/RoutingRun.ts
+++ b/packages/node/src/routing/RoutingRun.ts
@@ -79,13 +79,14 @@
     return this.#selectNow();
   }
 
-  #selectNow(): BackendServerEntry | undefined {
+  #selectNow(hedged = false): BackendServerEntry | undefined {
     const { service, deadline } = this.#request;
     const selection: SelectionRequest = {
       service: service.name,
       deadline,
       expectedBytes,
       excluded: this.#excluded,
+      hedged,
     };
     return this.#options.selector.select(selection);
   }
@@ -128,7 +129,7 @@
       remainingMilliseconds: deadline - now,
     });
     if (!due) return undefined;
-    const entry = this.#selectNow();
+    const entry = this.#selectNow(true);
     if (entry !== undefined) {
       this.#options.observability.metrics.hedges.at(entry.service).add();
       return this.#start(entry, attemptsKept, true);
