--- a/packages/command-line/src/applyDeployment.ts
+++ b/packages/command-line/src/applyDeployment.ts
@@ -9,6 +9,7 @@
 import type { VersionedObject } from '@hickorybridge/coordination';
 import type { PlatformStore } from '@hickorybridge/store';
 import type { Clock } from '@hickorybridge/utils';
+import { match } from 'ts-pattern';
 
 /** One apply. */
 export interface ApplyOptions {
@@ -42,6 +43,9 @@
 /** With the first delay doubled each time, a lost answer is looked for over about three seconds. */
 const resolutionReads = 5;
 
+/** The store holds values up to 1 MB. */
+const maxValueBytes = 1_000_000;
+
 /** Writes a deployment by one conditional update and finds out how it ended. */
 export async function applyDeployment(options: ApplyOptions): Promise<ApplyOutcome> {
   const read = await options.store.read(deploymentKey);
@@ -70,25 +74,31 @@
     appliedBy: operator,
     previousApplyId: current?.applyId,
   };
+  const value = formatAcceptedDeployment(accepted);
+  const bytes = Buffer.byteLength(value);
+  if (bytes > maxValueBytes) {
+    const detail = `the deployment takes ${bytes} bytes, and the store holds at most ${maxValueBytes}`;
+    return { type: 'failed', detail };
+  }
   const outcome = await conditionalUpdate({
     store,
     clock,
     key: deploymentKey,
-    value: formatAcceptedDeployment(accepted),
+    value,
     expectedVersion,
-    isOwn: (value) => applyIdOf(value) === accepted.applyId,
+    isOwn: (standing) => applyIdOf(standing) === accepted.applyId,
     resolutionReads,
   });
-  switch (outcome.type) {
-    case 'done':
-      return { type: 'accepted', accepted };
-    case 'unknown':
-      return { type: 'unknown', applyId: accepted.applyId, detail: outcome.detail };
-    case 'refused':
-      return { type: 'refused', standing: knownStanding(outcome.current) };
-    default:
-      return judgeReplaced(accepted, outcome.current);
-  }
+  const { applyId } = accepted;
+  return match<typeof outcome, ApplyOutcome>(outcome)
+    .with({ type: 'done' }, () => ({ type: 'accepted', accepted }))
+    .with({ type: 'unknown' }, ({ detail }) => ({ type: 'unknown', applyId, detail }))
+    .with({ type: 'refused' }, ({ current: standing }) => ({
+      type: 'refused',
+      standing: knownStanding(standing),
+    }))
+    .with({ type: 'superseded' }, ({ current: standing }) => judgeReplaced(accepted, standing))
+    .exhaustive();
 }
 
 /** The next apply names the one before it, which tells whether ours was accepted in between. */
