--- a/packages/idempotency/src/claimView.ts
+++ b/packages/idempotency/src/claimView.ts
@@ -49,34 +49,67 @@
   readonly shards: readonly ShardView[];
 }
 
+/** The text of a view: each node once, and the shards' holders as places in that list. */
+interface ViewText {
+  readonly fencingToken: number;
+  readonly nodes: readonly HolderCandidate[];
+  readonly shards: readonly ShardText[];
+}
+
+interface ShardText {
+  readonly number: number;
+  readonly id: string;
+  readonly holders: readonly number[];
+  readonly historyStart: number;
+  /** Absent for a shard that is not frozen, which is the usual case. */
+  readonly frozen?: true;
+}
+
 /** Writes a view as the store's text; the version is the store's own. */
 export function serializeView(view: Omit<ClaimView, 'version'>): string {
-  return JSON.stringify({ fencingToken: view.fencingToken, shards: view.shards });
+  const nodes: HolderCandidate[] = [];
+  const placeOf = (holder: HolderCandidate): number => {
+    const place = nodes.findIndex((node) => isSameNode(node, holder));
+    return place >= 0 ? place : nodes.push(holder) - 1;
+  };
+  const shards = view.shards.map(({ number, id, holders, historyStart, frozen }): ShardText => ({
+    number,
+    id,
+    holders: holders.map(placeOf),
+    historyStart,
+    ...(frozen && { frozen }),
+  }));
+  const text: ViewText = { fencingToken: view.fencingToken, nodes, shards };
+  return JSON.stringify(text);
 }
 
 /** Reads a view from the store's text. Gives `undefined` for text that is not a view. */
 export function parseView(text: string, version: number): ClaimView | undefined {
   try {
-    const parsed = JSON.parse(text) as Partial<ClaimView> | null;
+    const parsed = JSON.parse(text) as Partial<ViewText> | null;
     if (typeof parsed?.fencingToken !== 'number') return undefined;
-    if (!Array.isArray(parsed.shards) || !parsed.shards.every(isShardView)) return undefined;
-    if (parsed.shards.length !== shardCount) return undefined;
-    return { version, fencingToken: parsed.fencingToken, shards: parsed.shards };
+    const { fencingToken, nodes, shards: texts } = parsed;
+    if (!Array.isArray(nodes) || !Array.isArray(texts)) return undefined;
+    if (texts.length !== shardCount) return undefined;
+    const shards = texts.map((shardText, shard) => readShard(shardText, shard, nodes));
+    if (!shards.every((shard) => shard !== undefined)) return undefined;
+    return { version, fencingToken, shards };
   } catch {
     return undefined;
   }
 }
 
-function isShardView(value: unknown, index: number): value is ShardView {
-  const view = value as Partial<ShardView> | null;
-  return (
-    view?.shard === index &&
-    Number.isInteger(view.number) &&
-    typeof view.id === 'string' &&
-    typeof view.frozen === 'boolean' &&
-    Array.isArray(view.holders) &&
-    view.holders.length === holderCount
-  );
+function readShard(
+  text: ShardText,
+  shard: number,
+  nodes: readonly HolderCandidate[],
+): ShardView | undefined {
+  const { number, id, historyStart } = text;
+  const holders = text.holders.map((place) => nodes[place]);
+  if (!holders.every((holder) => holder !== undefined)) return undefined;
+  if (!Number.isInteger(number) || typeof id !== 'string') return undefined;
+  if (holders.length !== holderCount || typeof historyStart !== 'number') return undefined;
+  return { shard, number, id, holders, historyStart, frozen: text.frozen === true };
 }
 
 /** Whether two identities are the same run of the same node. */
--- a/packages/membership/src/CountingChannel.ts
+++ b/packages/membership/src/CountingChannel.ts
@@ -91,7 +91,8 @@
     if (result.ok) {
       this.#bytesReceived += this.#sizeOf(result.value);
       this.#noteAnswer(nodeId);
-    } else {
+    } else if (result.error.type !== 'rejected') {
+      // A rejected call says nothing about the contact: the own budget may have stopped it.
       this.#noteFailure(nodeId, startedAt);
     }
     return result;
--- a/packages/node/src/Node.ts
+++ b/packages/node/src/Node.ts
@@ -4,6 +4,7 @@
 import type { Membership } from '@hickorybridge/membership';
 import type { PeerPool } from '@hickorybridge/peer-protocol';
 import {
+  Distance,
   Outcome,
   ProblemName,
   succeed,
@@ -19,6 +20,7 @@
 import type { KeyedRequests } from './claiming/KeyedRequests.js';
 import type { HttpListener, HttpListenError } from './listeners/HttpListener.js';
 import type { OpenExchanges } from './listeners/OpenExchanges.js';
+import type { MeasuringBudget } from './MeasuringBudget.js';
 import type { Observability } from './Observability.js';
 import { registerGauges, updateControlBytes } from './registerGauges.js';
 import type { EffectiveRouting } from './routing/EffectiveRouting.js';
@@ -50,6 +52,7 @@
   readonly observability: Observability;
   readonly observedRouting: ObservedRouting;
   readonly keyedRequests: KeyedRequests;
+  readonly budget: MeasuringBudget;
   readonly keeper: KeeperDuty;
   readonly views: ViewRegister;
   /** Aborts the requests that go on without their callers. */
@@ -157,6 +160,7 @@
     const { executor, membership, open, pool, routing } = this.#parts;
     return {
       ...(await membership.fleetSummary()),
+      measuring: this.#describeMeasuring(),
       claimViewVersion: this.#parts.views.current()?.version ?? 0,
       keepsClaimView: this.#parts.keeper.holdsLease,
       ready: this.ready(),
@@ -261,6 +265,19 @@
     return finished;
   }
 
+  #describeMeasuring(): unknown {
+    const { budget, pool } = this.#parts;
+    const { sameFailureDomain, sameRegion, otherRegion } = Distance;
+    const spent = (distance: Distance) => pool.traffic.countOf(distance, 'control').bytes;
+    return {
+      regionBytes: spent(sameFailureDomain) + spent(sameRegion),
+      regionBytesPerSecondAllowed: budget.rate(sameRegion),
+      linkBytes: spent(otherRegion),
+      linkBytesPerSecondAllowed: budget.rate(otherRegion),
+      rejectedCalls: budget.rejectedCalls,
+    };
+  }
+
   #listBackendServers(): unknown[] {
     const { executor, membership } = this.#parts;
     const load = new Map(
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -23,6 +23,7 @@
 import { HttpListener } from './listeners/HttpListener.js';
 import { OpenExchanges } from './listeners/OpenExchanges.js';
 import { Node } from './Node.js';
+import { MeasuringBudget } from './MeasuringBudget.js';
 import type { Observability } from './Observability.js';
 import { ObservedExecutor } from './ObservedExecutor.js';
 import { createRequestIds } from './requestIds.js';
@@ -58,7 +59,13 @@
   const executor = new AdmissionExecutor(identity);
   const observedExecutor = new ObservedExecutor(executor, observability, clock);
   let membership: Membership;
+  let routing: EffectiveRouting;
   let result: Node;
+  const budget = new MeasuringBudget({
+    settings: () => routing.effective?.deployment.measuring,
+    nodesInRegion: () => membership.nodes().filter(({ region }) => region === node.region).length,
+    clock,
+  });
   const pool = new PeerPool({
     endpoint: {
       identity,
@@ -68,6 +75,8 @@
     },
     addressOf: (nodeId) => membership.peerAddressOf(nodeId),
     executor: observedExecutor,
+    budget,
+    requestCallPrefix: claimsPrefix,
     introduced: (introduction) => {
       membership.noticeDeploymentNumber(
         introduction.identity.nodeId,
@@ -95,7 +104,7 @@
     entry.nodeId === identity.nodeId
       ? observedExecutor.execute(head, request.body, signal)
       : pool.execute(entry.nodeId, head, request.body, signal);
-  const routing = new EffectiveRouting({
+  routing = new EffectiveRouting({
     directory: membership,
     context: { location, nodeId: identity.nodeId },
     send,
@@ -139,6 +148,7 @@
     observability,
     observedRouting: new ObservedRouting(observability, clock),
     keyedRequests,
+    budget,
     keeper,
     views,
     ending,
--- a/packages/peer-protocol/src/PeerConnection.ts
+++ b/packages/peer-protocol/src/PeerConnection.ts
@@ -12,12 +12,13 @@
 } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
 
+import type { ControlBudget } from './ControlBudget.js';
 import { BodyMode, FrameType, type Frame, type OpenFrame } from './frame.js';
 import type { FrameSocket } from './FrameSocket.js';
 import { IncomingStream } from './IncomingStream.js';
 import { OutgoingStream, type StreamConnection } from './OutgoingStream.js';
 import type { PeerIntroduction } from './performHandshake.js';
-import type { PeerTraffic } from './PeerTraffic.js';
+import { TrafficClass, trafficClassOf, type PeerTraffic } from './PeerTraffic.js';
 import type { ExecutionOutcome, RequestBody, RequestExecutor } from './RequestExecutor.js';
 
 const heartbeatWhenWaitingMilliseconds = 1000;
@@ -38,6 +39,9 @@
   readonly executor: RequestExecutor;
   readonly handlers: ReadonlyMap<string, ControlHandler>;
   readonly traffic: PeerTraffic;
+  readonly budget: ControlBudget;
+  /** Calls whose names start so belong to requests and not to control. */
+  readonly requestCallPrefix: string;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -132,6 +136,10 @@
     timeoutMilliseconds: number,
   ): Promise<Result<unknown, ControlCallError>> {
     if (this.closed) return fail({ type: 'unreachable', detail: 'the connection is closed' });
+    const control = this.#classOfCall(name) === TrafficClass.control;
+    if (control && !this.#options.budget.permits(name, this.#options.distance)) {
+      return fail({ type: 'rejected', detail: 'the budget for control traffic is used up' });
+    }
     const call = this.#nextCall;
     this.#nextCall += 1;
     return new Promise((resolve) => {
@@ -140,14 +148,16 @@
         timeoutMilliseconds,
       );
       this.#calls.set(call, { resolve, timer });
-      this.send({ type: FrameType.call, call, name, body });
+      this.send({ type: FrameType.call, call, name, body }, this.#classOfCall(name));
     });
   }
 
-  send(frame: Frame): void {
+  send(frame: Frame, trafficClass: TrafficClass = trafficClassOf(frame)): void {
     if (this.closed) return;
-    const bytes = this.#options.socket.write(frame);
-    this.#options.traffic.add(this.#options.distance, frame, bytes);
+    const { budget, distance, socket, traffic } = this.#options;
+    const bytes = socket.write(frame);
+    traffic.add(distance, trafficClass, bytes);
+    if (trafficClass === TrafficClass.control) budget.spend(distance, bytes);
   }
 
   sendWhenWritable(frame: Frame): Promise<void> | undefined {
@@ -306,6 +316,7 @@
   }
 
   async #answerCall(call: number, name: string, body: unknown): Promise<void> {
+    const trafficClass = this.#classOfCall(name);
     const handler = this.#options.handlers.get(name);
     if (handler === undefined) {
       const error = `control call "${name}" is not known`;
@@ -314,12 +325,18 @@
     }
     try {
       const reply: unknown = await handler(body, this.identity);
-      this.send({ type: FrameType.reply, call, error: undefined, body: reply ?? null });
+      const frame: Frame = { type: FrameType.reply, call, error: undefined, body: reply ?? null };
+      this.send(frame, trafficClass);
     } catch (error) {
       this.send({ type: FrameType.reply, call, error: String(error), body: null });
     }
   }
 
+  #classOfCall(name: string): TrafficClass {
+    const forRequest = name.startsWith(this.#options.requestCallPrefix);
+    return forRequest ? TrafficClass.request : TrafficClass.control;
+  }
+
   #receiveReply(call: number, error: string | undefined, body: unknown): void {
     const reply = error === undefined ? succeed(body) : fail({ type: 'rejected', detail: error });
     this.#settleCall(call, reply as Result<unknown, ControlCallError>);
--- a/packages/peer-protocol/src/PeerPool.ts
+++ b/packages/peer-protocol/src/PeerPool.ts
@@ -14,6 +14,7 @@
 import type { Clock } from '@hickorybridge/utils';
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
 
+import { unlimitedControlBudget, type ControlBudget } from './ControlBudget.js';
 import { FrameSocket } from './FrameSocket.js';
 import type { LocalEndpoint } from './handshake.js';
 import { PeerConnection } from './PeerConnection.js';
@@ -28,6 +29,8 @@
 
 const dialTimeoutMilliseconds = 1000;
 const tickMilliseconds = 500;
+// No name of a call starts with this character.
+const noPrefix = '\u0000';
 // Bounds the memory that processes without the shared key can take.
 const maxPendingHandshakes = 256;
 
@@ -38,6 +41,10 @@
   readonly addressOf: (nodeId: string) => SocketAddress | undefined;
   /** Runs the requests that peers send to this node. */
   readonly executor: RequestExecutor;
+  /** Limits control traffic; by default there is no limit. */
+  readonly budget?: ControlBudget;
+  /** Calls whose names start so belong to requests and are not limited. */
+  readonly requestCallPrefix?: string;
   /** Is told of each handshake, with the peer's deployment number. */
   readonly introduced?: (introduction: PeerIntroduction) => void;
   readonly clock: Clock;
@@ -233,6 +240,8 @@
       executor,
       handlers: this.#handlers,
       traffic: this.traffic,
+      budget: this.#options.budget ?? unlimitedControlBudget,
+      requestCallPrefix: this.#options.requestCallPrefix ?? noPrefix,
       clock,
       logger,
     });
--- a/packages/peer-protocol/src/PeerTraffic.ts
+++ b/packages/peer-protocol/src/PeerTraffic.ts
@@ -25,8 +25,8 @@
     [Distance.otherRegion]: emptyCounts(),
   };
 
-  add(distance: Distance, frame: Frame, bytes: number): void {
-    const count = this.#counts[distance][classOf(frame)];
+  add(distance: Distance, trafficClass: TrafficClass, bytes: number): void {
+    const count = this.#counts[distance][trafficClass];
     count.bytes += bytes;
     count.frames += 1;
   }
@@ -41,7 +41,8 @@
   }
 }
 
-function classOf(frame: Frame): TrafficClass {
+/** Gives the class of a frame that is not a control call or its reply. */
+export function trafficClassOf(frame: Frame): TrafficClass {
   switch (frame.type) {
     case FrameType.open:
     case FrameType.body:
--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -1,4 +1,5 @@
 export * from './AnswerBody.js';
+export * from './ControlBudget.js';
 export * from './PeerConnection.js';
 export * from './PeerPool.js';
 export * from './PeerTraffic.js';
