--- a/packages/peer-protocol/src/PeerConnection.ts
+++ b/packages/peer-protocol/src/PeerConnection.ts
@@ -90,6 +90,16 @@
     this.#lastTickAt = this.#lastReceivedAt;
   }
 
+  /** Whether this side has dialled. */
+  get dialled(): boolean {
+    return this.#options.dialled;
+  }
+
+  /** Time since the last byte of the peer, in milliseconds. */
+  get silentMilliseconds(): number {
+    return this.#options.clock.now() - this.#lastReceivedAt;
+  }
+
   get closed(): boolean {
     return this.#options.socket.closed;
   }
--- a/packages/peer-protocol/src/PeerPool.ts
+++ b/packages/peer-protocol/src/PeerPool.ts
@@ -29,6 +29,8 @@
 
 const dialTimeoutMilliseconds = 1000;
 const tickMilliseconds = 500;
+// Both sides have long since chosen the other connection by then.
+const spareMilliseconds = 5000;
 // No name of a call starts with this character.
 const noPrefix = '\u0000';
 // Bounds the memory that processes without the shared key can take.
@@ -251,14 +253,21 @@
     return connection;
   }
 
-  /** Keeps the first open connection with an incarnation; a newer incarnation replaces it. */
+  /**
+   * Chooses the connection that is used with a node. Two nodes that dial each other at the same
+   * moment both choose the one that was dialled by the node whose name comes first.
+   */
   #register(connection: PeerConnection): void {
     const { nodeId, incarnation } = connection.identity;
     this.#all.add(connection);
     const existing = this.#openConnection(nodeId);
-    if (existing === undefined || existing.identity.incarnation < incarnation) {
-      this.#connections.set(nodeId, connection);
-    }
+    const newer = existing === undefined || existing.identity.incarnation < incarnation;
+    if (newer || this.#isPreferred(connection)) this.#connections.set(nodeId, connection);
+  }
+
+  #isPreferred({ dialled, identity }: PeerConnection): boolean {
+    const ownFirst = this.#options.endpoint.identity.nodeId < identity.nodeId;
+    return dialled === ownFirst;
   }
 
   async #supervise(connection: PeerConnection): Promise<void> {
@@ -287,7 +296,17 @@
   }
 
   #tick(): void {
-    for (const connection of this.#all) connection.tick();
+    for (const connection of this.#all) {
+      connection.tick();
+      if (this.#isSpare(connection)) connection[Symbol.asyncDispose]();
+    }
+  }
+
+  /** A second connection with a node, which neither side uses any more. */
+  #isSpare(connection: PeerConnection): boolean {
+    if (!connection.dialled || connection.outstanding > 0) return false;
+    if (this.#connections.get(connection.identity.nodeId) === connection) return false;
+    return connection.silentMilliseconds > spareMilliseconds;
   }
 }
 
--- a/packages/peer-protocol/src/__tests__/PeerPool.test.ts
+++ b/packages/peer-protocol/src/__tests__/PeerPool.test.ts
@@ -181,3 +181,22 @@
   const reply = await first.call('second', 'ping', {}, 500);
   assert.deepEqual(reply, { ok: true, value: 'pong' });
 });
+
+test('two nodes that dial each other at once keep one connection', async () => {
+  const addresses = new Map<string, SocketAddress>();
+  await using first = await createPool({ nodeId: 'first', executor: echoing, addresses });
+  await using second = await createPool({ nodeId: 'second', executor: echoing, addresses });
+  for (const pool of [first, second]) pool.handle('ping', () => 'pong');
+  const replies = await Promise.all([
+    first.call('second', 'ping', {}, 500),
+    second.call('first', 'ping', {}, 500),
+  ]);
+  assert.deepEqual(
+    replies.map((reply) => reply.ok),
+    [true, true],
+  );
+  await systemClock.sleep(7000);
+  assert.deepEqual([first.size, second.size], [1, 1]);
+  const reply = await second.call('first', 'ping', {}, 500);
+  assert.deepEqual(reply, { ok: true, value: 'pong' });
+});
