Tell a deadline that passed while a request ran from a lost connection

Change: a lost try carries its cause over the peer protocol, and the caller is told deadline-exceeded. An older peer's frame without the field reads as a lost connection.

--- a/packages/node/src/admitting/BackendServerExchange.ts
+++ b/packages/node/src/admitting/BackendServerExchange.ts
@@ -1,4 +1,4 @@
-import { maxWholeBodyBytes, type AnswerBody } from '@hickorybridge/peer-protocol';
+import { LossCause, maxWholeBodyBytes, type AnswerBody } from '@hickorybridge/peer-protocol';
 import type { AnswerHead, HeaderList } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
 import { Readable } from 'node:stream';
@@ -18,7 +18,7 @@
       readonly reason:
         'connection-refused' | 'backend-server-shed' | 'deadline-passed' | 'cancelled';
     }
-  | { readonly type: 'lost'; readonly detail: string };
+  | { readonly type: 'lost'; readonly cause: LossCause; readonly detail: string };
 
 /** One request to a backend server and its answer, as undici's client reports them. */
 export class BackendServerExchange implements Dispatcher.DispatchHandler {
@@ -111,13 +111,21 @@
   onResponseError(_controller: Controller | null, error: Error): void {
     this.#stream?.destroy(error);
     if (this.#written) {
-      const detail = `request to the backend server failed: ${error.message}`;
-      this.#settle({ type: 'lost', detail });
+      this.#settle(this.#describeLoss(error));
       return;
     }
     this.#settle({ type: 'not-run', reason: this.#cancelReason ?? 'connection-refused' });
   }
 
+  #describeLoss(error: Error): BackendServerOutcome {
+    if (this.#cancelReason === 'deadline-passed') {
+      const detail = 'the deadline passed while the request ran';
+      return { type: 'lost', cause: LossCause.deadline, detail };
+    }
+    const detail = `request to the backend server failed: ${error.message}`;
+    return { type: 'lost', cause: LossCause.connection, detail };
+  }
+
   #startStream(head: AnswerHead): void {
     const stream = new Readable({
       read: () => this.#controller?.resume(),
--- a/packages/node/src/routing/RoutingRun.ts
+++ b/packages/node/src/routing/RoutingRun.ts
@@ -1,4 +1,4 @@
-import type { ExecutionOutcome } from '@hickorybridge/peer-protocol';
+import { LossCause, type ExecutionOutcome } from '@hickorybridge/peer-protocol';
 import {
   attemptsForTry,
   retryDecision,
@@ -193,6 +193,8 @@
   }
 
   #explainStop(reason: StopReason, last: ExecutionOutcome): RoutedOutcome {
+    const late = last.type === 'lost' && last.cause === LossCause.deadline;
+    if (late) return this.#fail(ProblemName.deadlineExceeded, describe(last));
     const withoutPermission = this.#mayHaveRun
       ? ProblemName.connectionLost
       : ProblemName.overloaded;
--- a/packages/peer-protocol/src/IncomingStream.ts
+++ b/packages/peer-protocol/src/IncomingStream.ts
@@ -4,7 +4,12 @@
 import { CreditWindow, streamWindowBytes } from './flowControl.js';
 import { BodyMode, FrameType, type OpenFrame } from './frame.js';
 import type { StreamConnection } from './OutgoingStream.js';
-import type { ExecutionOutcome, RequestBody, RequestExecutor } from './RequestExecutor.js';
+import {
+  LossCause,
+  type ExecutionOutcome,
+  type RequestBody,
+  type RequestExecutor,
+} from './RequestExecutor.js';
 import { sendBody } from './sendBody.js';
 
 /** A request that a peer has sent to this process. */
@@ -81,7 +86,12 @@
         });
         return;
       case 'lost':
-        this.#connection.send({ type: FrameType.abort, stream, detail: outcome.detail });
+        this.#connection.send({
+          type: FrameType.abort,
+          stream,
+          detail: outcome.detail,
+          deadlinePassed: outcome.cause === LossCause.deadline,
+        });
         return;
       default:
         await this.#sendAnswer(outcome);
@@ -106,7 +116,7 @@
       if (!complete) body.destroy();
     } catch (error) {
       const detail = `the body of the answer broke off: ${String(error)}`;
-      this.#connection.send({ type: FrameType.abort, stream, detail });
+      this.#connection.send({ type: FrameType.abort, stream, detail, deadlinePassed: false });
     }
   }
 }
--- a/packages/peer-protocol/src/OutgoingStream.ts
+++ b/packages/peer-protocol/src/OutgoingStream.ts
@@ -9,7 +9,7 @@
   type Frame,
   type RefuseFrame,
 } from './frame.js';
-import type { ExecutionOutcome } from './RequestExecutor.js';
+import { LossCause, type ExecutionOutcome } from './RequestExecutor.js';
 import { sendBody } from './sendBody.js';
 
 /** What a stream needs from its connection. */
@@ -57,7 +57,8 @@
       );
     } catch (error) {
       const detail = `the body of the request broke off: ${String(error)}`;
-      this.#connection.send({ type: FrameType.abort, stream: this.#stream, detail });
+      const stream = this.#stream;
+      this.#connection.send({ type: FrameType.abort, stream, detail, deadlinePassed: false });
     }
   }
 
@@ -93,13 +94,13 @@
   }
 
   aborted(frame: AbortFrame): void {
-    this.lost(frame.detail);
+    this.lost(frame.detail, frame.deadlinePassed ? LossCause.deadline : LossCause.connection);
   }
 
   /** The stream cannot be completed: the peer said so, or the connection is gone. */
-  lost(detail: string): void {
+  lost(detail: string, cause: LossCause = LossCause.connection): void {
     this.#finish();
-    this.#settle({ type: 'lost', detail });
+    this.#settle({ type: 'lost', cause, detail });
     this.#body?.destroy(new Error(detail));
   }
 
--- a/packages/peer-protocol/src/RequestExecutor.ts
+++ b/packages/peer-protocol/src/RequestExecutor.ts
@@ -9,6 +9,16 @@
   | { readonly type: 'buffered'; readonly data: Buffer }
   | { readonly type: 'stream'; readonly stream: Readable };
 
+/** Why it is not known whether a request ran. */
+export const LossCause = {
+  /** A connection broke, or a peer stopped answering. */
+  connection: 'connection',
+  /** The deadline passed while the request ran. */
+  deadline: 'deadline',
+} as const;
+
+export type LossCause = (typeof LossCause)[keyof typeof LossCause];
+
 /** How the execution of a request at a backend server's node ended. */
 export type ExecutionOutcome =
   | {
@@ -24,7 +34,7 @@
       readonly report: LoadReport | undefined;
     }
   /** The request may have run. */
-  | { readonly type: 'lost'; readonly detail: string };
+  | { readonly type: 'lost'; readonly cause: LossCause; readonly detail: string };
 
 /** Runs requests at a backend server: at the own host, or at a peer over its connection. */
 export interface RequestExecutor {
--- a/packages/peer-protocol/src/frame.ts
+++ b/packages/peer-protocol/src/frame.ts
@@ -111,6 +111,8 @@
   readonly type: typeof FrameType.abort;
   readonly stream: number;
   readonly detail: string;
+  /** True when the deadline passed while the request ran. */
+  readonly deadlinePassed: boolean;
 }
 
 export interface CancelFrame {
--- a/packages/peer-protocol/src/frameCodec.ts
+++ b/packages/peer-protocol/src/frameCodec.ts
@@ -94,7 +94,7 @@
     case FrameType.refuse:
       return [frame.type, frame.stream, frame.reason, reportToWire(frame.report)];
     case FrameType.abort:
-      return [frame.type, frame.stream, frame.detail];
+      return [frame.type, frame.stream, frame.detail, frame.deadlinePassed];
     case FrameType.cancel:
       return [frame.type, frame.stream];
     case FrameType.heartbeat:
@@ -180,7 +180,13 @@
         report: reportFromWire(reader.nested()),
       };
     case FrameType.abort:
-      return { type, stream: reader.count(), detail: reader.string() };
+      return {
+        type,
+        stream: reader.count(),
+        detail: reader.string(),
+        // Version 1 of the protocol has no such field.
+        deadlinePassed: reader.any() === true,
+      };
     case FrameType.cancel:
       return { type, stream: reader.count() };
     case FrameType.heartbeat:
