--- a/packages/admission/src/AdmissionQueue.ts
+++ b/packages/admission/src/AdmissionQueue.ts
@@ -20,11 +20,11 @@
  * Share of the dispatches that each kind with waiting requests gets, whatever its weight. Without
  * it a kind of low weight would never run while a kind of high weight saturates the backend server.
  */
-const GUARANTEED_SHARE = 0.05;
+const guaranteedShare = 0.05;
 /** Dispatches over which shares are counted: old ones decay by this factor with each new one. */
-const DISPATCH_DECAY = 0.98;
+const dispatchDecay = 0.98;
 /** Places that a kind keeps in a full queue. */
-const GUARANTEED_PLACES = 1;
+const guaranteedPlaces = 1;
 
 /** Waiting requests of one backend server, ordered by depth, weight and deadline. */
 export class AdmissionQueue<Entry extends QueuedRequest> {
@@ -75,7 +75,7 @@
   countDispatch(request: AdmissionRequest): void {
     this.#dispatched = 0;
     for (const queue of this.#kinds.values()) {
-      queue.dispatched *= DISPATCH_DECAY;
+      queue.dispatched *= dispatchDecay;
       this.#dispatched += queue.dispatched;
     }
     this.#kindQueueOf(request).dispatched += 1;
@@ -100,7 +100,7 @@
   findVictim(request: AdmissionRequest): Entry | undefined {
     let victimKind: KindQueue<Entry> | undefined;
     for (const queue of this.#kinds.values()) {
-      if (queue.entries.length <= GUARANTEED_PLACES) continue;
+      if (queue.entries.length <= guaranteedPlaces) continue;
       if (victimKind === undefined || queue.weight < victimKind.weight) victimKind = queue;
     }
     const victim = victimKind?.entries.at(-1);
@@ -112,7 +112,7 @@
 
   #hasGuaranteedPlace(request: AdmissionRequest): boolean {
     const queue = this.#kinds.get(request.kind);
-    return queue === undefined || queue.entries.length < GUARANTEED_PLACES;
+    return queue === undefined || queue.entries.length < guaranteedPlaces;
   }
 
   #kindQueueOf(request: AdmissionRequest): KindQueue<Entry> {
@@ -127,7 +127,7 @@
     let starving: KindQueue<Entry> | undefined;
     for (const queue of this.#kinds.values()) {
       if (queue.entries.length === 0) continue;
-      if (queue.dispatched >= GUARANTEED_SHARE * this.#dispatched) continue;
+      if (queue.dispatched >= guaranteedShare * this.#dispatched) continue;
       if (starving === undefined || queue.dispatched < starving.dispatched) starving = queue;
     }
     return starving;
--- a/packages/admission/src/ConcurrencyLimit.ts
+++ b/packages/admission/src/ConcurrencyLimit.ts
@@ -1,21 +1,21 @@
 /** Ratio of service time to its reference above which saturation is suspected. */
-const SATURATION_RATIO = 1.4;
+const saturationRatio = 1.4;
 /** Factor of one reduction: large enough that its effect shows through the noise of a window. */
-const REDUCTION_FACTOR = 0.7;
+const reductionFactor = 0.7;
 /** Growth of the limit after a window in which it was in use and the service time was good. */
-const GROWTH_FACTOR = 0.15;
+const growthFactor = 0.15;
 /**
  * Completions in a window at least. With service times that vary by half of their mean, the means
  * of two windows of 30 differ by 13% from chance alone; a trial has to tell 1 from 0.7.
  */
-const MINIMUM_WINDOW_SAMPLES = 30;
+const minimumWindowSamples = 30;
 /** Completions in a window, in multiples of the limit. */
-const WINDOW_SAMPLES_PER_PLACE = 3;
+const windowSamplesPerPlace = 3;
 /**
  * Time between trial reductions while the limit is in constant use, in milliseconds. They find out
  * that a reference time was learnt from a saturated backend server.
  */
-const TRIAL_INTERVAL = 3_000;
+const trialInterval = 3_000;
 
 /** A reduction whose effect is not known yet. */
 interface Trial {
@@ -84,7 +84,7 @@
     }
     this.#window.samples += 1;
     this.#window.ratioSum += ratio;
-    const wanted = Math.max(MINIMUM_WINDOW_SAMPLES, this.value * WINDOW_SAMPLES_PER_PLACE);
+    const wanted = Math.max(minimumWindowSamples, this.value * windowSamplesPerPlace);
     if (this.#window.samples < wanted) return 1;
     const window = this.#window;
     this.#window = emptyWindow();
@@ -96,13 +96,13 @@
     if (this.#trial !== undefined) return this.#concludeTrial(this.#trial, ratio);
     if (!window.used) return 1;
     const suspectedBefore = this.#suspected;
-    this.#suspected = ratio > SATURATION_RATIO;
+    this.#suspected = ratio > saturationRatio;
     if (this.#suspected && !suspectedBefore) return 1;
-    const trialDue = now - this.#lastTrialAt >= TRIAL_INTERVAL;
+    const trialDue = now - this.#lastTrialAt >= trialInterval;
     if (this.#suspected || trialDue) {
       this.#startTrial(ratio, now);
     } else {
-      this.#limit = Math.min(this.#maximum, this.#limit + Math.max(1, this.#limit * GROWTH_FACTOR));
+      this.#limit = Math.min(this.#maximum, this.#limit + Math.max(1, this.#limit * growthFactor));
     }
     return 1;
   }
@@ -112,7 +112,7 @@
     if (this.value <= 1) return;
     this.#trial = { limitBefore: this.#limit, ratioBefore: ratio };
     this.#settling = this.value;
-    this.#limit = Math.max(1, this.#limit * REDUCTION_FACTOR);
+    this.#limit = Math.max(1, this.#limit * reductionFactor);
   }
 
   #concludeTrial(trial: Trial, ratio: number): number {
--- a/packages/admission/src/LimitedAdmission.ts
+++ b/packages/admission/src/LimitedAdmission.ts
@@ -19,25 +19,25 @@
   /** Time until a cold backend server takes its full share, in milliseconds. */
   readonly rampMilliseconds: number;
   readonly clock: Clock;
-  /** Queued requests at most; `QUEUE_PLACES_PER_SLOT` times the slots by default. */
+  /** Queued requests at most; `queuePlacesPerSlot` times the slots by default. */
   readonly queueLimit?: number | undefined;
 }
 
 /** Share of the limit that a cold backend server starts with. */
-const INITIAL_RAMP_SHARE = 0.25;
+const initialRampShare = 0.25;
 /**
  * Bounds the queue where deadlines are long. A shorter queue refuses in bursts that it could have
  * served in time, and the further tries use up the retry budget.
  */
-const QUEUE_PLACES_PER_SLOT = 8;
+const queuePlacesPerSlot = 8;
 /** Requests of the smoothed service time that unfinished requests are averaged with. */
-const STUCK_PRIOR_SAMPLES = 4;
+const stuckPriorSamples = 4;
 /** Share of the limit in use up to which service times count as those without saturation. */
-const UNSATURATED_SHARE = 0.5;
+const unsaturatedShare = 0.5;
 /** Bounds what one very late answer adds to the mean ratio of a window. */
-const MAXIMUM_RATIO = 10;
+const maximumRatio = 10;
 /** Shortest sleep of the queue watch, in milliseconds, so that it cannot spin. */
-const MINIMUM_WATCH_SLEEP = 1;
+const minimumWatchSleep = 1;
 
 interface Waiting extends QueuedRequest {
   readonly settle: (outcome: AdmissionOutcome) => void;
@@ -78,7 +78,7 @@
     this.#settings = settings;
     this.#clock = settings.clock;
     this.#startedAt = settings.clock.now();
-    this.#queueLimit = settings.queueLimit ?? settings.slots * QUEUE_PLACES_PER_SLOT;
+    this.#queueLimit = settings.queueLimit ?? settings.slots * queuePlacesPerSlot;
     const maximum = Math.max(1, Math.min(settings.slots, settings.connections));
     this.#limit = new ConcurrencyLimit(maximum, this.#startedAt);
   }
@@ -199,10 +199,10 @@
   }
 
   #recordServiceTime(request: AdmissionRequest, milliseconds: number): void {
-    const unsaturated = this.#inFlight.size < this.#limit.value * UNSATURATED_SHARE;
+    const unsaturated = this.#inFlight.size < this.#limit.value * unsaturatedShare;
     const now = this.#clock.now();
     const ratio = this.#serviceTimes.record(request.kind, milliseconds, now, unsaturated);
-    const factor = this.#limit.completed(Math.min(ratio, MAXIMUM_RATIO), now);
+    const factor = this.#limit.completed(Math.min(ratio, maximumRatio), now);
     if (factor !== 1) this.#serviceTimes.scaleReferences(factor);
   }
 
@@ -215,7 +215,7 @@
     const { rampMilliseconds } = this.#settings;
     if (rampMilliseconds <= 0) return 1;
     const progress = Math.min(1, (this.#clock.now() - this.#startedAt) / rampMilliseconds);
-    return INITIAL_RAMP_SHARE + (1 - INITIAL_RAMP_SHARE) * progress;
+    return initialRampShare + (1 - initialRampShare) * progress;
   }
 
   /**
@@ -225,9 +225,9 @@
   #expectedServiceTime(): number {
     const { smoothed } = this.#serviceTimes;
     const now = this.#clock.now();
-    let sum = smoothed * STUCK_PRIOR_SAMPLES;
+    let sum = smoothed * stuckPriorSamples;
     for (const startedAt of this.#inFlight.values()) sum += Math.max(smoothed, now - startedAt);
-    return sum / (STUCK_PRIOR_SAMPLES + this.#inFlight.size);
+    return sum / (stuckPriorSamples + this.#inFlight.size);
   }
 
   #startWatch(): void {
@@ -246,7 +246,7 @@
       const next = this.#queue
         .entries()
         .reduce((earliest, { request }) => Math.min(earliest, this.#lastStart(request)), Infinity);
-      this.#watchUntil = Math.max(now + MINIMUM_WATCH_SLEEP, next);
+      this.#watchUntil = Math.max(now + minimumWatchSleep, next);
       this.#watchWake = new AbortController();
       await this.#clock.sleep(this.#watchUntil - now, this.#watchWake.signal);
       this.#watchUntil = Infinity;
--- a/packages/admission/src/ServiceTimes.ts
+++ b/packages/admission/src/ServiceTimes.ts
@@ -1,10 +1,10 @@
 /** Share of a new sample in the smoothed service time. */
 const SMOOTHING = 0.2;
 /** Share of a new sample in a kind's reference time, which has to outlast a short disturbance. */
-const REFERENCE_SMOOTHING = 0.02;
+const referenceSmoothing = 0.02;
 
 /** Samples of a kind that are averaged into its reference time in any case. */
-const FIRST_SAMPLES = 20;
+const firstSamples = 20;
 /**
  * Time constant by which older samples lose their weight when new ones are rare, in milliseconds.
  * A backend server that was slow and then got little work recovers with its first fast answers.
@@ -51,8 +51,8 @@
       smoothingShare(times.samples, now - times.lastAt) * (milliseconds - times.smoothed);
     times.lastAt = now;
     const ratio = milliseconds / times.reference;
-    if (updateReference || times.samples <= FIRST_SAMPLES) {
-      const share = Math.max(1 / times.samples, REFERENCE_SMOOTHING);
+    if (updateReference || times.samples <= firstSamples) {
+      const share = Math.max(1 / times.samples, referenceSmoothing);
       times.reference += share * (milliseconds - times.reference);
     }
     return ratio;
--- a/packages/coordination/src/RetryBudget.ts
+++ b/packages/coordination/src/RetryBudget.ts
@@ -45,6 +45,11 @@
     return true;
   }
 
+  /** Gives a permission back that was not used. */
+  giveBack(): void {
+    this.#add(1);
+  }
+
   #fill(): void {
     const now = this.#options.clock.now();
     const elapsedSeconds = Math.max(0, now - this.#filledAt) / 1000;
--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -1,2 +1,3 @@
 export * from './Logger.js';
 export * from './createLogger.js';
+export * from './logTaskFailure.js';
--- a/packages/measure/src/control/DirectWatchFleet.ts
+++ b/packages/measure/src/control/DirectWatchFleet.ts
@@ -9,10 +9,10 @@
   readonly nodes: number;
 }
 
-const STORE_MILLISECONDS = 3;
-const STORE_CALLS_PER_SECOND = 2000;
-const WATCH_MILLISECONDS = 20_000;
-const RETRY_MILLISECONDS = 1000;
+const storeMilliseconds = 3;
+const storeCallsPerSecond = 2000;
+const watchMilliseconds = 20_000;
+const retryMilliseconds = 1000;
 const PREFIXES = ['deployment/', 'verdicts/'] as const;
 
 /** The baseline: every node watches the store itself, and tries again a second after a failure. */
@@ -32,8 +32,8 @@
     this.store = new SimulatedStore(this.clock, new RandomSource(options.seed));
     // Every watch listens to the signal.
     setMaxListeners(0, this.#stop.signal);
-    this.store.delayMilliseconds = STORE_MILLISECONDS;
-    this.store.callsPerSecond = STORE_CALLS_PER_SECOND;
+    this.store.delayMilliseconds = storeMilliseconds;
+    this.store.callsPerSecond = storeCallsPerSecond;
   }
 
   /** Starts all nodes and waits until they have the first deployment. */
@@ -69,10 +69,10 @@
     let revision = 0;
     let highest = 0;
     while (!signal.aborted) {
-      const result = await this.store.watch(prefix, revision, WATCH_MILLISECONDS, signal);
+      const result = await this.store.watch(prefix, revision, watchMilliseconds, signal);
       if (signal.aborted) return;
       if (!result.ok) {
-        await this.clock.sleep(RETRY_MILLISECONDS, signal);
+        await this.clock.sleep(retryMilliseconds, signal);
         continue;
       }
       revision = result.value.revision;
--- a/packages/measure/src/control/SimulatedFleet.ts
+++ b/packages/measure/src/control/SimulatedFleet.ts
@@ -18,21 +18,21 @@
 }
 
 /** Two regions with two failure domains each, as both deployments have them. */
-const FAILURE_DOMAINS = 4;
+const failureDomains = 4;
 const SERVICES = 17;
 
-const SAME_REGION_MILLISECONDS = 1;
-const OTHER_REGION_MILLISECONDS = 30;
-const STORE_MILLISECONDS = 3;
+const sameRegionMilliseconds = 1;
+const otherRegionMilliseconds = 30;
+const storeMilliseconds = 3;
 
 /** The store handles about two thousand reads a second for all its clients together. */
-const STORE_CALLS_PER_SECOND = 2000;
+const storeCallsPerSecond = 2000;
 
-const RENEWAL_MILLISECONDS = 2000;
+const renewalMilliseconds = 2000;
 const SEEDS = 3;
 
 /** Bytes of a deployment file with 17 services. */
-const DEPLOYMENT_BYTES = 6000;
+const deploymentBytes = 6000;
 
 /** Memberships in one process, with a backend server each, in simulated time. */
 export class SimulatedFleet implements AsyncDisposable {
@@ -61,11 +61,11 @@
     this.network = new SimulatedNetwork({ clock: this.clock, random: this.#random.fork() });
     this.network.setDelays((from, to) =>
       locationOf(indexOf(from)).region === locationOf(indexOf(to)).region
-        ? SAME_REGION_MILLISECONDS
-        : OTHER_REGION_MILLISECONDS,
+        ? sameRegionMilliseconds
+        : otherRegionMilliseconds,
     );
-    this.store.delayMilliseconds = STORE_MILLISECONDS;
-    this.store.callsPerSecond = STORE_CALLS_PER_SECOND;
+    this.store.delayMilliseconds = storeMilliseconds;
+    this.store.callsPerSecond = storeCallsPerSecond;
   }
 
   /** Starts all nodes within five seconds and waits until they know each other. */
@@ -120,7 +120,7 @@
 
   /** Writes a deployment as an operator does. */
   applyDeployment(number: number): void {
-    const text = `# ${'x'.repeat(DEPLOYMENT_BYTES)}`;
+    const text = `# ${'x'.repeat(deploymentBytes)}`;
     const deployment = { number, applyId: `apply-${number}`, acceptedAt: 0, text };
     this.store.put('deployment/current', JSON.stringify(deployment));
   }
@@ -167,14 +167,14 @@
   async #renew(membership: Membership, index: number): Promise<void> {
     const { nodeId } = membership.summary().identity;
     while (!this.#stop.signal.aborted && this.#members.get(nodeId) === membership) {
-      await this.clock.sleep(RENEWAL_MILLISECONDS, this.#stop.signal);
+      await this.clock.sleep(renewalMilliseconds, this.#stop.signal);
       membership.announce(announcementOf(index));
     }
   }
 }
 
 function locationOf(index: number): Location {
-  const domain = index % FAILURE_DOMAINS;
+  const domain = index % failureDomains;
   return { region: `region-${Math.floor(domain / 2)}`, failureDomain: `domain-${domain}` };
 }
 
--- a/packages/measure/src/decisions/BackendServerModel.ts
+++ b/packages/measure/src/decisions/BackendServerModel.ts
@@ -12,7 +12,7 @@
 }
 
 /** Spread (sigma of the logarithm) that each run adds, whatever the request. */
-const RUN_SPREAD = 0.4;
+const runSpread = 0.4;
 
 /** First-in-first-out queue with several workers, of which a neighbour can take some away. */
 export class BackendServerModel {
@@ -57,7 +57,7 @@
   #run(run: ModelRun): void {
     Object.assign(run, { running: true });
     this.#running += 1;
-    const duration = run.work * this.slowness * logNormal(RUN_SPREAD, this.#random);
+    const duration = run.work * this.slowness * logNormal(runSpread, this.#random);
     this.#time.after(duration, () => {
       if (run.cancelled) return;
       this.#end();
--- a/packages/measure/src/decisions/ModelCluster.ts
+++ b/packages/measure/src/decisions/ModelCluster.ts
@@ -1,9 +1,9 @@
+import type { RetryBudget } from '@hickorybridge/coordination';
 import { type AdmissionController, createAdmissionController } from '@hickorybridge/admission';
 import type { PolicyName } from '@hickorybridge/configuration';
 import {
   type BackendServerSelector,
   HedgePolicy,
-  type RetryBudget,
   createRetryBudget,
   createSelector,
 } from '@hickorybridge/routing';
@@ -11,7 +11,7 @@
 import { RandomSource } from '@hickorybridge/utils';
 import { BackendServerModel } from './BackendServerModel.js';
 import { type ModelDeployment, REGIONS } from './modelDeployments.js';
-import { SERVERS_PER_SERVICE } from './scenarios.js';
+import { serversPerService } from './scenarios.js';
 import type { VirtualTime } from './VirtualTime.js';
 
 /** Budgets of a router for one service. */
@@ -46,10 +46,10 @@
   readonly seed: number;
 }
 
-export const RETRY_SHARE = 0.2;
-export const HEDGE_SHARE = 0.05;
-export const MAXIMUM_ATTEMPTS = 3;
-const SUBSET_SIZE = 16;
+export const retryShare = 0.2;
+export const hedgeShare = 0.05;
+export const maximumAttempts = 3;
+const subsetSize = 16;
 
 /** Nodes of one deployment, keyed by the backend server that they announce. */
 export type ModelCluster = ReadonlyMap<string, ModelNode>;
@@ -58,7 +58,7 @@
 export function makeCluster(options: ClusterOptions): ModelCluster {
   const { deployment } = options;
   const entries = deployment.services.map(({ name }) =>
-    Array.from({ length: SERVERS_PER_SERVICE }, (_, index) =>
+    Array.from({ length: serversPerService }, (_, index) =>
       makeEntry(name, index, deployment.slots),
     ),
   );
@@ -71,7 +71,7 @@
 }
 
 function makeEntry(service: string, index: number, slots: number): BackendServerEntry {
-  const region = REGIONS[index < SERVERS_PER_SERVICE / 2 ? 0 : 1];
+  const region = REGIONS[index < serversPerService / 2 ? 0 : 1];
   return {
     backendServerId: `${service}-${index}`,
     service,
@@ -106,11 +106,11 @@
   const { slots, connections, linkPriceMillisecondsPerKilobyte } = deployment;
   const settings = {
     policy: measured.policy,
-    subsetSize: SUBSET_SIZE,
+    subsetSize,
     linkPriceMillisecondsPerKilobyte,
-    retryShare: RETRY_SHARE,
-    hedgeShare: HEDGE_SHARE,
-    maxAttempts: MAXIMUM_ATTEMPTS,
+    retryShare,
+    hedgeShare,
+    maxAttempts: maximumAttempts,
   };
   return {
     location,
@@ -122,8 +122,8 @@
       random: random.fork(),
     }),
     budgets: deployment.services.map(() => ({
-      retries: createRetryBudget(RETRY_SHARE, time),
-      hedges: new HedgePolicy({ share: HEDGE_SHARE, clock: time }),
+      retries: createRetryBudget(retryShare, time),
+      hedges: new HedgePolicy({ share: hedgeShare, clock: time }),
     })),
     admission: createAdmissionController({ slots, connections, rampMilliseconds: 0, clock: time }),
     backendServer: new BackendServerModel(time, random.fork(), slots),
--- a/packages/measure/src/decisions/ModelNetwork.ts
+++ b/packages/measure/src/decisions/ModelNetwork.ts
@@ -1,11 +1,11 @@
 import { Distance, type Location, distanceBetween } from '@hickorybridge/types';
 import {
-  HOST_DELAY,
-  LINK_BYTES_PER_MILLISECOND,
+  hostDelay,
+  linkBytesPerMillisecond,
   type ModelDeployment,
-  REGION_DELAY,
+  regionDelay,
 } from './modelDeployments.js';
-import { WARM_UP_MILLISECONDS } from './scenarios.js';
+import { warmUpMilliseconds } from './scenarios.js';
 import type { VirtualTime } from './VirtualTime.js';
 
 /** Delays between hosts; the link between regions also has a limited rate in each direction. */
@@ -32,13 +32,13 @@
 
   #delay(from: Location, to: Location, bytes: number): number {
     const distance = distanceBetween(from, to);
-    if (distance === Distance.sameFailureDomain) return HOST_DELAY;
+    if (distance === Distance.sameFailureDomain) return hostDelay;
     if (distance === Distance.sameRegion) return this.#deployment.domainDelay;
     const now = this.#time.now();
     const start = Math.max(now, this.#linkFreeAt.get(from.region) ?? 0);
-    const sent = start + bytes / LINK_BYTES_PER_MILLISECOND;
+    const sent = start + bytes / linkBytesPerMillisecond;
     this.#linkFreeAt.set(from.region, sent);
-    if (now >= WARM_UP_MILLISECONDS) this.linkBytes += bytes;
-    return sent - now + REGION_DELAY;
+    if (now >= warmUpMilliseconds) this.linkBytes += bytes;
+    return sent - now + regionDelay;
   }
 }
--- a/packages/measure/src/decisions/ModelOutcomes.ts
+++ b/packages/measure/src/decisions/ModelOutcomes.ts
@@ -1,5 +1,5 @@
-import { CALLER_DELAY, type ModelKind } from './modelDeployments.js';
-import { type Arrival, WARM_UP_MILLISECONDS } from './scenarios.js';
+import { callerDelay, type ModelKind } from './modelDeployments.js';
+import { type Arrival, warmUpMilliseconds } from './scenarios.js';
 
 /** Figures of one policy in one scenario. Times in milliseconds. */
 export interface ModelFigures {
@@ -26,24 +26,24 @@
   #wastedRuns = 0;
 
   tried(arrival: Arrival): void {
-    if (arrival.at >= WARM_UP_MILLISECONDS) this.#tries += 1;
+    if (arrival.at >= warmUpMilliseconds) this.#tries += 1;
   }
 
   wasted(arrival: Arrival): void {
-    if (arrival.at >= WARM_UP_MILLISECONDS) this.#wastedRuns += 1;
+    if (arrival.at >= warmUpMilliseconds) this.#wastedRuns += 1;
   }
 
   /** Takes in an answer that reached the caller before its deadline. */
   answered(arrival: Arrival, now: number): void {
-    if (arrival.at < WARM_UP_MILLISECONDS) return;
+    if (arrival.at < warmUpMilliseconds) return;
     this.#answered += 1;
-    this.#record(arrival, now - arrival.at + 2 * CALLER_DELAY);
+    this.#record(arrival, now - arrival.at + 2 * callerDelay);
   }
 
   /** Takes in a request without an answer; it counts as answered at its deadline. */
   failed(arrival: Arrival): void {
-    if (arrival.at < WARM_UP_MILLISECONDS) return;
-    this.#record(arrival, arrival.kind.deadlineMilliseconds + 2 * CALLER_DELAY);
+    if (arrival.at < warmUpMilliseconds) return;
+    this.#record(arrival, arrival.kind.deadlineMilliseconds + 2 * callerDelay);
   }
 
   /** Gives the figures. Quantiles are means over the kinds, by weight. */
--- a/packages/measure/src/decisions/ModelRequest.ts
+++ b/packages/measure/src/decisions/ModelRequest.ts
@@ -3,14 +3,14 @@
 import type { BackendServerEntry } from '@hickorybridge/types';
 import type { ModelRun } from './BackendServerModel.js';
 import {
-  MAXIMUM_ATTEMPTS,
+  maximumAttempts,
   type ModelBudgets,
   type ModelCluster,
   type ModelNode,
 } from './ModelCluster.js';
 import type { ModelNetwork } from './ModelNetwork.js';
 import type { ModelOutcomes } from './ModelOutcomes.js';
-import { REQUEST_BYTES } from './modelDeployments.js';
+import { requestBytes } from './modelDeployments.js';
 import type { Arrival } from './scenarios.js';
 import type { VirtualTime } from './VirtualTime.js';
 
@@ -36,7 +36,7 @@
 }
 
 /** Sizes of a request and its answer, as shares of the bytes of both. */
-const REQUEST_SHARE = 0.2;
+const requestShare = 0.2;
 
 /** One request on its way through a router, with all its tries. */
 export class ModelRequest {
@@ -74,12 +74,12 @@
   start(): void {
     const { time, hedged } = this.#world;
     const { kind } = this.#arrival;
-    this.#budgets.retries.firstTry();
+    this.#budgets.retries.noteFirstTry();
     this.#budgets.hedges.firstTry();
     time.at(this.#deadline, () => this.#fail());
     const delay = this.#budgets.hedges.delayFor(kind.name);
     if (hedged && kind.idempotent && delay !== undefined) time.after(delay, () => this.#hedge());
-    this.#send(MAXIMUM_ATTEMPTS);
+    this.#send(maximumAttempts);
   }
 
   #send(attempts: number): void {
@@ -92,7 +92,7 @@
     return this.#router.selector.select({
       service: this.#service,
       deadline: this.#deadline,
-      expectedBytes: REQUEST_BYTES,
+      expectedBytes: requestBytes,
       excluded: this.#excluded,
       hedged,
     });
@@ -232,12 +232,12 @@
   }
 
   #deliverTo(node: ModelNode, arrived: () => void): void {
-    const bytes = REQUEST_BYTES * REQUEST_SHARE;
+    const bytes = requestBytes * requestShare;
     this.#world.network.deliver(this.#router.location, node.location, bytes, arrived);
   }
 
   #deliverBack({ node }: Try, arrived: () => void): void {
-    const bytes = REQUEST_BYTES * (1 - REQUEST_SHARE);
+    const bytes = requestBytes * (1 - requestShare);
     this.#world.network.deliver(node.location, this.#router.location, bytes, arrived);
   }
 }
--- a/packages/measure/src/decisions/VirtualTime.ts
+++ b/packages/measure/src/decisions/VirtualTime.ts
@@ -7,7 +7,7 @@
 }
 
 /** Microtask turns after each event, so that code that awaits a promise runs at the same time. */
-const MICROTASK_TURNS = 6;
+const microtaskTurns = 6;
 
 /** Event queue of a model, and the clock that the code under measurement sees. */
 export class VirtualTime implements Clock {
@@ -49,7 +49,7 @@
     for (let event = this.#pop(); event !== undefined; event = this.#pop()) {
       this.#now = event.at;
       event.run();
-      for (let turn = 0; turn < MICROTASK_TURNS; turn += 1) await undefined;
+      for (let turn = 0; turn < microtaskTurns; turn += 1) await undefined;
     }
   }
 
--- a/packages/measure/src/decisions/modelDeployments.ts
+++ b/packages/measure/src/decisions/modelDeployments.ts
@@ -28,13 +28,13 @@
 }
 
 /** One-way delays that both deployments share, in milliseconds. */
-export const REGION_DELAY = 30;
-export const CALLER_DELAY = 8;
-export const HOST_DELAY = 0.1;
+export const regionDelay = 30;
+export const callerDelay = 8;
+export const hostDelay = 0.1;
 /** Link between the regions, each way: 30 Mbit/s. */
-export const LINK_BYTES_PER_MILLISECOND = 3_750;
+export const linkBytesPerMillisecond = 3_750;
 /** Request and answer together, in bytes. */
-export const REQUEST_BYTES = 3_000;
+export const requestBytes = 3_000;
 export const REGIONS = ['first', 'second'] as const;
 
 function idempotentKind(name: string, work: number, weight: number, deadline: number): ModelKind {
@@ -46,7 +46,7 @@
 }
 
 /** Work, weights and deadlines are assumptions: the design page states sizes and delays only. */
-export const MODEL_DEPLOYMENTS: readonly ModelDeployment[] = [
+export const modelDeployments: readonly ModelDeployment[] = [
   {
     name: 'litoteca',
     slots: 13,
--- a/packages/measure/src/decisions/scenarios.ts
+++ b/packages/measure/src/decisions/scenarios.ts
@@ -8,7 +8,7 @@
 } from './modelDeployments.js';
 
 /** Names of the load patterns and disturbances. */
-export const SCENARIO_NAMES = [
+export const scenarioNames = [
   'quiet',
   'shifting',
   'straggler',
@@ -16,7 +16,7 @@
   'flash-crowd',
 ] as const;
 
-export type ScenarioName = (typeof SCENARIO_NAMES)[number];
+export type ScenarioName = (typeof scenarioNames)[number];
 
 /** One request, the same for every policy. */
 export interface Arrival {
@@ -49,20 +49,20 @@
 }
 
 /** Time of a run and of its first part, which is not counted, in milliseconds. */
-export const RUN_MILLISECONDS = 6_000;
-export const WARM_UP_MILLISECONDS = 1_000;
-export const SERVERS_PER_SERVICE = 4;
+export const runMilliseconds = 6_000;
+export const warmUpMilliseconds = 1_000;
+export const serversPerService = 4;
 /** Interval in which the rate is constant, in milliseconds. */
-const RATE_STEP = 5;
+const rateStep = 5;
 /** Spread (sigma of the logarithm) of the work of requests of one kind. */
-const WORK_SPREAD = 0.35;
-const SHIFT_INTERVAL = 400;
-const STRAGGLER_INTERVAL = 1_500;
-const STRAGGLER_SLOWNESS = 8;
-const NOISE_INTERVAL = 600;
-const NOISE_WORKER_SHARE = 1 / 3;
-const FLASH_START = 2_000;
-const FLASH_END = 3_000;
+const workSpread = 0.35;
+const shiftInterval = 400;
+const stragglerInterval = 1_500;
+const stragglerSlowness = 8;
+const noiseInterval = 600;
+const noiseWorkerShare = 1 / 3;
+const flashStart = 2_000;
+const flashEnd = 3_000;
 
 /** Load of each region as a share of the capacity of the whole service. */
 type Load = readonly [number, number];
@@ -88,21 +88,21 @@
   { service, index }: { service: ModelService; index: number },
   random: RandomSource,
 ): Arrival[] {
-  const capacity = (SERVERS_PER_SERVICE * deployment.slots) / meanWork(service);
+  const capacity = (serversPerService * deployment.slots) / meanWork(service);
   const arrivals: Arrival[] = [];
   let shifted: Load = [0.25, 0.25];
-  for (let time = 0; time < RUN_MILLISECONDS; time += RATE_STEP) {
-    if (time % SHIFT_INTERVAL === 0) shifted = shiftLoad(random);
+  for (let time = 0; time < runMilliseconds; time += rateStep) {
+    if (time % shiftInterval === 0) shifted = shiftLoad(random);
     const load = loadAt(name, index, time, shifted);
     for (const region of REGIONS.keys()) {
       const rate = capacity * (load[region] ?? 0);
       for (
         let offset = exponential(rate, random);
-        offset < RATE_STEP;
+        offset < rateStep;
         offset += exponential(rate, random)
       ) {
         const kind = chooseKind(service, random);
-        const work = kind.work * logNormal(WORK_SPREAD, random);
+        const work = kind.work * logNormal(workSpread, random);
         const routerDraw = random.next();
         arrivals.push({ at: time + offset, service: index, region, routerDraw, kind, work });
       }
@@ -125,7 +125,7 @@
     case 'shifting':
       return shifted;
     case 'flash-crowd':
-      return service === 0 && time >= FLASH_START && time < FLASH_END ? [0.75, 0.75] : [0.2, 0.2];
+      return service === 0 && time >= flashStart && time < flashEnd ? [0.75, 0.75] : [0.2, 0.2];
     default:
       return [0.25, 0.25];
   }
@@ -138,13 +138,13 @@
 ): Disturbance[] {
   if (name !== 'straggler' && name !== 'noisy-neighbour') return [];
   const straggler = name === 'straggler';
-  const interval = straggler ? STRAGGLER_INTERVAL : NOISE_INTERVAL;
+  const interval = straggler ? stragglerInterval : noiseInterval;
   const bad = straggler
-    ? { slowness: STRAGGLER_SLOWNESS, workerShare: 1 }
-    : { slowness: 1, workerShare: NOISE_WORKER_SHARE };
+    ? { slowness: stragglerSlowness, workerShare: 1 }
+    : { slowness: 1, workerShare: noiseWorkerShare };
   const disturbances: Disturbance[] = [];
-  for (let at = WARM_UP_MILLISECONDS; at < RUN_MILLISECONDS; at += interval) {
-    const server = random.integerBelow(SERVERS_PER_SERVICE);
+  for (let at = warmUpMilliseconds; at < runMilliseconds; at += interval) {
+    const server = random.integerBelow(serversPerService);
     disturbances.push({ at, service, server, ...bad });
     disturbances.push({ at: at + interval - 1, service, server, slowness: 1, workerShare: 1 });
   }
--- a/packages/measure/src/decisions/timeSelections.ts
+++ b/packages/measure/src/decisions/timeSelections.ts
@@ -5,12 +5,12 @@
 
 /** Target scale (design page, section 1.5). */
 const SERVICES = 17;
-const BACKEND_SERVERS = 640;
-const FAILURE_DOMAINS_PER_REGION = 2;
+const backendServers = 640;
+const failureDomainsPerRegion = 2;
 const SLOTS = 8;
-const WARM_UP_SELECTIONS = 20_000;
-const TIMED_SELECTIONS = 100_000;
-const MICROSECONDS_PER_MILLISECOND = 1_000;
+const warmUpSelections = 20_000;
+const timedSelections = 100_000;
+const microsecondsPerMillisecond = 1_000;
 
 /** Gives the mean time of one selection with its bookkeeping, in microseconds, at target scale. */
 export function timeSelections(seed: number): number {
@@ -45,19 +45,19 @@
     const report = { limit: SLOTS, inFlight, queued: 0, serviceMilliseconds: 20, rampShare: 1 };
     selector.finished(entry, { type: 'answered', report, elapsedMilliseconds: 21 });
   };
-  for (let index = 0; index < WARM_UP_SELECTIONS; index += 1) selectOne();
+  for (let index = 0; index < warmUpSelections; index += 1) selectOne();
   const start = systemClock.now();
-  for (let index = 0; index < TIMED_SELECTIONS; index += 1) selectOne();
+  for (let index = 0; index < timedSelections; index += 1) selectOne();
   const elapsed = systemClock.now() - start;
-  return (elapsed * MICROSECONDS_PER_MILLISECOND) / TIMED_SELECTIONS;
+  return (elapsed * microsecondsPerMillisecond) / timedSelections;
 }
 
 function makeEntries(service: number): readonly BackendServerEntry[] {
   const count =
-    Math.floor(BACKEND_SERVERS / SERVICES) + (service < BACKEND_SERVERS % SERVICES ? 1 : 0);
+    Math.floor(backendServers / SERVICES) + (service < backendServers % SERVICES ? 1 : 0);
   return Array.from({ length: count }, (_, index) => {
     const region = REGIONS[index % REGIONS.length] ?? REGIONS[0];
-    const domain = Math.floor(index / REGIONS.length) % FAILURE_DOMAINS_PER_REGION;
+    const domain = Math.floor(index / REGIONS.length) % failureDomainsPerRegion;
     return {
       backendServerId: `server-${service}-${index}`,
       service: String(service),
--- a/packages/measure/src/measureConfiguration.ts
+++ b/packages/measure/src/measureConfiguration.ts
@@ -39,15 +39,15 @@
   secondsUntilInEffect(number: number, limitMilliseconds: number): Promise<number>;
 }
 
-const LIMIT_MILLISECONDS = 60_000;
-const PAUSE_MILLISECONDS = 10_000;
-const OUTAGE_MILLISECONDS = 60_000;
-const SLOW_STORE_MILLISECONDS = 1500;
-const NORMAL_STORE_MILLISECONDS = 3;
-const LOST_SHARE = 0.01;
+const limitMilliseconds = 60_000;
+const pauseMilliseconds = 10_000;
+const outageMilliseconds = 60_000;
+const slowStoreMilliseconds = 1500;
+const normalStoreMilliseconds = 3;
+const lostShare = 0.01;
 
 /** An idle store watch lasts 20 s, so shorter runs would show the starts only. */
-const SETTLING_MILLISECONDS = 30_000;
+const settlingMilliseconds = 30_000;
 
 /**
  * Measures how long an accepted deployment takes until it is in effect at every node, and what that
@@ -132,11 +132,11 @@
   const results: Partial<Record<Scenario, ConvergenceFigures>> = {};
   let number = 1;
   for (const scenario of SCENARIOS) {
-    await fleet.clock.advance(SETTLING_MILLISECONDS);
-    run.setLoss(scenario === 'one percent lost' ? LOST_SHARE : 0);
+    await fleet.clock.advance(settlingMilliseconds);
+    run.setLoss(scenario === 'one percent lost' ? lostShare : 0);
     const slow = scenario === 'slow store';
     const { store } = fleet;
-    store.delayMilliseconds = slow ? SLOW_STORE_MILLISECONDS : NORMAL_STORE_MILLISECONDS;
+    store.delayMilliseconds = slow ? slowStoreMilliseconds : normalStoreMilliseconds;
     const startedAt = fleet.clock.now();
     const callsBefore = fleet.store.calls;
     const bytesBefore = run.bytes();
@@ -146,9 +146,9 @@
       number += 1;
       if (scenario === 'after an outage') await passOutage(fleet);
       fleet.applyDeployment(number);
-      const seconds = await fleet.secondsUntilInEffect(number, LIMIT_MILLISECONDS);
+      const seconds = await fleet.secondsUntilInEffect(number, limitMilliseconds);
       worstSeconds = Math.max(worstSeconds, seconds);
-      await fleet.clock.advance(PAUSE_MILLISECONDS);
+      await fleet.clock.advance(pauseMilliseconds);
     }
     const elapsedSeconds = (fleet.clock.now() - startedAt) / 1000;
     results[scenario] = {
@@ -165,7 +165,7 @@
 /** The time of convergence counts from the end of the outage. */
 async function passOutage(fleet: MeasuredFleet): Promise<void> {
   fleet.store.setDown(true);
-  await fleet.clock.advance(OUTAGE_MILLISECONDS);
+  await fleet.clock.advance(outageMilliseconds);
   fleet.store.setDown(false);
 }
 
--- a/packages/measure/src/measureControlCost.ts
+++ b/packages/measure/src/measureControlCost.ts
@@ -36,13 +36,13 @@
   readonly reverted: number;
 }
 
-const SETTLING_MILLISECONDS = 60_000;
-const WINDOW_SECONDS = 60;
-const BYTES_PER_MEGABYTE = 1_000_000;
+const settlingMilliseconds = 60_000;
+const windowSeconds = 60;
+const bytesPerMegabyte = 1_000_000;
 
 /** 2,100 changes a day are one in 41 s; the restarts are far more than the 51 of a day. */
-const BUSY_CHANGES = 2;
-const BUSY_RESTARTS = 2;
+const busyChanges = 2;
+const busyRestarts = 2;
 
 /**
  * Measures what control costs each node in simulated time: idle, and with changes and restarts.
@@ -89,9 +89,9 @@
   const heapBefore = usedHeap();
   await using fleet = new SimulatedFleet({ seed, nodes });
   await fleet.start();
-  await fleet.clock.advance(SETTLING_MILLISECONDS);
-  const heapMegabytesPerNode = (usedHeap() - heapBefore) / nodes / BYTES_PER_MEGABYTE;
-  const idle = await measureWindow(fleet, nodes, () => fleet.clock.advance(WINDOW_SECONDS * 1000));
+  await fleet.clock.advance(settlingMilliseconds);
+  const heapMegabytesPerNode = (usedHeap() - heapBefore) / nodes / bytesPerMegabyte;
+  const idle = await measureWindow(fleet, nodes, () => fleet.clock.advance(windowSeconds * 1000));
   const busy = await measureWindow(fleet, nodes, () => passBusyTime(fleet, nodes));
   return {
     idle,
@@ -106,8 +106,8 @@
   await using fleet = new DirectWatchFleet({ seed, nodes });
   await fleet.start();
   const callsBefore = fleet.store.calls;
-  await fleet.clock.advance(WINDOW_SECONDS * 1000);
-  return round((fleet.store.calls - callsBefore) / WINDOW_SECONDS);
+  await fleet.clock.advance(windowSeconds * 1000);
+  return round((fleet.store.calls - callsBefore) / windowSeconds);
 }
 
 async function measureWindow(
@@ -131,20 +131,20 @@
     };
   });
   const sum = differences.reduce((total, { bytes }) => total + bytes, 0);
-  const worst = (values: readonly number[]) => round(Math.max(...values) / WINDOW_SECONDS);
+  const worst = (values: readonly number[]) => round(Math.max(...values) / windowSeconds);
   const processorSeconds = (user + system) / 1_000_000;
   return {
-    bytesPerSecondPerNode: round(sum / WINDOW_SECONDS / nodes),
+    bytesPerSecondPerNode: round(sum / windowSeconds / nodes),
     bytesPerSecondWorstNode: worst(differences.map(({ bytes }) => bytes)),
     messagesPerSecondWorstNode: worst(differences.map(({ messages }) => messages)),
-    storeCallsPerSecond: round((fleet.store.calls - callsBefore) / WINDOW_SECONDS),
-    processorPercentPerNode: round((processorSeconds / WINDOW_SECONDS / nodes) * 100),
+    storeCallsPerSecond: round((fleet.store.calls - callsBefore) / windowSeconds),
+    processorPercentPerNode: round((processorSeconds / windowSeconds / nodes) * 100),
   };
 }
 
 async function passBusyTime(fleet: SimulatedFleet, nodes: number): Promise<void> {
-  const steps = BUSY_CHANGES + BUSY_RESTARTS;
-  const stepMilliseconds = (WINDOW_SECONDS * 1000) / steps;
+  const steps = busyChanges + busyRestarts;
+  const stepMilliseconds = (windowSeconds * 1000) / steps;
   for (let step = 0; step < steps; step += 1) {
     if (step % 2 === 0) fleet.applyDeployment(2 + step);
     else fleet.startNode(nodes - step);
--- a/packages/measure/src/measureDecisions.ts
+++ b/packages/measure/src/measureDecisions.ts
@@ -4,9 +4,9 @@
 import { RandomSource } from '@hickorybridge/utils';
 import type { MeasuredPolicy } from './decisions/ModelCluster.js';
 import type { ModelFigures } from './decisions/ModelOutcomes.js';
-import { MODEL_DEPLOYMENTS, type ModelDeployment } from './decisions/modelDeployments.js';
+import { modelDeployments, type ModelDeployment } from './decisions/modelDeployments.js';
 import { runModel } from './decisions/runModel.js';
-import { SCENARIO_NAMES, type ScenarioName, makeScenario } from './decisions/scenarios.js';
+import { scenarioNames, type ScenarioName, makeScenario } from './decisions/scenarios.js';
 import { timeSelections } from './decisions/timeSelections.js';
 
 /** Options of the measurement. */
@@ -34,9 +34,9 @@
 };
 /** Shown for information: what the selection contributes without hedged requests. */
 const UNHEDGED: MeasuredPolicy = { ...OURS, label: 'adaptive, no hedging', hedged: false };
-const BASELINE_POLICIES = ['random', 'round-robin', 'least-outstanding', 'two-choices'] as const;
+const baselinePolicies = ['random', 'round-robin', 'least-outstanding', 'two-choices'] as const;
 /** Each baseline once within the nearest region and once over all regions. */
-const BASELINES: readonly MeasuredPolicy[] = BASELINE_POLICIES.flatMap((policy) => [
+const BASELINES: readonly MeasuredPolicy[] = baselinePolicies.flatMap((policy) => [
   { label: policy, policy, hedged: false, anyRegion: false },
   { label: `${policy}, any region`, policy, hedged: false, anyRegion: true },
 ]);
@@ -48,9 +48,9 @@
 export async function measureDecisions(options: MeasureDecisionsOptions): Promise<void> {
   const { seed, commit, print } = options;
   const results: Record<string, unknown> = {};
-  for (const deployment of MODEL_DEPLOYMENTS) {
+  for (const deployment of modelDeployments) {
     const comparisons: Comparison[] = [];
-    for (const scenario of SCENARIO_NAMES) {
+    for (const scenario of scenarioNames) {
       comparisons.push(await compare(scenario, deployment, options));
     }
     results[deployment.name] = summarize(comparisons);
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -1,3 +1,5 @@
+import { logTaskFailure } from '@hickorybridge/logger';
+import { Supervisor } from '@hickorybridge/utils';
 import type { AcceptedDeployment } from '@hickorybridge/configuration';
 import {
   Disseminator,
@@ -39,7 +41,6 @@
 import { RoleAssignment, RoleName } from './RoleAssignment.js';
 import { parseRoster, rosterPrefix, RosterWriter } from './RosterWriter.js';
 import { deploymentPrefix, StoreWatcher, verdictPrefix } from './StoreWatcher.js';
-import { TaskGroup } from './TaskGroup.js';
 
 /** Peers that leave calls unanswered for this long are passed over for roles. */
 const failingMilliseconds = 6000;
@@ -56,7 +57,7 @@
 export class Membership implements BackendServerDirectory, AsyncDisposable {
   readonly #options: MembershipOptions;
 
-  readonly #tasks: TaskGroup;
+  readonly #tasks: Supervisor;
 
   readonly #store: PacedStore;
 
@@ -109,7 +110,11 @@
     this.#options = options;
     this.#sharedPrefixes = options.sharedPrefixes ?? [];
     const { identity, location, clock, logger, random } = options;
-    this.#tasks = new TaskGroup({ clock, logger });
+    this.#tasks = new Supervisor({
+      name: 'membership',
+      clock,
+      onFailure: logTaskFailure(logger),
+    });
     this.#store = new PacedStore({ store: options.store, clock, random: random.fork() });
     this.#channel = new CountingChannel(options);
     this.#announcements = new LocalAnnouncements(clock);
--- a/packages/node/src/Node.ts
+++ b/packages/node/src/Node.ts
@@ -12,7 +12,7 @@
   type Result,
   type SocketAddress,
 } from '@hickorybridge/types';
-import type { Clock } from '@hickorybridge/utils';
+import type { Clock, Supervisor } from '@hickorybridge/utils';
 
 import type { AdmissionExecutor } from './admitting/AdmissionExecutor.js';
 import type { LocalBackendServers } from './admitting/LocalBackendServers.js';
@@ -26,7 +26,6 @@
 import type { EffectiveRouting } from './routing/EffectiveRouting.js';
 import { failed, type RoutedOutcome, type RoutedRequest } from './routing/RoutedRequest.js';
 import type { ObservedRouting, UnobservedRequest } from './routing/ObservedRouting.js';
-import type { Supervisor } from './Supervisor.js';
 
 // After the grace limit, requests that were cancelled get this long to learn their outcome.
 const cancellationMilliseconds = 1500;
--- a/packages/node/src/claiming/KeeperDuty.ts
+++ b/packages/node/src/claiming/KeeperDuty.ts
@@ -5,9 +5,7 @@
 import { RoleName, type Membership } from '@hickorybridge/membership';
 import type { PlatformStore } from '@hickorybridge/store';
 import type { ControlChannel, NodeIdentity } from '@hickorybridge/types';
-import type { Clock } from '@hickorybridge/utils';
-
-import type { Supervisor } from '../Supervisor.js';
+import type { Clock, Supervisor } from '@hickorybridge/utils';
 
 const leaseKey = 'leases/claim-view-keeper';
 const leaseMilliseconds = 6000;
--- a/packages/node/src/createNode.ts
+++ b/packages/node/src/createNode.ts
@@ -5,13 +5,13 @@
   LoopbackChannel,
   ViewRegister,
 } from '@hickorybridge/idempotency';
-import type { Logger } from '@hickorybridge/logger';
+import { logTaskFailure, type Logger } from '@hickorybridge/logger';
 import { createMembership, PacedStore, type Membership } from '@hickorybridge/membership';
 import { PeerPool } from '@hickorybridge/peer-protocol';
 import type { PlatformStore } from '@hickorybridge/store';
 import { createMetrics, FlightRecorder, type Tracer } from '@hickorybridge/telemetry';
 import type { NodeIdentity } from '@hickorybridge/types';
-import type { Clock, RandomSource } from '@hickorybridge/utils';
+import { Supervisor, type Clock, type RandomSource } from '@hickorybridge/utils';
 
 import { AdmissionExecutor } from './admitting/AdmissionExecutor.js';
 import { LocalBackendServers } from './admitting/LocalBackendServers.js';
@@ -30,7 +30,6 @@
 import { EffectiveRouting } from './routing/EffectiveRouting.js';
 import { ObservedRouting } from './routing/ObservedRouting.js';
 import type { SendToNode } from './routing/RequestTry.js';
-import { Supervisor } from './Supervisor.js';
 
 /** Prefix of the objects that all nodes follow for claims. */
 const claimsPrefix = 'claims/';
@@ -152,7 +151,7 @@
     keeper,
     views,
     ending,
-    supervisor: new Supervisor('node', clock, logger),
+    supervisor: new Supervisor({ name: 'node', clock, onFailure: logTaskFailure(logger) }),
     clock,
     logger,
     callers: new HttpListener(
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,3 +1,2 @@
 export * from './Node.js';
-export * from './Supervisor.js';
 export * from './createNode.js';
--- a/packages/node/src/routing/ServiceRouting.ts
+++ b/packages/node/src/routing/ServiceRouting.ts
@@ -1,5 +1,6 @@
 import type { RoutingSettings } from '@hickorybridge/configuration';
-import { HedgePolicy, RetryBudget, createRetryBudget } from '@hickorybridge/routing';
+import type { RetryBudget } from '@hickorybridge/coordination';
+import { HedgePolicy, createRetryBudget } from '@hickorybridge/routing';
 import type { Clock } from '@hickorybridge/utils';
 
 /** Budgets of one service at one router. */
@@ -15,7 +16,7 @@
 
   /** Counts a request, from which the budgets are earned. */
   firstTry(): void {
-    this.retryBudget.firstTry();
+    this.retryBudget.noteFirstTry();
     this.hedgePolicy.firstTry();
   }
 }
--- a/packages/routing/src/AdaptiveSelector.ts
+++ b/packages/routing/src/AdaptiveSelector.ts
@@ -17,35 +17,35 @@
 import { ServiceLoad, expectedLimit } from './ServiceLoad.js';
 
 /** Candidates taken from each tier; a tier that cannot fill its number leaves it to the next. */
-const SAMPLE_SIZES = [3, 2, 2] as const;
+const sampleSizes = [3, 2, 2] as const;
 /** Time constant by which a reported queue loses its meaning, in milliseconds. */
-const REPORT_DECAY = 100;
+const reportDecay = 100;
 /** Time constant by which a smoothed response time loses its meaning, in milliseconds. */
-const RESPONSE_DECAY = 400;
+const responseDecay = 400;
 /**
  * Factor of the mean that is expected when nothing recent is known. Below 1, so that a backend
  * server without recent reports is tried now and then, also when the others have no queue.
  */
-const UNKNOWN_SERVICE_FACTOR = 0.9;
+const unknownServiceFactor = 0.9;
 /** Time constant by which failures are forgotten, in milliseconds. */
-const FAILURE_DECAY = 1_000;
+const failureDecay = 1_000;
 /** Bounds the failure share, so that the cost stays finite and a recovery can be found. */
-const MAXIMUM_FAILURE_SHARE = 0.95;
+const maximumFailureShare = 0.95;
 /** Waiting without any progress that is not yet a sign of a stall, in mean service times. */
-const STALL_FACTOR = 3;
+const stallFactor = 3;
 /**
  * Weight of the waiting time. A request that joins a queue also delays those behind it. With weight
  * 1 a queue grows until it costs every request as much as the way to the other region.
  */
-const WAITING_WEIGHT = 4;
+const waitingWeight = 4;
 /**
  * Weight of the smoothed response time, which counts when it is far longer than the reported
  * service time: a report does not show delays between the node and its backend server or router.
  */
-const OWN_RESPONSE_WEIGHT = 0.5;
+const ownResponseWeight = 0.5;
 /** Weight of the use below the limit, which only decides between otherwise equal candidates. */
-const USE_WEIGHT = 0.1;
-const BYTES_PER_KILOBYTE = 1_000;
+const useWeight = 0.1;
+const bytesPerKilobyte = 1_000;
 
 /** Chooses the candidate with the lowest expected completion time among a few sampled ones. */
 export class AdaptiveSelector implements BackendServerSelector {
@@ -77,12 +77,12 @@
     const service = this.#serviceOf(request.service);
     service.retain(this.#directory.list(request.service));
     const now = this.#clock.now();
-    const linkCost = (request.expectedBytes / BYTES_PER_KILOBYTE) * this.#linkPrice;
+    const linkCost = (request.expectedBytes / bytesPerKilobyte) * this.#linkPrice;
     let best: BackendServerEntry | undefined;
     let lowest = Infinity;
     let places = 0;
     for (const distance of [0, 1, 2] as const) {
-      places += SAMPLE_SIZES[distance];
+      places += sampleSizes[distance];
       const price = distance === Distance.otherRegion ? linkCost : 0;
       const sample = this.#sample(tiers[distance], places);
       places -= sample.length;
@@ -176,11 +176,11 @@
     const serviceTime = this.#serviceTime(service, load, now);
     const limit = limitOf(load, now);
     const occupied = expectedOccupied(service, load, limit, now) + 1;
-    const waiting = (WAITING_WEIGHT * Math.max(0, occupied - limit)) / limit;
-    const use = Math.min(1, occupied / limit) * USE_WEIGHT;
+    const waiting = (waitingWeight * Math.max(0, occupied - limit)) / limit;
+    const use = Math.min(1, occupied / limit) * useWeight;
     const time = this.#delays.to(load.entry) + serviceTime * (1 + waiting + use);
-    const failure = load.failureShare * Math.exp((load.failureAt - now) / FAILURE_DECAY);
-    return time / (1 - Math.min(MAXIMUM_FAILURE_SHARE, failure));
+    const failure = load.failureShare * Math.exp((load.failureAt - now) / failureDecay);
+    return time / (1 - Math.min(maximumFailureShare, failure));
   }
 
   #serviceTime(service: ServiceLoad, load: BackendServerLoad, now: number): number {
@@ -188,10 +188,10 @@
     const reported = load.report?.serviceMilliseconds ?? 0;
     const known = Math.max(
       reported > 0 ? reported : mean,
-      load.responseMilliseconds * OWN_RESPONSE_WEIGHT,
+      load.responseMilliseconds * ownResponseWeight,
     );
-    const weight = Math.exp((load.reportAt - now) / RESPONSE_DECAY);
-    const aged = weight * known + (1 - weight) * mean * UNKNOWN_SERVICE_FACTOR;
+    const weight = Math.exp((load.reportAt - now) / responseDecay);
+    const aged = weight * known + (1 - weight) * mean * unknownServiceFactor;
     return Math.max(aged, this.#stall(load, mean, now));
   }
 
@@ -199,7 +199,7 @@
   #stall(load: BackendServerLoad, mean: number, now: number): number {
     if (load.outstanding === 0) return 0;
     const silent = now - load.progressAt - this.#delays.to(load.entry);
-    return silent > STALL_FACTOR * mean ? silent : 0;
+    return silent > stallFactor * mean ? silent : 0;
   }
 }
 
@@ -227,6 +227,6 @@
   const expected = service.meanUse * limit;
   const { report } = load;
   if (report === undefined) return expected + load.ownSince;
-  const weight = Math.exp((load.reportAt - now) / REPORT_DECAY);
+  const weight = Math.exp((load.reportAt - now) / reportDecay);
   return weight * (report.inFlight + report.queued) + (1 - weight) * expected + load.ownSince;
 }
--- a/packages/routing/src/BackendServerLoad.ts
+++ b/packages/routing/src/BackendServerLoad.ts
@@ -1,11 +1,11 @@
 import type { BackendServerEntry, LoadReport } from '@hickorybridge/types';
 
 /** Tries whose send times are remembered, to count those that a report cannot contain yet. */
-const REMEMBERED_SENDS = 32;
+const rememberedSends = 32;
 /** Share of a new sample in the smoothed response time: a straggler shows within a few answers. */
-const RESPONSE_SMOOTHING = 0.25;
+const responseSmoothing = 0.25;
 /** Share of a new sample in the failure share. */
-const FAILURE_SMOOTHING = 0.2;
+const failureSmoothing = 0.2;
 
 /** What one router knows of one backend server. Times are monotonic milliseconds. */
 export class BackendServerLoad {
@@ -33,7 +33,7 @@
   /** When this router first saw the backend server. */
   readonly firstSeenAt: number;
 
-  readonly #sendTimes = new Float64Array(REMEMBERED_SENDS);
+  readonly #sendTimes = new Float64Array(rememberedSends);
 
   #sends = 0;
 
@@ -48,7 +48,7 @@
     if (this.outstanding === 0) this.progressAt = now;
     this.outstanding += 1;
     this.ownSince += 1;
-    this.#sendTimes[this.#sends % REMEMBERED_SENDS] = now;
+    this.#sendTimes[this.#sends % rememberedSends] = now;
     this.#sends += 1;
   }
 
@@ -67,19 +67,19 @@
   }
 
   responded(milliseconds: number): void {
-    const share = this.responseMilliseconds === 0 ? 1 : RESPONSE_SMOOTHING;
+    const share = this.responseMilliseconds === 0 ? 1 : responseSmoothing;
     this.responseMilliseconds += share * (milliseconds - this.responseMilliseconds);
   }
 
   /** Counts a try as failed (1) or not (0). */
   failed(failure: 0 | 1, now: number): void {
-    this.failureShare += FAILURE_SMOOTHING * (failure - this.failureShare);
+    this.failureShare += failureSmoothing * (failure - this.failureShare);
     this.failureAt = now;
   }
 
   #sentAfter(time: number): number {
     let count = 0;
-    for (let index = 0; index < Math.min(this.#sends, REMEMBERED_SENDS); index += 1) {
+    for (let index = 0; index < Math.min(this.#sends, rememberedSends); index += 1) {
       if ((this.#sendTimes[index] ?? 0) > time) count += 1;
     }
     return count;
--- a/packages/routing/src/BackendServerSubset.ts
+++ b/packages/routing/src/BackendServerSubset.ts
@@ -17,9 +17,9 @@
 ];
 
 /** Share of the subset that is kept for other failure domains of the own region. */
-const SAME_REGION_SHARE = 0.25;
+const sameRegionShare = 0.25;
 /** Share of the subset that is kept for the other region, so that load can always overflow. */
-const OTHER_REGION_SHARE = 0.125;
+const otherRegionShare = 0.125;
 
 interface CachedSubset {
   readonly list: readonly BackendServerEntry[];
@@ -105,8 +105,8 @@
 /** Takes the first of each tier; places that a tier cannot fill go to the nearest that can. */
 function limitTiers(all: Tiers, size: number): Tiers {
   const counts = [0, 0, 0];
-  counts[2] = Math.min(all[2].length, Math.ceil(size * OTHER_REGION_SHARE));
-  counts[1] = Math.min(all[1].length, Math.ceil(size * SAME_REGION_SHARE));
+  counts[2] = Math.min(all[2].length, Math.ceil(size * otherRegionShare));
+  counts[1] = Math.min(all[1].length, Math.ceil(size * sameRegionShare));
   let free = size - counts[1] - counts[2];
   for (const tier of [0, 1, 2] as const) {
     const more = Math.max(0, Math.min(free, all[tier].length - (counts[tier] ?? 0)));
--- a/packages/routing/src/HedgePolicy.ts
+++ b/packages/routing/src/HedgePolicy.ts
@@ -1,6 +1,6 @@
+import { RetryBudget } from '@hickorybridge/coordination';
 import type { Clock } from '@hickorybridge/utils';
 import { QuantileEstimate } from './QuantileEstimate.js';
-import { RetryBudget } from './RetryBudget.js';
 
 /** Settings of the hedged requests of one service. */
 export interface HedgePolicyOptions {
@@ -21,14 +21,14 @@
 }
 
 /** Quantile of the response time of a kind after which a request counts as late. */
-const LATE_QUANTILE = 0.95;
+const lateQuantile = 0.95;
 /**
  * Multiple of the quantile. At the quantile itself a quiet service would use up the whole budget,
  * and none would be left when a backend server becomes a straggler.
  */
-const LATE_FACTOR = 1.5;
+const lateFactor = 1.5;
 /** Hedged requests in a burst at most. */
-const MAXIMUM_HEDGE_TOKENS = 10;
+const maximumHedgeTokens = 10;
 
 /** Decides when a late idempotent request gets a hedged request. One for each service. */
 export class HedgePolicy {
@@ -37,18 +37,23 @@
   readonly #responseTimes = new Map<string, QuantileEstimate>();
 
   constructor({ share, clock }: HedgePolicyOptions) {
-    this.#budget = new RetryBudget({ share, perSecond: 0, maximum: MAXIMUM_HEDGE_TOKENS, clock });
+    this.#budget = new RetryBudget({
+      share,
+      minimumPerSecond: 0,
+      burst: maximumHedgeTokens,
+      clock,
+    });
   }
 
   /** Counts a request, from which the budget is earned. */
   firstTry(): void {
-    this.#budget.firstTry();
+    this.#budget.noteFirstTry();
   }
 
   /** Takes in the response time of a first try. Hedged ones would lower the quantile. */
   answered(kind: string, elapsedMilliseconds: number): void {
     const known = this.#responseTimes.get(kind);
-    const estimate = known ?? new QuantileEstimate(LATE_QUANTILE);
+    const estimate = known ?? new QuantileEstimate(lateQuantile);
     if (known === undefined) this.#responseTimes.set(kind, estimate);
     estimate.record(elapsedMilliseconds);
   }
@@ -59,7 +64,7 @@
    */
   delayFor(kind: string): number | undefined {
     const value = this.#responseTimes.get(kind)?.value;
-    return value === undefined ? undefined : value * LATE_FACTOR;
+    return value === undefined ? undefined : value * lateFactor;
   }
 
   /** Decides whether to send a hedged request now. `true` takes a token from the budget. */
@@ -67,7 +72,7 @@
     const delay = this.delayFor(request.kind);
     if (!request.idempotent || request.attemptsKept < 1 || delay === undefined) return false;
     if (request.elapsedMilliseconds < delay || request.remainingMilliseconds <= 0) return false;
-    return this.#budget.take();
+    return this.#budget.tryRetry();
   }
 
   /** Gives the token back when no backend server was eligible. */
--- a/packages/routing/src/NetworkDelays.ts
+++ b/packages/routing/src/NetworkDelays.ts
@@ -6,7 +6,7 @@
 } from '@hickorybridge/types';
 
 /** Expected round trip before the first measurement, in milliseconds, for each distance. */
-const INITIAL_DELAY = {
+const initialDelay = {
   [Distance.sameFailureDomain]: 0.5,
   [Distance.sameRegion]: 2,
   [Distance.otherRegion]: 60,
@@ -27,7 +27,7 @@
   /** Gives the round-trip time to a backend server's failure domain, in milliseconds. */
   to(entry: BackendServerEntry): number {
     const known = this.#delays.get(entry.failureDomain);
-    return known ?? INITIAL_DELAY[distanceBetween(this.#own, entry)];
+    return known ?? initialDelay[distanceBetween(this.#own, entry)];
   }
 
   /** Takes in the part of a response time that the service time does not explain. */
--- a/packages/routing/src/QuantileEstimate.ts
+++ b/packages/routing/src/QuantileEstimate.ts
@@ -1,9 +1,9 @@
 /** Latest samples that the quantile is taken from. */
 const SAMPLES = 512;
 /** Samples between two computations, which sort all of them. */
-const REFRESH_INTERVAL = 32;
+const refreshInterval = 32;
 /** Samples before there is a value. */
-const MINIMUM_SAMPLES = 64;
+const minimumSamples = 64;
 
 /** Quantile over a sliding window of samples. */
 export class QuantileEstimate {
@@ -27,7 +27,7 @@
   record(sample: number): void {
     this.#samples[this.#count % SAMPLES] = sample;
     this.#count += 1;
-    if (this.#count < MINIMUM_SAMPLES || this.#count % REFRESH_INTERVAL !== 0) return;
+    if (this.#count < minimumSamples || this.#count % refreshInterval !== 0) return;
     const sorted = this.#samples.slice(0, Math.min(this.#count, SAMPLES)).sort();
     this.#value = sorted[Math.floor(sorted.length * this.#quantile)];
   }
--- a/packages/routing/src/ServiceLoad.ts
+++ b/packages/routing/src/ServiceLoad.ts
@@ -2,9 +2,9 @@
 import { BackendServerLoad } from './BackendServerLoad.js';
 
 /** Share of a new report in the means of the service. */
-const MEAN_SMOOTHING = 0.02;
+const meanSmoothing = 0.02;
 /** Share of the announced slots that a cold backend server is expected to offer. */
-const INITIAL_RAMP_SHARE = 0.25;
+const initialRampShare = 0.25;
 
 /** What one router knows of the backend servers of one service. */
 export class ServiceLoad {
@@ -32,7 +32,7 @@
   /** Takes a report into the means of the service. */
   reported(report: LoadReport): void {
     this.#reports += 1;
-    const share = Math.max(1 / this.#reports, MEAN_SMOOTHING);
+    const share = Math.max(1 / this.#reports, meanSmoothing);
     const use = (report.inFlight + report.queued) / Math.max(1, report.limit);
     this.meanUse += share * (use - this.meanUse);
     if (report.serviceMilliseconds <= 0) return;
@@ -54,6 +54,6 @@
 export function expectedLimit(load: BackendServerLoad, now: number): number {
   const { slots, rampMilliseconds } = load.entry;
   const progress = rampMilliseconds <= 0 ? 1 : (now - load.firstSeenAt) / rampMilliseconds;
-  const share = INITIAL_RAMP_SHARE + (1 - INITIAL_RAMP_SHARE) * Math.min(1, progress);
+  const share = initialRampShare + (1 - initialRampShare) * Math.min(1, progress);
   return Math.max(1, Math.floor(slots * share));
 }
--- a/packages/routing/src/retryDecision.ts
+++ b/packages/routing/src/retryDecision.ts
@@ -1,4 +1,4 @@
-import type { RetryBudget } from './RetryBudget.js';
+import type { RetryBudget } from '@hickorybridge/coordination';
 
 /** Why a try brought no answer. */
 export const TryFailure = {
@@ -54,7 +54,7 @@
   if (failed.now + failed.minimumTryMilliseconds >= failed.deadline) {
     return stop(StopReason.deadline);
   }
-  if (!failed.budget.take()) return stop(StopReason.budget);
+  if (!failed.budget.tryRetry()) return stop(StopReason.budget);
   return { type: 'retry', attempts };
 }
 
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,3 +1,4 @@
+export * from './Supervisor.js';
 export * from './clock.js';
 export * from './hash.js';
 export * from './randomSource.js';
