Admission: wake the queue watch only when it waits

Cause: 8.9% of the processor time of an admitting node at 500 calls a second went into errors that AbortController.abort makes with a stack on each call, also when it is aborted already; each release called it.

--- a/packages/admission/src/LimitedAdmission.ts
+++ b/packages/admission/src/LimitedAdmission.ts
@@ -274,7 +274,8 @@
   }
 
   #queueChanged(): void {
-    if (this.#queue.length === 0) this.#watchWake.abort();
+    // An abort makes an error with a stack each time, also when there is nothing to wake.
+    if (this.#queue.length === 0 && this.#watching) this.#watchWake.abort();
     if (!this.#isIdle()) return;
     const waiters = this.#idleWaiters;
     this.#idleWaiters = [];
