Claim view as short arrays; watches start where the first reading ended

Change: a shard of the view is a short array; a store watch starts at the revision that the node has read already; only the first watcher of each failure domain watches the view. Kept, since each removes repeated bytes: a watch no longer delivers what its node has read.

--- a/packages/idempotency/src/claimView.ts
+++ b/packages/idempotency/src/claimView.ts
@@ -56,14 +56,18 @@
   readonly shards: readonly ShardText[];
 }
 
-interface ShardText {
-  readonly number: number;
-  readonly id: string;
-  readonly holders: readonly number[];
-  readonly historyStart: number;
-  /** Absent for a shard that is not frozen, which is the usual case. */
-  readonly frozen?: true;
-}
+/**
+ * A shard in the view's text: number, identity, places of the three holders, start of the history
+ * and whether it is frozen. The text crosses the link to every other region on each change, so the
+ * usual last two, 0 and false, are left out.
+ */
+type ShardText = readonly [
+  number: number,
+  id: string,
+  holders: readonly number[],
+  historyStart?: number,
+  frozen?: boolean,
+];
 
 /** Writes a view as the store's text; the version is the store's own. */
 export function serializeView(view: Omit<ClaimView, 'version'>): string {
@@ -72,13 +76,11 @@
     const place = nodes.findIndex((node) => isSameNode(node, holder));
     return place >= 0 ? place : nodes.push(holder) - 1;
   };
-  const shards = view.shards.map(({ number, id, holders, historyStart, frozen }): ShardText => ({
-    number,
-    id,
-    holders: holders.map(placeOf),
-    historyStart,
-    ...(frozen && { frozen }),
-  }));
+  const shards = view.shards.map(({ number, id, holders, historyStart, frozen }): ShardText =>
+    historyStart === 0 && !frozen
+      ? [number, id, holders.map(placeOf)]
+      : [number, id, holders.map(placeOf), historyStart, frozen],
+  );
   const text: ViewText = { fencingToken: view.fencingToken, nodes, shards };
   return JSON.stringify(text);
 }
@@ -104,12 +106,12 @@
   shard: number,
   nodes: readonly HolderCandidate[],
 ): ShardView | undefined {
-  const { number, id, historyStart } = text;
-  const holders = text.holders.map((place) => nodes[place]);
+  const [number, id, places, historyStart = 0, frozen = false] = text;
+  const holders = places.map((place) => nodes[place]);
   if (!holders.every((holder) => holder !== undefined)) return undefined;
   if (!Number.isInteger(number) || typeof id !== 'string') return undefined;
   if (holders.length !== holderCount || typeof historyStart !== 'number') return undefined;
-  return { shard, number, id, holders, historyStart, frozen: text.frozen === true };
+  return { shard, number, id, holders, historyStart, frozen };
 }
 
 /** Whether two identities are the same run of the same node. */
--- a/packages/membership/src/Bootstrap.ts
+++ b/packages/membership/src/Bootstrap.ts
@@ -13,6 +13,8 @@
 export const currentDeploymentKey = 'deployment/current';
 
 const statusCallName = 'membership/number';
+/** No object has this prefix, so that a watch of it gives nothing but the revision. */
+const unusedPrefix = 'revision/';
 const callTimeoutMilliseconds = 1000;
 const retryMilliseconds = 500;
 
@@ -61,6 +63,8 @@
 
   #storeAnswered = false;
 
+  #revision = 0;
+
   #finished = false;
 
   #joined = false;
@@ -70,6 +74,11 @@
     options.channel.handle(statusCallName, () => ({ number: options.deploymentNumber() }));
   }
 
+  /** Revision of the store from which on a watch has to start; 0 while it is not known. */
+  get revision(): number {
+    return this.#storeAnswered ? this.#revision : 0;
+  }
+
   /** Whether this node may serve with the deployment that it has found. */
   get finished(): boolean {
     this.#finished ||= this.#isConfirmed() && this.#options.deploymentNumber() > 0;
@@ -80,6 +89,7 @@
   async askStore(signal: AbortSignal): Promise<void> {
     const { store, logger, onObjects, clock } = this.#options;
     while (!signal.aborted) {
+      await this.#noteRevision();
       const deployment = await store.read(currentDeploymentKey);
       if (signal.aborted) return;
       if (!deployment.ok) {
@@ -96,6 +106,12 @@
     }
   }
 
+  /** Asks for the store's revision before anything is read, so that no change falls in between. */
+  async #noteRevision(): Promise<void> {
+    const mark = await this.#options.store.watch(unusedPrefix, 0, 0);
+    if (mark.ok) this.#revision = mark.value.revision;
+  }
+
   async #listObjects(): Promise<boolean> {
     const { onObjects, prefixes, store } = this.#options;
     for (const prefix of prefixes) {
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -202,6 +202,7 @@
       clock: this.#options.clock,
       logger: this.#options.logger,
       roles: this.#roles,
+      startRevision: () => this.#bootstrap.revision,
       onObjects: (objects) => this.#takeObjects(objects),
     });
     this.#tasks.start('bootstrap from the store', (signal) => this.#bootstrap.askStore(signal));
@@ -212,8 +213,14 @@
     this.#tasks.start('dissemination', () => this.#disseminator.run());
     this.#tasks.start('housekeeping', (signal) => this.#keepHouse(signal));
     this.#tasks.start('rosters', (signal) => watcher.lookAtRosters(signal));
-    for (const prefix of [deploymentPrefix, verdictPrefix, ...this.#sharedPrefixes]) {
-      this.#tasks.start(`watch of ${prefix}`, (signal) => watcher.watch(prefix, signal));
+    const isWatcher = () => this.#roles.holds(RoleName.storeWatcher);
+    for (const prefix of [deploymentPrefix, verdictPrefix]) {
+      this.#tasks.start(`watch of ${prefix}`, (signal) => watcher.watch(prefix, isWatcher, signal));
+    }
+    // Larger objects, for which one copy for each failure domain over the link is enough.
+    const isFirst = () => this.#roles.holdsFirst(RoleName.storeWatcher);
+    for (const prefix of this.#sharedPrefixes) {
+      this.#tasks.start(`watch of ${prefix}`, (signal) => watcher.watch(prefix, isFirst, signal));
     }
   }
 
--- a/packages/membership/src/RoleAssignment.ts
+++ b/packages/membership/src/RoleAssignment.ts
@@ -54,6 +54,11 @@
     return this.holders(role).includes(this.#options.identity.nodeId);
   }
 
+  /** Tells whether this node is the first holder of a role. */
+  holdsFirst(role: RoleName): boolean {
+    return this.holders(role)[0] === this.#options.identity.nodeId;
+  }
+
   /**
    * Lists the peers that heartbeats go to: the first two of the failure domain, even if they do not
    * answer, and those that stand in for them. A cut that only this node sees must not make the true
--- a/packages/membership/src/StoreWatcher.ts
+++ b/packages/membership/src/StoreWatcher.ts
@@ -14,6 +14,11 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly roles: RoleAssignment;
+  /**
+   * Revision at which this node has read all objects once. A watch from there does not deliver them
+   * again, which would carry each object over the link once more for each watcher.
+   */
+  readonly startRevision: () => number;
   /** Takes the objects that have changed. */
   readonly onObjects: (objects: readonly StoredObject[]) => void;
 }
@@ -38,15 +43,19 @@
     this.#options = options;
   }
 
-  /** Watches the objects under a prefix until the signal aborts. */
-  async watch(prefix: string, signal: AbortSignal): Promise<void> {
-    const { clock, store, roles } = this.#options;
-    let revision = 0;
+  /**
+   * Watches the objects under a prefix until the signal aborts. `holds` tells whether that is this
+   * node's duty at the moment.
+   */
+  async watch(prefix: string, holds: () => boolean, signal: AbortSignal): Promise<void> {
+    const { clock, store } = this.#options;
+    let revision: number | undefined;
     while (!signal.aborted) {
-      if (!roles.holds(RoleName.storeWatcher)) {
+      if (!holds()) {
         await clock.sleep(roleCheckMilliseconds, signal);
         continue;
       }
+      revision ??= this.#options.startRevision();
       const result = await store.watch(prefix, revision, watchMilliseconds, signal);
       if (signal.aborted) return;
       if (!result.ok) {
