--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -1,5 +1,3 @@
-import { logTaskFailure } from '@hickorybridge/logger';
-import { Supervisor } from '@hickorybridge/utils';
 import type { AcceptedDeployment } from '@hickorybridge/configuration';
 import {
   Disseminator,
@@ -7,6 +5,7 @@
   type VersionedEntry,
   VersionedTable,
 } from '@hickorybridge/coordination';
+import { logTaskFailure } from '@hickorybridge/logger';
 import type { StoredObject } from '@hickorybridge/store';
 import {
   type Announcement,
@@ -15,6 +14,7 @@
   type SocketAddress,
   Verdict,
 } from '@hickorybridge/types';
+import { Supervisor } from '@hickorybridge/utils';
 import { Bootstrap, currentDeploymentKey } from './Bootstrap.js';
 import { CountingChannel } from './CountingChannel.js';
 import { FleetInquiry } from './FleetInquiry.js';
--- a/packages/peer-protocol/src/PeerPool.ts
+++ b/packages/peer-protocol/src/PeerPool.ts
@@ -12,11 +12,12 @@
   type SocketAddress,
 } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
-import { createConnection, createServer, type Server, type Socket } from 'node:net';
+import { createServer, type Server, type Socket } from 'node:net';
 
 import { unlimitedControlBudget, type ControlBudget } from './ControlBudget.js';
 import { FrameSocket } from './FrameSocket.js';
 import type { LocalEndpoint } from './handshake.js';
+import { openSocket } from './openSocket.js';
 import { PeerConnection } from './PeerConnection.js';
 import { PeerTraffic } from './PeerTraffic.js';
 import {
@@ -309,24 +310,3 @@
     return connection.silentMilliseconds > spareMilliseconds;
   }
 }
-
-async function openSocket(
-  address: SocketAddress,
-  timeoutMilliseconds: number,
-): Promise<Result<Socket, ControlCallError>> {
-  return new Promise((resolve) => {
-    const socket = createConnection({ host: address.host, port: address.port });
-    const timer = setTimeout(
-      () => socket.destroy(new Error(`no connection within ${timeoutMilliseconds} ms`)),
-      timeoutMilliseconds,
-    );
-    socket.once('connect', () => {
-      clearTimeout(timer);
-      resolve(succeed(socket));
-    });
-    socket.once('error', (error) => {
-      clearTimeout(timer);
-      resolve(fail({ type: 'unreachable', detail: error.message }));
-    });
-  });
-}
