--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -34,5 +34,12 @@
       'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
     },
   },
-  { files: ['scripts/**'], rules: { 'no-console': 'off' } },
+  {
+    files: ['scripts/**'],
+    rules: {
+      'no-console': 'off',
+      // The scripts build the product and are no part of it.
+      'import-x/no-extraneous-dependencies': 'off',
+    },
+  },
 ];
--- a/packages/admission/src/AdmissionController.ts
+++ b/packages/admission/src/AdmissionController.ts
@@ -7,6 +7,8 @@
   readonly depth: number;
   /** Monotonic milliseconds of this process. */
   readonly deadline: number;
+  /** Until when an answer is fully useful, on the same clock; the deadline by default. */
+  readonly usefulUntil?: number | undefined;
   /** Removes the request from the queue when it aborts. */
   readonly signal: AbortSignal;
 }
--- /dev/null
+++ b/packages/admission/src/SlotAdmission.ts
@@ -0,0 +1,254 @@
+import type { LoadReport, RefusalReason } from '@hickorybridge/types';
+import type { Clock, HostSpeed } from '@hickorybridge/utils';
+
+import type {
+  AdmissionController,
+  AdmissionOutcome,
+  AdmissionRequest,
+  Permit,
+} from './AdmissionController.js';
+import { KneeEstimate } from './KneeEstimate.js';
+import { ServiceTimes } from './ServiceTimes.js';
+import { isTimely, TargetQueue, type QueueOutlook, type TargetQueueEntry } from './TargetQueue.js';
+import { UsageShare } from './UsageShare.js';
+
+/** What the admission in front of one backend server needs. */
+export interface SlotAdmissionSettings {
+  /** Requests that the backend server works on at the same time, as it says itself. */
+  readonly slots: number;
+  /** How long it stays slow after its start, in milliseconds. */
+  readonly coldMilliseconds: number;
+  /** Speed of this host. */
+  readonly speed: HostSpeed;
+  readonly clock: Clock;
+}
+
+interface Waiting extends TargetQueueEntry {
+  readonly settle: (outcome: AdmissionOutcome) => void;
+  readonly onAbort: () => void;
+}
+
+interface Running extends TargetQueueEntry {
+  readonly startedAt: number;
+  /** Work that a slot had done by the start, as the host's speed tells it. */
+  readonly startWork: number;
+  /** Requests in flight at the start. */
+  readonly level: number;
+}
+
+/** Requests of the smoothed service time that unfinished requests are averaged with. */
+const stuckPriorSamples = 4;
+/** A cold backend server reports this share of its speed. */
+const coldShare = 0.5;
+/** How often waiting requests are checked while nothing ends, in milliseconds. */
+const sweepMilliseconds = 25;
+
+/**
+ * Admission for a backend server whose slots are known and which is reached through this node
+ * only, so that the count of its requests is exact. Requests beyond the slots wait here, where
+ * they can be ordered and refused, and never in the backend server.
+ */
+export class SlotAdmission implements AdmissionController {
+  readonly #settings: SlotAdmissionSettings;
+
+  readonly #clock: Clock;
+
+  readonly #startedAt: number;
+
+  /** Times at the usual speed of the host. */
+  readonly #serviceTimes = new ServiceTimes();
+
+  readonly #knee: KneeEstimate;
+
+  readonly #timelyUsage: UsageShare;
+
+  readonly #queue = new TargetQueue<Waiting>();
+
+  readonly #running = new Map<Permit, Running>();
+
+  #leaving = false;
+
+  #sweeper: NodeJS.Timeout | undefined;
+
+  #idleWaiters: (() => void)[] = [];
+
+  constructor(settings: SlotAdmissionSettings) {
+    this.#settings = settings;
+    this.#clock = settings.clock;
+    this.#startedAt = settings.clock.now();
+    this.#knee = new KneeEstimate(settings.slots);
+    this.#timelyUsage = new UsageShare(settings.slots);
+  }
+
+  admit(request: AdmissionRequest): Promise<AdmissionOutcome> {
+    const reason = this.#reasonToRefuse(request);
+    if (reason !== undefined) return Promise.resolve({ type: 'refused', reason });
+    const entry = { request, expectedMilliseconds: this.#expectedDuration(request.kind) };
+    if (this.#queue.length === 0 && this.#running.size < this.#limit) {
+      return Promise.resolve(this.#dispatch(entry));
+    }
+    return this.#enqueue(entry);
+  }
+
+  /** Requests in flight at most. */
+  get #limit(): number {
+    return this.#knee.limitAt(this.#clock.now());
+  }
+
+  #expectedDuration(kind: string): number {
+    const { speed } = this.#settings;
+    const work = this.#serviceTimes.expectedFor(kind);
+    return speed.expectedDuration(work, speed.factorAt(this.#clock.now()), 0);
+  }
+
+  report(workMilliseconds?: number): LoadReport {
+    return {
+      limit: this.#limit,
+      inFlight: this.#running.size,
+      queued: this.#queue.length,
+      serviceMilliseconds: this.#expectedServiceTime(),
+      rampShare: this.#isCold() ? coldShare : 1,
+      workFactor: this.#settings.speed.factorAt(this.#clock.now()),
+      workMilliseconds,
+    };
+  }
+
+  leave(): void {
+    this.#leaving = true;
+  }
+
+  /** Refuses the requests that still wait, because they may not start any more. */
+  refuseQueued(): void {
+    for (const waiting of this.#queue.entries()) this.#refuse(waiting, 'leaving');
+  }
+
+  idle(): Promise<void> {
+    if (this.#isIdle()) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.#idleWaiters.push(resolve);
+    });
+  }
+
+  #reasonToRefuse(request: AdmissionRequest): RefusalReason | undefined {
+    if (request.signal.aborted) return 'cancelled';
+    if (this.#clock.now() >= request.deadline) return 'deadline-passed';
+    return this.#leaving ? 'leaving' : undefined;
+  }
+
+  #enqueue(entry: TargetQueueEntry): Promise<AdmissionOutcome> {
+    return new Promise((settle) => {
+      const waiting: Waiting = {
+        ...entry,
+        settle,
+        onAbort: () => this.#refuse(waiting, 'cancelled'),
+      };
+      entry.request.signal.addEventListener('abort', waiting.onAbort, { once: true });
+      this.#queue.add(waiting);
+      this.#dispatchQueued();
+      this.#refuseUnservable();
+      this.#sweeper ??= setInterval(() => this.#refuseUnservable(), sweepMilliseconds);
+    });
+  }
+
+  #refuse(waiting: Waiting, reason: RefusalReason): void {
+    if (!this.#queue.remove(waiting)) return;
+    waiting.request.signal.removeEventListener('abort', waiting.onAbort);
+    waiting.settle({ type: 'refused', reason });
+    this.#queueChanged();
+  }
+
+  #refuseUnservable(): void {
+    for (const waiting of this.#queue.findUnservable(this.#outlook())) {
+      this.#refuse(waiting, 'deadline-unreachable');
+    }
+  }
+
+  #outlook(): QueueOutlook {
+    const now = this.#clock.now();
+    let workInFlight = 0;
+    for (const { expectedMilliseconds, startedAt } of this.#running.values()) {
+      workInFlight += Math.max(0, expectedMilliseconds - (now - startedAt));
+    }
+    return {
+      now,
+      places: this.#limit,
+      workInFlight,
+      timelyShare: this.#timelyUsage.at(now),
+    };
+  }
+
+  #dispatchQueued(): void {
+    while (this.#queue.length > 0 && this.#running.size < this.#limit) {
+      const now = this.#clock.now();
+      const waiting = this.#queue.takeNext(now);
+      if (waiting === undefined) return;
+      waiting.request.signal.removeEventListener('abort', waiting.onAbort);
+      if (now < waiting.request.deadline) waiting.settle(this.#dispatch(waiting));
+      else waiting.settle({ type: 'refused', reason: 'deadline-passed' });
+    }
+    this.#queueChanged();
+  }
+
+  #dispatch(entry: TargetQueueEntry): AdmissionOutcome {
+    const now = this.#clock.now();
+    const permit: Permit = {
+      release: (serviceMilliseconds) => this.#release(permit, serviceMilliseconds),
+    };
+    const startWork = this.#settings.speed.workAt(now);
+    const level = this.#running.size + 1;
+    this.#running.set(permit, { ...entry, startedAt: now, startWork, level });
+    if (isTimely(entry, now)) this.#timelyUsage.add(entry.expectedMilliseconds, now);
+    return { type: 'admitted', permit };
+  }
+
+  #release(permit: Permit, serviceMilliseconds: number | undefined): void {
+    const running = this.#running.get(permit);
+    if (running === undefined) return;
+    this.#running.delete(permit);
+    if (serviceMilliseconds !== undefined) {
+      this.#record(running);
+    }
+    this.#dispatchQueued();
+  }
+
+  #record({ level, request, startWork }: Running): void {
+    const now = this.#clock.now();
+    const work = Math.max(0, this.#settings.speed.workAt(now) - startWork);
+    this.#serviceTimes.record(request.kind, work, now, false);
+    const levelAtEnd = this.#running.size + 1;
+    this.#knee.record(request.kind, work, Math.max(level, levelAtEnd), now);
+  }
+
+  /**
+   * Requests that already run longer than the smoothed service time raise the estimate, so that a
+   * backend server which stops answering shows in the reports before its first late answer.
+   */
+  #expectedServiceTime(): number {
+    const { smoothed } = this.#serviceTimes;
+    const workNow = this.#settings.speed.workAt(this.#clock.now());
+    let sum = smoothed * stuckPriorSamples;
+    for (const { startWork } of this.#running.values()) {
+      sum += Math.max(smoothed, workNow - startWork);
+    }
+    return sum / (stuckPriorSamples + this.#running.size);
+  }
+
+  #isCold(): boolean {
+    return this.#clock.now() - this.#startedAt < this.#settings.coldMilliseconds;
+  }
+
+  #isIdle(): boolean {
+    return this.#running.size === 0 && this.#queue.length === 0;
+  }
+
+  #queueChanged(): void {
+    if (this.#queue.length === 0) {
+      clearInterval(this.#sweeper);
+      this.#sweeper = undefined;
+    }
+    if (!this.#isIdle()) return;
+    const waiters = this.#idleWaiters;
+    this.#idleWaiters = [];
+    for (const resolve of waiters) resolve();
+  }
+}
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,3 +1,4 @@
 export * from './AdmissionController.js';
 export * from './createAdmissionController.js';
 export type { AdmissionSettings } from './LimitedAdmission.js';
+export * from './SlotAdmission.js';
--- /dev/null
+++ b/packages/host-node/src/NodeObserver.ts
@@ -0,0 +1,85 @@
+import type { Logger } from '@hickorybridge/logger';
+import { Counter, LatencyHistogram } from '@hickorybridge/telemetry';
+
+import type { FinishedExchange } from './callers/CallersListener.js';
+
+/** Logs and counts what a node does. */
+export class NodeObserver {
+  readonly #logger: Logger;
+
+  readonly #requests = new Map<string, Counter>();
+
+  readonly #durations = new Map<string, LatencyHistogram>();
+
+  readonly #storeCalls = new Map<string, Counter>();
+
+  constructor(logger: Logger) {
+    this.#logger = logger;
+  }
+
+  storeCalled(operation: string, result: string): void {
+    counterOf(this.#storeCalls, `operation="${operation}",result="${result}"`).add();
+  }
+
+  finished({ depth, milliseconds, outcome, requestId, route, service }: FinishedExchange): void {
+    const name = route?.name ?? '';
+    const result = outcome.type === 'answered' ? String(outcome.head.status) : outcome.reason;
+    counterOf(this.#requests, `route="${name}",result="${result}"`).add();
+    this.#durationOf(name).record(milliseconds);
+    const isLate = route !== undefined && milliseconds > route.targetMilliseconds;
+    if (outcome.type === 'answered' && outcome.head.status < 500 && !isLate) return;
+    this.#logger.info('request-finished', 'a request failed or was late', {
+      requestId,
+      route: name,
+      service,
+      result,
+      mayHaveRun: outcome.type === 'answered' ? true : outcome.mayHaveRun,
+      detail: outcome.type === 'answered' ? undefined : outcome.detail,
+      returnMilliseconds:
+        outcome.type === 'answered' ? undefined : Math.round(outcome.returnMilliseconds ?? 0),
+      milliseconds: Math.round(milliseconds),
+      target: route?.targetMilliseconds,
+      depth,
+    });
+  }
+
+  /** Renders all metrics in the text format of Prometheus. */
+  render(): string {
+    const lines = [
+      ...renderCounters('hickorybridge_requests_total', this.#requests),
+      ...renderCounters('hickorybridge_store_calls_total', this.#storeCalls),
+    ];
+    for (const [route, histogram] of this.#durations) {
+      const label = `route="${route}"`;
+      const name = 'hickorybridge_request_duration_seconds';
+      for (const quantile of [0.5, 0.99]) {
+        const seconds = histogram.quantile(quantile) / 1000;
+        lines.push(`${name}{${label},quantile="${quantile}"} ${seconds}`);
+      }
+      lines.push(`${name}_sum{${label}} ${histogram.sumMilliseconds / 1000}`);
+      lines.push(`${name}_count{${label}} ${histogram.count}`);
+    }
+    lines.push(`hickorybridge_resident_memory_bytes ${process.memoryUsage.rss()}`);
+    return `${lines.join('\n')}\n`;
+  }
+
+  #durationOf(route: string): LatencyHistogram {
+    const known = this.#durations.get(route);
+    if (known !== undefined) return known;
+    const histogram = new LatencyHistogram();
+    this.#durations.set(route, histogram);
+    return histogram;
+  }
+}
+
+function counterOf(counters: Map<string, Counter>, labels: string): Counter {
+  const known = counters.get(labels);
+  if (known !== undefined) return known;
+  const counter = new Counter();
+  counters.set(labels, counter);
+  return counter;
+}
+
+function renderCounters(name: string, counters: ReadonlyMap<string, Counter>): string[] {
+  return [...counters].map(([labels, counter]) => `${name}{${labels}} ${counter.value}`);
+}
--- /dev/null
+++ b/packages/host-node/src/backend/BackendServerExchange.ts
@@ -0,0 +1,271 @@
+import {
+  LossCause,
+  maxWholeBodyBytes,
+  type AnswerBody,
+  type RequestBody,
+} from '@hickorybridge/peer-protocol';
+import { decodeLoadFigures, HeaderNames } from '@hickorybridge/platform';
+import type { AnswerHead, LoadFigures, RequestHead } from '@hickorybridge/types';
+import type { Clock } from '@hickorybridge/utils';
+import { request, type ClientRequest, type IncomingMessage } from 'node:http';
+import { Transform } from 'node:stream';
+
+import { endToEndHeaders } from '../headers.js';
+import type { ConnectionAgent } from './ConnectionAgent.js';
+
+/** How sending a request to a backend server ended. */
+export type ExchangeOutcome =
+  | { readonly type: 'answered'; readonly head: AnswerHead; readonly body: AnswerBody }
+  /** The request surely did not run. */
+  | { readonly type: 'not-run'; readonly reason: NotRunReason }
+  /** The request may have run. */
+  | { readonly type: 'lost'; readonly cause: LossCause; readonly detail: string };
+
+export const NotRunReason = {
+  connectionRefused: 'connection-refused',
+  shed: 'backend-server-shed',
+  otherBackendServer: 'no-such-backend-server',
+  cancelled: 'cancelled',
+} as const;
+
+export type NotRunReason = (typeof NotRunReason)[keyof typeof NotRunReason];
+
+/** What an exchange needs. */
+export interface ExchangeOptions {
+  readonly agent: ConnectionAgent;
+  readonly host: string;
+  readonly port: number;
+  readonly head: RequestHead;
+  readonly body: RequestBody;
+  readonly clock: Clock;
+  readonly onLoad: (figures: LoadFigures) => void;
+  /** Is told when the backend server works on the request no longer, as far as this node knows. */
+  readonly onEnd: (complete: boolean) => void;
+}
+
+/** A 421 says that another backend server has this address. */
+const misdirectedStatus = 421;
+const bodilessStatuses: readonly number[] = [204, 304];
+
+/** One request to the backend server beside this node, and its answer. */
+export class BackendServerExchange {
+  readonly outcome: Promise<ExchangeOutcome>;
+
+  readonly #options: ExchangeOptions;
+
+  readonly #request: ClientRequest;
+
+  #resolve!: (outcome: ExchangeOutcome) => void;
+
+  #settled = false;
+
+  #ended = false;
+
+  /** True once bytes may have reached the backend server. */
+  #sent = false;
+
+  #answering = false;
+
+  #cancelCause: LossCause | undefined;
+
+  constructor(options: ExchangeOptions) {
+    this.#options = options;
+    this.outcome = new Promise((resolve) => {
+      this.#resolve = resolve;
+    });
+    this.#request = this.#start();
+  }
+
+  /** Ends the exchange by closing its connection. */
+  cancel(cause: LossCause): void {
+    this.#cancelCause ??= cause;
+    this.#request.destroy();
+  }
+
+  #start(): ClientRequest {
+    const { agent, body, head, host, port } = this.#options;
+    const outgoing = request({
+      agent,
+      host,
+      port,
+      method: head.method,
+      path: head.target,
+      headers: this.#headers() as unknown as Record<string, string>,
+    });
+    outgoing.once('socket', (socket) => {
+      if (!socket.connecting) this.#sent = true;
+      else socket.once('connect', () => this.#connected());
+    });
+    outgoing.once('response', (answer) => this.#receive(answer));
+    outgoing.once('error', (error) => this.#fail(error.message));
+    outgoing.once('close', () => {
+      // Once an answer has begun, its own end says whether it is complete.
+      if (!this.#answering) this.#fail('the connection was closed without an answer');
+    });
+    if (body.type === 'stream') {
+      body.stream.once('error', () => outgoing.destroy());
+      body.stream.pipe(outgoing);
+    } else {
+      outgoing.end(body.type === 'buffered' ? body.data : undefined);
+    }
+    return outgoing;
+  }
+
+  #connected(): void {
+    this.#sent = true;
+  }
+
+  #headers(): string[] {
+    const { body, clock, head } = this.#options;
+    const remaining = Math.max(1, Math.floor(head.deadline - clock.now()));
+    const headers = [
+      ...head.headers,
+      HeaderNames.remainingMilliseconds,
+      String(remaining),
+      HeaderNames.expectedBackendServer,
+      head.backendServerId,
+    ];
+    if (body.type === 'buffered') headers.push('content-length', String(body.data.length));
+    if (body.type === 'stream') headers.push('transfer-encoding', 'chunked');
+    if (body.type === 'none' && head.method === 'POST') headers.push('content-length', '0');
+    return headers;
+  }
+
+  #receive(answer: IncomingMessage): void {
+    const { head, onLoad } = this.#options;
+    const { headers } = answer;
+    this.#answering = true;
+    answer.on('error', () => {});
+    const figures = decodeLoadFigures(textOf(headers[HeaderNames.load]));
+    if (figures !== undefined) onLoad(figures);
+    // An answer that is left over from an earlier request on this connection.
+    const isOwn = textOf(headers[HeaderNames.requestId]) === head.requestId;
+    const status = answer.statusCode ?? 0;
+    if (status === misdirectedStatus) {
+      this.#notRun(answer, NotRunReason.otherBackendServer);
+    } else if (headers[HeaderNames.notRun] !== undefined) {
+      this.#notRun(answer, NotRunReason.shed);
+    } else if (!isOwn) {
+      this.#reject(answer, 'the answer belongs to another request');
+    } else if (headers['content-encoding'] !== undefined) {
+      this.#reject(answer, 'the answer has an encoding that was not asked for');
+    } else if (status < 300 && headers[HeaderNames.signature] === undefined) {
+      this.#reject(answer, 'the answer is not signed');
+    } else {
+      this.#readBody(answer, status);
+    }
+  }
+
+  #notRun(answer: IncomingMessage, reason: NotRunReason): void {
+    answer.resume();
+    answer.once('close', () => this.#end(false));
+    this.#settle({ type: 'not-run', reason });
+  }
+
+  #reject(answer: IncomingMessage, detail: string): void {
+    answer.destroy();
+    this.#request.destroy();
+    this.#fail(detail);
+  }
+
+  #readBody(answer: IncomingMessage, status: number): void {
+    const headers = endToEndHeaders(answer.rawHeaders);
+    const head: AnswerHead = isFramed(answer)
+      ? { status, headers }
+      : { status, headers, endsWithConnection: true };
+    const length = Number(answer.headers['content-length'] ?? Number.NaN);
+    if (length > maxWholeBodyBytes) {
+      this.#streamBody(answer, head);
+      return;
+    }
+    const chunks: Buffer[] = [];
+    let size = 0;
+    answer.on('data', (chunk: Buffer) => {
+      chunks.push(chunk);
+      size += chunk.length;
+      if (size <= maxWholeBodyBytes || chunks.length === 0) return;
+      answer.removeAllListeners('data');
+      this.#streamBody(answer, head, chunks.splice(0));
+    });
+    whenAnswerEnds(answer, (complete) => {
+      if (this.#settled) return;
+      if (!complete) {
+        this.#fail('the answer broke off');
+        return;
+      }
+      const data = bodilessStatuses.includes(status) ? Buffer.alloc(0) : Buffer.concat(chunks);
+      this.#settle({ type: 'answered', head, body: { type: 'whole', data } });
+      this.#end(true);
+    });
+  }
+
+  /** Passes a large body on while it comes; it fails when the answer breaks off. */
+  #streamBody(answer: IncomingMessage, head: AnswerHead, first: readonly Buffer[] = []): void {
+    const stream = new Transform({
+      transform: (chunk, _encoding, callback) => callback(null, chunk),
+    });
+    for (const chunk of first) stream.write(chunk);
+    whenAnswerEnds(answer, (complete) => {
+      if (complete) stream.end();
+      else stream.destroy(new Error('the answer broke off'));
+      this.#end(complete);
+    });
+    stream.once('close', () => {
+      if (!answer.complete) this.#request.destroy();
+    });
+    answer.pipe(stream, { end: false });
+    this.#settle({ type: 'answered', head, body: { type: 'stream', stream } });
+  }
+
+  #fail(detail: string): void {
+    const cancelled = this.#cancelCause;
+    if (!this.#sent) {
+      const reason =
+        cancelled === undefined ? NotRunReason.connectionRefused : NotRunReason.cancelled;
+      this.#settle({ type: 'not-run', reason });
+    } else {
+      this.#settle({ type: 'lost', cause: cancelled ?? LossCause.connection, detail });
+    }
+    this.#end(false);
+  }
+
+  #settle(outcome: ExchangeOutcome): void {
+    if (this.#settled) return;
+    this.#settled = true;
+    this.#resolve(outcome);
+  }
+
+  #end(complete: boolean): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#options.onEnd(complete);
+  }
+}
+
+/**
+ * Tells when an answer has ended and whether it is complete. An answer without a length ends with
+ * its connection; Node.js calls it complete even when that was reset.
+ */
+function whenAnswerEnds(answer: IncomingMessage, listener: (complete: boolean) => void): void {
+  const { socket } = answer;
+  answer.once('close', () => {
+    if (isFramed(answer) || !answer.complete || socket.closed) {
+      listener(answer.complete && socket.errored === null);
+    } else {
+      socket.once('close', (hadError: boolean) => listener(!hadError));
+    }
+  });
+}
+
+/** Whether an answer says itself where it ends. */
+function isFramed({ headers, statusCode = 0 }: IncomingMessage): boolean {
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined ||
+    bodilessStatuses.includes(statusCode)
+  );
+}
+
+function textOf(value: string | string[] | undefined): string | undefined {
+  return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/packages/host-node/src/backend/BackendServerRegistry.ts
@@ -0,0 +1,167 @@
+import type { Logger } from '@hickorybridge/logger';
+import type { ExecutionOutcome, RequestBody, RequestExecutor } from '@hickorybridge/peer-protocol';
+import type { BackendServerReport, LoadReport, RequestHead } from '@hickorybridge/types';
+import type { Clock, HostSpeed } from '@hickorybridge/utils';
+
+import { LocalBackendServer } from './LocalBackendServer.js';
+
+/** What the registry of this host's backend server needs. */
+export interface BackendServerRegistryOptions {
+  /** Whether a report describes a backend server of this host. */
+  readonly accepts: (report: BackendServerReport) => boolean;
+  readonly maxConnectionsOf: (service: string) => number;
+  readonly drainMilliseconds: number;
+  /** Is told when another backend server is in use, or it leaves. */
+  readonly onChange: () => void;
+  /** Is told when the host has become slower or faster. */
+  readonly onLoadChanged: () => void;
+  readonly speed: HostSpeed;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** The last that was heard of one incarnation of a backend server. */
+interface Heard {
+  readonly startedAt: number;
+  sequence: number;
+  leaving: boolean;
+}
+
+/** Incarnations that are remembered, so that a late report of one of them changes nothing. */
+const maxRemembered = 64;
+
+/** Knows the backend server beside this node from what it says itself, and nothing else. */
+export class BackendServerRegistry implements RequestExecutor, AsyncDisposable {
+  readonly #options: BackendServerRegistryOptions;
+
+  readonly #heard = new Map<string, Heard>();
+
+  #current: LocalBackendServer | undefined;
+
+  constructor(options: BackendServerRegistryOptions) {
+    this.#options = options;
+  }
+
+  get current(): LocalBackendServer | undefined {
+    return this.#current;
+  }
+
+  /** Takes in a report. Late ones, and those of an earlier incarnation, change nothing. */
+  reported(report: BackendServerReport): void {
+    const { logger } = this.#options;
+    if (!this.#options.accepts(report)) {
+      logger.warn('report-ignored', 'a report describes no backend server of this host', {
+        backendServer: report.backendServerId,
+        service: report.service,
+        address: `${report.address.host}:${report.address.port}`,
+      });
+      return;
+    }
+    const heard = this.#heard.get(report.backendServerId);
+    if (heard !== undefined && heard.startedAt > report.startedAt) return;
+    if (heard === undefined || heard.startedAt < report.startedAt) {
+      this.#remember(report);
+      this.#replace(report);
+      return;
+    }
+    if (report.sequence <= heard.sequence) return;
+    heard.sequence = report.sequence;
+    if (report.draining) this.#leaves(report.backendServerId);
+  }
+
+  /** The backend server leaves; `startedAt` is 0 when it does not say which incarnation. */
+  left(backendServerId: string, startedAt: number): void {
+    const heard = this.#heard.get(backendServerId);
+    if (heard === undefined || (startedAt !== 0 && startedAt < heard.startedAt)) return;
+    this.#leaves(backendServerId);
+  }
+
+  async execute(
+    head: RequestHead,
+    body: RequestBody,
+    signal: AbortSignal,
+  ): Promise<ExecutionOutcome> {
+    const current = this.#current;
+    if (current === undefined) return refused('not-ready');
+    if (current.report.backendServerId !== head.backendServerId) {
+      return refused('no-such-backend-server');
+    }
+    return current.execute(head, body, signal);
+  }
+
+  /** Whether an id extends that of a request which the backend server runs now. */
+  isCallOfRunning(requestId: string): boolean {
+    return this.#current?.isCallOfRunning(requestId) ?? false;
+  }
+
+  load(): LoadReport | undefined {
+    return this.#current?.load();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#current?.[Symbol.asyncDispose]();
+  }
+
+  #remember({ backendServerId, draining, sequence, startedAt }: BackendServerReport): void {
+    this.#heard.delete(backendServerId);
+    this.#heard.set(backendServerId, { startedAt, sequence, leaving: draining });
+    const [oldest] = this.#heard.keys();
+    if (this.#heard.size > maxRemembered && oldest !== undefined) this.#heard.delete(oldest);
+  }
+
+  #replace(report: BackendServerReport): void {
+    const { logger } = this.#options;
+    const previous = this.#current;
+    if (previous !== undefined && previous.report.startedAt > report.startedAt) return;
+    logger.info('backend-server-joined', 'a backend server of this host has reported', {
+      backendServer: report.backendServerId,
+      service: report.service,
+      slots: report.slots,
+      startedAt: report.startedAt,
+      sequence: report.sequence,
+      leaving: report.draining,
+    });
+    previous?.leave();
+    const next = new LocalBackendServer({
+      report,
+      maxConnections: this.#options.maxConnectionsOf(report.service),
+      drainMilliseconds: this.#options.drainMilliseconds,
+      speed: this.#options.speed,
+      clock: this.#options.clock,
+      logger,
+      onReplaced: () => this.#replaced(next),
+      onLoadChanged: this.#options.onLoadChanged,
+    });
+    if (report.draining) next.leave();
+    this.#current = next;
+    this.#options.onChange();
+  }
+
+  #leaves(backendServerId: string): void {
+    const heard = this.#heard.get(backendServerId);
+    if (heard === undefined || heard.leaving) return;
+    heard.leaving = true;
+    this.#options.logger.info('backend-server-leaving', 'takes no new requests from now on', {
+      backendServer: backendServerId,
+      sequence: heard.sequence,
+    });
+    if (this.#current?.report.backendServerId !== backendServerId) return;
+    this.#current.leave();
+    this.#options.onChange();
+  }
+
+  /** Another backend server answers at the address; it reports itself soon. */
+  #replaced(backendServer: LocalBackendServer): void {
+    if (this.#current !== backendServer) return;
+    this.#options.logger.warn('backend-server-replaced', 'another one answers at its address', {
+      backendServer: backendServer.report.backendServerId,
+    });
+    backendServer.leave();
+    this.#current = undefined;
+    this.#options.onChange();
+  }
+}
+
+function refused(reason: 'not-ready' | 'no-such-backend-server'): ExecutionOutcome {
+  return { type: 'refused', reason, report: undefined };
+}
--- /dev/null
+++ b/packages/host-node/src/backend/LocalBackendServer.ts
@@ -0,0 +1,168 @@
+import { SlotAdmission, type Permit } from '@hickorybridge/admission';
+import type { Logger } from '@hickorybridge/logger';
+import {
+  LossCause,
+  type ExecutionOutcome,
+  type RequestBody,
+  type RequestExecutor,
+} from '@hickorybridge/peer-protocol';
+import type { BackendServerReport, LoadReport, RequestHead } from '@hickorybridge/types';
+import type { Clock, HostSpeed } from '@hickorybridge/utils';
+
+import {
+  BackendServerExchange,
+  type ExchangeOutcome,
+  NotRunReason,
+} from './BackendServerExchange.js';
+import { ConnectionAgent } from './ConnectionAgent.js';
+
+/** What the backend server beside this node is made of. */
+export interface LocalBackendServerOptions {
+  readonly report: BackendServerReport;
+  readonly maxConnections: number;
+  /** From the acknowledgement that it leaves to the last request that may start, in milliseconds. */
+  readonly drainMilliseconds: number;
+  readonly speed: HostSpeed;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Is told when another backend server answers at the address. */
+  readonly onReplaced: () => void;
+  /** Is told when the host has become slower or faster. */
+  readonly onLoadChanged: () => void;
+}
+
+/** Share of the drain time in which queued requests may start; the rest allows for a slow node. */
+const queuedDrainShare = 0.6;
+/** The first status of server errors. */
+const firstServerError = 500;
+
+/** The backend server on this host, behind its admission. The only way to it. */
+export class LocalBackendServer implements RequestExecutor, AsyncDisposable {
+  readonly report: BackendServerReport;
+
+  readonly #options: LocalBackendServerOptions;
+
+  readonly #admission: SlotAdmission;
+
+  readonly #agent: ConnectionAgent;
+
+  /** Ids of the requests that the backend server runs. */
+  readonly #running = new Set<string>();
+
+  #leaving = false;
+
+  #refusing: NodeJS.Timeout | undefined;
+
+  constructor(options: LocalBackendServerOptions) {
+    const { clock, report, speed } = options;
+    this.#options = options;
+    this.report = report;
+    const { coldMilliseconds, slots } = report;
+    this.#admission = new SlotAdmission({ slots, coldMilliseconds, speed, clock });
+    this.#agent = new ConnectionAgent(Math.max(1, options.maxConnections));
+  }
+
+  get leaving(): boolean {
+    return this.#leaving;
+  }
+
+  load(): LoadReport {
+    return this.#admission.report();
+  }
+
+  /** Refuses new requests from now on; those queued may start for some time, those in flight go on. */
+  leave(): void {
+    if (this.#leaving) return;
+    this.#leaving = true;
+    this.#admission.leave();
+    this.#refusing = setTimeout(
+      () => this.#admission.refuseQueued(),
+      this.#options.drainMilliseconds * queuedDrainShare,
+    );
+  }
+
+  /** Calls carry the id of the request that they belong to, a dot, and their own. */
+  isCallOfRunning(requestId: string): boolean {
+    const end = requestId.lastIndexOf('.');
+    return end > 0 && this.#running.has(requestId.slice(0, end));
+  }
+
+  async execute(
+    head: RequestHead,
+    body: RequestBody,
+    signal: AbortSignal,
+  ): Promise<ExecutionOutcome> {
+    const admission = await this.#admission.admit({ ...head, signal });
+    if (admission.type === 'refused') {
+      return { type: 'refused', reason: admission.reason, report: this.load() };
+    }
+    const { clock, speed } = this.#options;
+    const startWork = speed.workAt(clock.now());
+    const outcome = await this.#run(head, body, signal, admission.permit);
+    const work = speed.workAt(clock.now()) - startWork;
+    return this.#toExecutionOutcome(outcome, work);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.leave();
+    clearTimeout(this.#refusing);
+    this.#agent.destroy();
+  }
+
+  #observeFactor(workFactor: number): void {
+    const { clock, onLoadChanged, speed } = this.#options;
+    const now = clock.now();
+    const before = speed.factorAt(now);
+    speed.observe(workFactor, now);
+    if (workFactor !== before) onLoadChanged();
+  }
+
+  async #run(
+    head: RequestHead,
+    body: RequestBody,
+    signal: AbortSignal,
+    permit: Permit,
+  ): Promise<ExchangeOutcome> {
+    const { clock, report } = this.#options;
+    const startedAt = clock.now();
+    // Checked again here, because this process may have been paused since the admission.
+    if (signal.aborted || startedAt >= head.deadline) {
+      permit.release();
+      return { type: 'not-run', reason: NotRunReason.cancelled };
+    }
+    let failed = false;
+    this.#running.add(head.requestId);
+    const exchange = new BackendServerExchange({
+      agent: this.#agent,
+      ...report.address,
+      head,
+      body,
+      clock,
+      onLoad: ({ workFactor }) => this.#observeFactor(workFactor),
+      onEnd: (complete) => {
+        this.#running.delete(head.requestId);
+        permit.release(complete && !failed ? clock.now() - startedAt : undefined);
+      },
+    });
+    const cancel = () => exchange.cancel(LossCause.connection);
+    signal.addEventListener('abort', cancel, { once: true });
+    const timer = setTimeout(() => exchange.cancel(LossCause.deadline), head.deadline - startedAt);
+    const outcome = await exchange.outcome;
+    clearTimeout(timer);
+    signal.removeEventListener('abort', cancel);
+    failed = outcome.type !== 'answered' || outcome.head.status >= firstServerError;
+    return outcome;
+  }
+
+  #toExecutionOutcome(outcome: ExchangeOutcome, work: number): ExecutionOutcome {
+    switch (outcome.type) {
+      case 'answered':
+        return { ...outcome, report: this.#admission.report(Math.max(0, work)) };
+      case 'not-run':
+        if (outcome.reason === NotRunReason.otherBackendServer) this.#options.onReplaced();
+        return { type: 'refused', reason: outcome.reason, report: this.load() };
+      default:
+        return outcome;
+    }
+  }
+}
--- /dev/null
+++ b/packages/host-node/src/bin.ts
@@ -0,0 +1,47 @@
+import { createLogger } from '@hickorybridge/logger';
+import { defaultSettingsPath, loadSettings, settingsVariable } from '@hickorybridge/platform';
+import { hashString, RandomSource, systemClock } from '@hickorybridge/utils';
+
+import { SettingsFile } from './control/SettingsFile.js';
+import { createHostNode } from './createHostNode.js';
+import { StandardOutput } from './StandardOutput.js';
+
+const wrongSettingsExitCode = 2;
+
+// About 100 KB a second at most for one node, when every request fails.
+const requestLineRate = { burst: 200, linesPerSecond: 50 };
+
+async function main(): Promise<void> {
+  const path = process.env[settingsVariable] ?? defaultSettingsPath;
+  const settings = loadSettings(path);
+  if (!settings.ok) {
+    process.stderr.write(`${settings.error.detail}\n`);
+    process.exitCode = wrongSettingsExitCode;
+    return;
+  }
+  const output = new StandardOutput();
+  const { nodeId } = settings.value;
+  const logger = createLogger({
+    level: 'info',
+    format: 'json',
+    fields: { node: nodeId },
+    write: (line) => output.write(line),
+    rate: requestLineRate,
+  });
+  const file = new SettingsFile(path, settings.value, logger);
+  const seed = hashString(`${nodeId} ${Date.now()}`);
+  const node = createHostNode({
+    settings: file,
+    clock: systemClock,
+    random: new RandomSource(seed),
+    logger,
+  });
+  process.on('SIGHUP', () => file.reload());
+  process.on('SIGTERM', async () => {
+    await node.stop();
+    process.exit(0);
+  });
+  await node.start();
+}
+
+main();
--- /dev/null
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -0,0 +1,220 @@
+import { HeaderNames } from '@hickorybridge/platform';
+import { maxWholeBodyBytes, type RequestBody } from '@hickorybridge/peer-protocol';
+import type { CallerLimits, Route, SocketAddress } from '@hickorybridge/types';
+import type { Clock } from '@hickorybridge/utils';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+
+import { endToEndHeaders } from '../headers.js';
+import { listen } from '../listen.js';
+import { FailureReason, type CallerOutcome, type CallerRequest } from '../routing/CallerRequest.js';
+import type { RequestRouter } from '../routing/RequestRouter.js';
+import { readBody } from './readBody.js';
+import { sendOutcome } from './sendOutcome.js';
+
+/** What the listener for callers needs. */
+export interface CallersListenerOptions {
+  readonly router: RequestRouter;
+  /** Service of this host, which its callers are named by. */
+  readonly service: () => string;
+  /** Whether a request is a call that the backend server makes for one that it runs now. */
+  readonly isNestedCall: (requestId: string) => boolean;
+  /** Whether the node is about to end. */
+  readonly stopping: () => boolean;
+  readonly onFinished: (exchange: FinishedExchange) => void;
+  readonly clock: Clock;
+}
+
+/** What became of a request. */
+export interface FinishedExchange {
+  readonly requestId: string;
+  readonly route: Route | undefined;
+  readonly service: string | undefined;
+  readonly outcome: CallerOutcome;
+  readonly milliseconds: number;
+  readonly depth: number;
+}
+
+// A caller may use an idle connection until the limit; the answer to that has to be in time.
+const idleMarginMilliseconds = 1000;
+// Above any configured limit; the configured one is checked for each request.
+const parserHeaderBytes = 256 * 1024;
+const defaultIdleMilliseconds = 15_000;
+const defaultRemainingMilliseconds = 30_000;
+
+/** Takes the requests of callers on this host, and of its backend server. */
+export class CallersListener implements AsyncDisposable {
+  readonly #options: CallersListenerOptions;
+
+  readonly #server: Server;
+
+  #open = 0;
+
+  #refusing = false;
+
+  constructor(options: CallersListenerOptions) {
+    this.#options = options;
+    this.#server = createServer({ maxHeaderSize: parserHeaderBytes, noDelay: true });
+    this.#server.keepAliveTimeout = defaultIdleMilliseconds + idleMarginMilliseconds;
+    this.#server.requestTimeout = 0;
+    this.#server.on('request', (request, response) => this.#handle(request, response));
+    this.#server.on('clientError', (_error, socket) => socket.destroy());
+  }
+
+  /** Requests that have no complete answer yet. */
+  get open(): number {
+    return this.#open;
+  }
+
+  async listen(address: SocketAddress): Promise<void> {
+    await listen(this.#server, address);
+  }
+
+  /** Puts limits into force for connections from now on. */
+  limit(limits: CallerLimits): void {
+    this.#server.keepAliveTimeout = limits.idleTimeoutMilliseconds + idleMarginMilliseconds;
+    this.#server.headersTimeout = limits.headerTimeoutMilliseconds + idleMarginMilliseconds;
+  }
+
+  /** Takes no further requests, because their answers would come too late. */
+  refuseNew(): void {
+    if (this.#refusing) return;
+    this.#refusing = true;
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { clock } = this.#options;
+    const arrivedAt = clock.now();
+    this.#open += 1;
+    response.once('close', () => {
+      this.#open -= 1;
+    });
+    if (this.#options.stopping()) response.shouldKeepAlive = false;
+    const requestId = singleHeader(request, HeaderNames.requestId) ?? '';
+    const finish = (outcome: CallerOutcome, found?: Found) => {
+      sendOutcome(request, response, outcome);
+      this.#options.onFinished({
+        requestId,
+        route: found?.route,
+        service: found?.service,
+        outcome,
+        milliseconds: clock.now() - arrivedAt,
+        depth: found?.depth ?? 0,
+      });
+    };
+    const found = this.#findRoute(request, requestId);
+    if (found.type === 'failed') {
+      finish(found);
+      return;
+    }
+    const cancellation = new AbortController();
+    response.once('close', () => cancellation.abort());
+    const body = await readBody(request, {
+      maxBytes: found.limits.maxBodyBytes,
+      wholeBytes: maxWholeBodyBytes,
+    });
+    if (body === 'too-large') {
+      finish(failure(FailureReason.bodyTooLarge, 'the body is larger than allowed'), found);
+      return;
+    }
+    if (body === 'broken') {
+      finish(failure(FailureReason.callerLeft, 'the body did not arrive completely'), found);
+      return;
+    }
+    const callerRequest = this.#toCallerRequest({
+      request,
+      requestId,
+      found,
+      body,
+      arrivedAt,
+      signal: cancellation.signal,
+    });
+    finish(await this.#options.router.route(callerRequest), found);
+  }
+
+  #findRoute(request: IncomingMessage, requestId: string): Found | Failed {
+    const { router } = this.#options;
+    const { configuration } = router;
+    if (this.#refusing) return failure(FailureReason.stopping, 'this node is about to end');
+    if (configuration === undefined) {
+      return failure(FailureReason.noConfiguration, 'this node knows no configuration yet');
+    }
+    const headerBytes = request.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+    if (headerBytes > configuration.limits.maxHeaderBytes) {
+      return failure(FailureReason.headersTooLarge, 'the headers are larger than allowed');
+    }
+    const host = request.headers.host ?? '';
+    const route = router.findRoute(host, request.url ?? '');
+    if (route === undefined) {
+      return failure(FailureReason.noRoute, `no route for host "${host}" and this path`);
+    }
+    return {
+      type: 'found',
+      route,
+      service: router.chooseService(route),
+      depth: this.#options.isNestedCall(requestId) ? 1 : 0,
+      limits: configuration.limits,
+    };
+  }
+
+  #toCallerRequest(options: {
+    readonly request: IncomingMessage;
+    readonly requestId: string;
+    readonly found: Found;
+    readonly body: RequestBody;
+    readonly arrivedAt: number;
+    readonly signal: AbortSignal;
+  }): CallerRequest {
+    const { arrivedAt, body, found, request, requestId, signal } = options;
+    const { depth, route, service } = found;
+    const remaining = remainingOf(request);
+    return {
+      requestId,
+      route,
+      service,
+      method: request.method ?? 'GET',
+      target: request.url ?? '/',
+      headers: [
+        ...endToEndHeaders(request.rawHeaders),
+        HeaderNames.callingService,
+        this.#options.service(),
+      ],
+      body,
+      arrivedAt,
+      deadline: arrivedAt + Math.min(remaining, route.timeoutMilliseconds),
+      callerDeadline: arrivedAt + remaining,
+      depth,
+      signal,
+    };
+  }
+}
+
+interface Found {
+  readonly type: 'found';
+  readonly route: Route;
+  readonly service: string;
+  readonly depth: number;
+  readonly limits: CallerLimits;
+}
+
+type Failed = Extract<CallerOutcome, { type: 'failed' }>;
+
+function failure(reason: FailureReason, detail: string): Failed {
+  return { type: 'failed', reason, mayHaveRun: false, detail };
+}
+
+function singleHeader(request: IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function remainingOf(request: IncomingMessage): number {
+  const value = Number(singleHeader(request, HeaderNames.remainingMilliseconds) ?? Number.NaN);
+  return Number.isFinite(value) && value >= 0 ? value : defaultRemainingMilliseconds;
+}
--- /dev/null
+++ b/packages/host-node/src/callers/sendOutcome.ts
@@ -0,0 +1,76 @@
+import { discardBody } from '@hickorybridge/peer-protocol';
+import { HeaderNames } from '@hickorybridge/platform';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import { FailureReason, type CallerOutcome } from '../routing/CallerRequest.js';
+
+/** Status of a failure whose request has not run; 503 promises that it never will. */
+const notRunStatuses: Partial<Readonly<Record<FailureReason, number>>> = {
+  [FailureReason.noRoute]: 404,
+  [FailureReason.badRequest]: 400,
+  [FailureReason.bodyTooLarge]: 413,
+  [FailureReason.headersTooLarge]: 431,
+};
+const notRunStatus = 503;
+/** These promise nothing: the request may have run. */
+const timeoutStatus = 504;
+const lostStatus = 502;
+
+/** Sends what became of a request to its caller. */
+export function sendOutcome(
+  request: IncomingMessage,
+  response: ServerResponse,
+  outcome: CallerOutcome,
+): void {
+  if (response.destroyed || response.writableEnded) {
+    if (outcome.type === 'answered') discardBody(outcome.body);
+    return;
+  }
+  // A caller that still sends its body cannot use the connection for another request.
+  if (!request.complete) response.shouldKeepAlive = false;
+  if (outcome.type === 'failed') sendFailure(response, outcome);
+  else sendAnswer(response, outcome);
+}
+
+function sendFailure(
+  response: ServerResponse,
+  outcome: Extract<CallerOutcome, { type: 'failed' }>,
+): void {
+  const { detail, reason, returnMilliseconds } = outcome;
+  const text = JSON.stringify({ reason, detail });
+  const headers: string[] = ['content-type', 'application/json'];
+  headers.push('content-length', String(Buffer.byteLength(text)));
+  if (returnMilliseconds !== undefined) {
+    headers.push(HeaderNames.retryAfter, (returnMilliseconds / 1000).toFixed(3));
+  }
+  response.writeHead(statusOf(outcome), headers);
+  response.end(text);
+}
+
+function statusOf({ mayHaveRun, reason }: Extract<CallerOutcome, { type: 'failed' }>): number {
+  if (!mayHaveRun) return notRunStatuses[reason] ?? notRunStatus;
+  return reason === FailureReason.timeout ? timeoutStatus : lostStatus;
+}
+
+function sendAnswer(
+  response: ServerResponse,
+  { body, head }: Extract<CallerOutcome, { type: 'answered' }>,
+): void {
+  if (head.endsWithConnection === true) {
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+  }
+  if (body.type === 'whole') {
+    const hasBody = body.data.length > 0 || (head.status !== 204 && head.status !== 304);
+    const isFramed = hasBody && head.endsWithConnection !== true;
+    const length = isFramed ? ['content-length', String(body.data.length)] : [];
+    response.writeHead(head.status, [...head.headers, ...length]);
+    response.end(body.data);
+    return;
+  }
+  response.writeHead(head.status, [...head.headers]);
+  // An answer that broke off must not look complete.
+  body.stream.once('error', () => response.destroy());
+  response.once('close', () => discardBody(body));
+  body.stream.pipe(response);
+}
--- /dev/null
+++ b/packages/host-node/src/control/StatusListener.ts
@@ -0,0 +1,37 @@
+import type { SocketAddress } from '@hickorybridge/types';
+import { createServer, type Server } from 'node:http';
+
+import { listen } from '../listen.js';
+
+/** What a status page answers: a status code and a text. */
+export type StatusPage = () => { readonly status: number; readonly text: string };
+
+const keepAliveMilliseconds = 60_000;
+
+/** Answers GET requests of one path each, for readiness probes and metrics. */
+export class StatusListener implements AsyncDisposable {
+  readonly #server: Server;
+
+  constructor(pages: ReadonlyMap<string, StatusPage>) {
+    this.#server = createServer((request, response) => {
+      request.resume();
+      const page = pages.get((request.url ?? '').split('?', 1)[0] ?? '');
+      const { status, text } = page?.() ?? { status: 404, text: 'no such page\n' };
+      response.writeHead(status, {
+        'content-type': 'text/plain; charset=utf-8',
+        'content-length': Buffer.byteLength(text),
+      });
+      response.end(text);
+    });
+    this.#server.keepAliveTimeout = keepAliveMilliseconds;
+  }
+
+  async listen(address: SocketAddress): Promise<void> {
+    await listen(this.#server, address);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/packages/host-node/src/createHostNode.ts
@@ -0,0 +1,229 @@
+import { logTaskFailure, type Logger } from '@hickorybridge/logger';
+import {
+  HostDirectory,
+  hostPrefix,
+  HostRegistration,
+  StoreFollower,
+} from '@hickorybridge/membership';
+import {
+  PeerPool,
+  type ExecutionOutcome,
+  type PeerLiveness,
+  type RequestExecutor,
+} from '@hickorybridge/peer-protocol';
+import { configurationPrefix, ObjectStore, readinessPath } from '@hickorybridge/platform';
+import { HostSelector, RouteTimes } from '@hickorybridge/routing';
+import { HostSpeed, Supervisor, type Clock, type RandomSource } from '@hickorybridge/utils';
+
+import { BackendServerRegistry } from './backend/BackendServerRegistry.js';
+import { CallersListener } from './callers/CallersListener.js';
+import { ConfigurationFollower } from './control/ConfigurationFollower.js';
+import { LoadPublisher } from './control/LoadPublisher.js';
+import { PeerKeeper } from './control/PeerKeeper.js';
+import { ReportsListener } from './control/ReportsListener.js';
+import type { SettingsFile } from './control/SettingsFile.js';
+import { StatusListener } from './control/StatusListener.js';
+import { HostNode } from './HostNode.js';
+import { NodeObserver } from './NodeObserver.js';
+import { HostChoice } from './routing/HostChoice.js';
+import { RequestRouter } from './routing/RequestRouter.js';
+import type { SendToHost } from './routing/RequestRun.js';
+
+/** What a node is made of. */
+export interface CreateHostNodeOptions {
+  readonly settings: SettingsFile;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+}
+
+// A configuration has to be in force within seconds, also when the connection went silent.
+const configurationWaitMilliseconds = 4000;
+// The list of hosts may lag: a host that is not listed yet is only used a little later.
+const hostsWaitMilliseconds = 15_000;
+const configurationPauseMilliseconds = 100;
+const hostsPauseMilliseconds = 250;
+
+// A request that waits for a host that was cut off has to be repeated within its target.
+const liveness: PeerLiveness = {
+  heartbeatWhenWaitingMilliseconds: 250,
+  heartbeatWhenIdleMilliseconds: 5000,
+  silenceLimitMilliseconds: 700,
+  tickMilliseconds: 50,
+};
+
+/** Wires the parts of a node. The node does nothing until it is started. */
+export function createHostNode(options: CreateHostNodeOptions): HostNode {
+  const { clock, logger, random, settings } = options;
+  const { bounds, location, nodeId, store: storeAddress } = settings.current;
+  const observer = new NodeObserver(logger);
+  const store = new ObjectStore(storeAddress, (operation, result) =>
+    observer.storeCalled(operation, result),
+  );
+  const directory = new HostDirectory(logger);
+  const speed = new HostSpeed();
+  let node: HostNode;
+  let router: RequestRouter;
+  let choice: HostChoice;
+  let publisher: LoadPublisher;
+  const backendServers = new BackendServerRegistry({
+    accepts: ({ address, service }) => {
+      const { backendServerAddress, service: ownService } = settings.current;
+      return (
+        service === ownService &&
+        address.host === backendServerAddress.host &&
+        address.port === backendServerAddress.port
+      );
+    },
+    maxConnectionsOf: (service) =>
+      router.configuration?.services.get(service)?.maxConnections ?? Infinity,
+    drainMilliseconds: bounds.drainMilliseconds,
+    onChange: () => node.register(),
+    onLoadChanged: () => publisher.publishNow(),
+    speed,
+    clock,
+    logger,
+  });
+  const executor: RequestExecutor = {
+    execute: (head, body, signal) =>
+      node.stopping ? refusedAsLeaving() : backendServers.execute(head, body, signal),
+  };
+  const pool = new PeerPool({
+    endpoint: {
+      identity: { nodeId, incarnation: Math.floor(clock.wallTime()) },
+      location,
+      sharedKey: undefined,
+      deploymentNumber: () => router.configuration?.version ?? 0,
+    },
+    addressOf: (peer) => directory.entry(peer)?.peerAddress,
+    executor,
+    liveness,
+    onLoad: (peer, report) => choice.loadOf(peer).reported(report, clock.now()),
+    clock,
+    logger,
+  });
+  const routeTimes = new RouteTimes();
+  choice = new HostChoice({
+    nodeId,
+    location,
+    directory,
+    selector: new HostSelector(random.fork()),
+    routeTimes,
+    speed,
+    isReachable: (peer) => {
+      if (peer !== nodeId) return pool.isConnected(peer);
+      return backendServers.current !== undefined && !backendServers.current.leaving;
+    },
+    ownLoad: () => backendServers.load(),
+    roundTripTo: (peer) => pool.roundTripTo(peer),
+    clock,
+  });
+  const send: SendToHost = (peer, head, body, signal) =>
+    peer === nodeId
+      ? backendServers.execute(head, body, signal)
+      : pool.execute(peer, head, body, signal);
+  router = new RequestRouter({
+    hosts: choice,
+    send,
+    bounds,
+    nodeCount: () => directory.size,
+    routeTimes,
+    clock,
+    random: random.fork(),
+    logger,
+  });
+  const callers = new CallersListener({
+    router,
+    service: () => settings.current.service,
+    isNestedCall: (requestId) => backendServers.isCallOfRunning(requestId),
+    stopping: () => node.stopping,
+    onFinished: (exchange) => observer.finished(exchange),
+    clock,
+  });
+  const configurations = new ConfigurationFollower((configuration) => {
+    const applied = router.apply(configuration);
+    if (applied) callers.limit(configuration.limits);
+    return applied;
+  }, logger);
+  const registration = new HostRegistration({
+    nodeId,
+    store,
+    clock,
+    random: random.fork(),
+    logger,
+  });
+  directory.onChange(() => {
+    choice.retain();
+    registration.seen(directory.entry(nodeId), directory.versionOf(nodeId));
+  });
+  const follow = (prefix: string, follower: StoreFollowerSettings) =>
+    new StoreFollower({ store, prefix, ...follower, clock, random: random.fork(), logger });
+  const configurationFollower = follow(configurationPrefix, {
+    mayBeStale: false,
+    waitMilliseconds: configurationWaitMilliseconds,
+    pauseMilliseconds: configurationPauseMilliseconds,
+    onChange: (result) => configurations.take(result),
+  });
+  const hostsFollower = follow(hostPrefix, {
+    mayBeStale: true,
+    waitMilliseconds: hostsWaitMilliseconds,
+    pauseMilliseconds: hostsPauseMilliseconds,
+    onChange: (result) => directory.apply(result),
+  });
+  const keeper = new PeerKeeper({
+    nodeId,
+    location,
+    directory,
+    pool,
+    clock,
+    random: random.fork(),
+  });
+  const supervisor = new Supervisor({ name: 'node', clock, onFailure: logTaskFailure(logger) });
+  supervisor.start('configuration', (signal) => configurationFollower.run(signal));
+  supervisor.start('hosts', (signal) => hostsFollower.run(signal));
+  supervisor.start('registration', (signal) => registration.run(signal));
+  supervisor.start('peers', (signal) => keeper.run(signal));
+  publisher = new LoadPublisher(pool, () => backendServers.load());
+  const reports = new ReportsListener(backendServers, logger);
+  const readiness = new StatusListener(
+    new Map([[readinessPath, () => ({ status: node.ready ? 200 : 503, text: '' })]]),
+  );
+  const metrics = new StatusListener(
+    new Map([['/metrics', () => ({ status: 200, text: observer.render() })]]),
+  );
+  node = new HostNode({
+    settings,
+    backendServers,
+    router,
+    pool,
+    registration,
+    callers,
+    reports,
+    readiness,
+    metrics,
+    supervisor,
+    closeables: [
+      callers,
+      publisher,
+      pool,
+      backendServers,
+      reports,
+      readiness,
+      metrics,
+      store,
+      settings,
+    ],
+    clock,
+    logger,
+  });
+  return node;
+}
+
+type StoreFollowerSettings = Pick<
+  ConstructorParameters<typeof StoreFollower>[0],
+  'mayBeStale' | 'waitMilliseconds' | 'pauseMilliseconds' | 'onChange'
+>;
+
+async function refusedAsLeaving(): Promise<ExecutionOutcome> {
+  return { type: 'refused', reason: 'leaving', report: undefined };
+}
--- /dev/null
+++ b/packages/host-node/src/routing/HostChoice.ts
@@ -0,0 +1,113 @@
+import type { HostDirectory } from '@hickorybridge/membership';
+import {
+  HostLoad,
+  type HostCandidate,
+  type HostSelector,
+  type RouteTimes,
+} from '@hickorybridge/routing';
+import {
+  Distance,
+  distanceBetween,
+  type HostEntry,
+  type LoadReport,
+  type Location,
+} from '@hickorybridge/types';
+import type { Clock, HostSpeed } from '@hickorybridge/utils';
+
+import type { CallerRequest } from './CallerRequest.js';
+
+/** What the choice of a host needs. */
+export interface HostChoiceOptions {
+  readonly nodeId: string;
+  readonly location: Location;
+  readonly directory: HostDirectory;
+  readonly selector: HostSelector;
+  readonly routeTimes: RouteTimes;
+  /** How the speed of hosts changes, as seen on this one. */
+  readonly speed: HostSpeed;
+  /** Whether requests can be sent to a node at once. */
+  readonly isReachable: (nodeId: string) => boolean;
+  /** Load of the backend server beside this node, at this moment. */
+  readonly ownLoad: () => LoadReport | undefined;
+  readonly roundTripTo: (nodeId: string) => number | undefined;
+  readonly clock: Clock;
+}
+
+// Assumed until the first heartbeat has come back; far ones are left to hosts that are known.
+const assumedRoundTrips: Readonly<Record<Distance, number>> = {
+  [Distance.sameFailureDomain]: 1,
+  [Distance.sameRegion]: 3,
+  [Distance.otherRegion]: 80,
+};
+
+/** Chooses hosts for requests, and keeps what is known of their load. */
+export class HostChoice {
+  readonly #options: HostChoiceOptions;
+
+  readonly #loads = new Map<string, HostLoad>();
+
+  constructor(options: HostChoiceOptions) {
+    this.#options = options;
+  }
+
+  loadOf(nodeId: string): HostLoad {
+    const known = this.#loads.get(nodeId);
+    if (known !== undefined) return known;
+    const load = new HostLoad();
+    this.#loads.set(nodeId, load);
+    return load;
+  }
+
+  /** Forgets the hosts that are not listed any more. */
+  retain(): void {
+    for (const nodeId of this.#loads.keys()) {
+      if (this.#options.directory.entry(nodeId) === undefined) this.#loads.delete(nodeId);
+    }
+  }
+
+  select(request: CallerRequest, excluded: ReadonlySet<string>): HostCandidate | undefined {
+    const { clock, routeTimes, selector, speed } = this.#options;
+    const { arrivedAt, deadline, route, service } = request;
+    const now = clock.now();
+    const candidates = this.#candidates(service).filter(
+      ({ entry, load }) => !excluded.has(entry.nodeId) && !load.isAvoided(now),
+    );
+    return selector.select(candidates, {
+      now,
+      usefulUntil: Math.min(deadline, arrivedAt + route.targetMilliseconds),
+      speed,
+      workMilliseconds: routeTimes.expectedFor(route.name, route.targetMilliseconds),
+    });
+  }
+
+  /** Predicts the wait at the least loaded host of a service, in milliseconds. */
+  shortestWait(service: string): number {
+    const { clock, speed } = this.#options;
+    const now = clock.now();
+    const waits = this.#candidates(service).map(({ load }) => load.expectedWait(speed, now));
+    return waits.length === 0 ? 0 : Math.min(...waits);
+  }
+
+  #candidates(service: string): HostCandidate[] {
+    const { directory, isReachable } = this.#options;
+    return directory
+      .ofService(service)
+      .filter((entry) => !entry.leaving && isReachable(entry.nodeId))
+      .map((entry) => this.#candidate(entry));
+  }
+
+  #candidate(entry: HostEntry): HostCandidate {
+    const { clock, location, nodeId, ownLoad, roundTripTo } = this.#options;
+    const own = entry.nodeId === nodeId;
+    const load = this.loadOf(entry.nodeId);
+    const report = own ? ownLoad() : undefined;
+    if (report !== undefined) load.reported(report, clock.now());
+    const distance = distanceBetween(location, entry.location);
+    return {
+      entry,
+      distance,
+      load,
+      roundTripMilliseconds: own ? 0 : (roundTripTo(entry.nodeId) ?? assumedRoundTrips[distance]),
+    };
+  }
+}
--- /dev/null
+++ b/packages/host-node/src/routing/RequestRouter.ts
@@ -0,0 +1,89 @@
+import { RetryBudget } from '@hickorybridge/coordination';
+import { RouteTable, RouteTimes, WeightedSplit } from '@hickorybridge/routing';
+import type { HostBounds, Route, RouteConfiguration } from '@hickorybridge/types';
+
+import type { CallerOutcome, CallerRequest } from './CallerRequest.js';
+import { RequestRun, type RequestRunOptions } from './RequestRun.js';
+
+/** What routes requests. */
+export interface RequestRouterOptions extends Omit<RequestRunOptions, 'budgetOf'> {
+  readonly bounds: HostBounds;
+  /** Number of nodes that share the budget for repeats. */
+  readonly nodeCount: () => number;
+}
+
+/** Parts of the allowed repeats that the nodes use; calls of repeated runs count against it too. */
+const usedShare = 0.5;
+
+/** Routes requests by the configuration in force. */
+export class RequestRouter {
+  readonly #options: RequestRouterOptions;
+
+  readonly #budgets = new Map<string, RetryBudget>();
+
+  #configuration: RouteConfiguration | undefined;
+
+  #table = new RouteTable([]);
+
+  #splits = new Map<string, WeightedSplit>();
+
+  constructor(options: RequestRouterOptions) {
+    this.#options = options;
+  }
+
+  get configuration(): RouteConfiguration | undefined {
+    return this.#configuration;
+  }
+
+  get routeTimes(): RouteTimes {
+    return this.#options.routeTimes;
+  }
+
+  /** Puts a configuration into force. An older one than that in force changes nothing. */
+  apply(configuration: RouteConfiguration): boolean {
+    if (this.#configuration !== undefined && configuration.version <= this.#configuration.version) {
+      return false;
+    }
+    this.#configuration = configuration;
+    this.#table = new RouteTable(configuration.routes);
+    this.#splits = new Map();
+    this.#options.routeTimes.retain(new Set(configuration.routes.map(({ name }) => name)));
+    return true;
+  }
+
+  findRoute(host: string, target: string): Route | undefined {
+    return this.#table.find(host, target);
+  }
+
+  /** Chooses the service for the next request of a route. */
+  chooseService(route: Route): string {
+    const [only] = route.services;
+    if (only !== undefined && route.services.length === 1) return only.service;
+    let split = this.#splits.get(route.name);
+    if (split === undefined) {
+      split = new WeightedSplit(route.services, this.#options.random);
+      this.#splits.set(route.name, split);
+    }
+    return split.next();
+  }
+
+  route(request: CallerRequest): Promise<CallerOutcome> {
+    const budgetOf = (service: string) => this.#budgetOf(service);
+    return new RequestRun({ ...this.#options, budgetOf }, request).run();
+  }
+
+  #budgetOf(service: string): RetryBudget {
+    const known = this.#budgets.get(service);
+    if (known !== undefined) return known;
+    const { bounds, clock, nodeCount } = this.#options;
+    const slack = (bounds.retrySlack * usedShare) / Math.max(1, nodeCount());
+    const budget = new RetryBudget({
+      share: bounds.retryShare * usedShare,
+      minimumPerSecond: slack / 2 / (bounds.retryWindowMilliseconds / 1000),
+      burst: Math.max(1, slack / 2),
+      clock,
+    });
+    this.#budgets.set(service, budget);
+    return budget;
+  }
+}
--- a/packages/logger/src/EventRateLimit.ts
+++ b/packages/logger/src/EventRateLimit.ts
@@ -1,8 +1,14 @@
 import { performance } from 'node:perf_hooks';
 
-/** Lines of one event that may follow each other at once. */
-const burst = 10;
-const linesPerSecond = 1;
+/** How many lines of one event may be written. */
+export interface LineRate {
+  /** Lines that may follow each other at once. */
+  readonly burst: number;
+  readonly linesPerSecond: number;
+}
+
+/** Enough to see what happens, and little where one failure repeats. */
+export const defaultLineRate: LineRate = { burst: 10, linesPerSecond: 1 };
 /** Bounds the memory when events are named wrongly, with a value in the name. */
 const maxEvents = 1_000;
 
@@ -24,8 +30,11 @@
 
   readonly #now: () => number;
 
-  constructor(now: () => number = () => performance.now()) {
+  readonly #rate: LineRate;
+
+  constructor(now: () => number = () => performance.now(), rate: LineRate = defaultLineRate) {
     this.#now = now;
+    this.#rate = rate;
   }
 
   /** Takes a token of the event. */
@@ -46,12 +55,12 @@
     const known = this.#buckets.get(event);
     if (known === undefined) {
       if (this.#buckets.size >= maxEvents) this.#buckets.clear();
-      const bucket = { tokens: burst, updatedAt: now, suppressed: 0 };
+      const bucket = { tokens: this.#rate.burst, updatedAt: now, suppressed: 0 };
       this.#buckets.set(event, bucket);
       return bucket;
     }
     const seconds = (now - known.updatedAt) / 1_000;
-    known.tokens = Math.min(burst, known.tokens + seconds * linesPerSecond);
+    known.tokens = Math.min(this.#rate.burst, known.tokens + seconds * this.#rate.linesPerSecond);
     known.updatedAt = now;
     return known;
   }
--- a/packages/logger/src/createLogger.ts
+++ b/packages/logger/src/createLogger.ts
@@ -1,6 +1,6 @@
 import { createConsola } from 'consola/basic';
 import type { ConsolaReporter, LogObject } from 'consola/basic';
-import { EventRateLimit } from './EventRateLimit.js';
+import { EventRateLimit, type LineRate } from './EventRateLimit.js';
 import type { LogFields, Logger } from './Logger.js';
 import { formatJsonLine, formatTextLine } from './formatLine.js';
 import type { LogLine } from './formatLine.js';
@@ -20,6 +20,8 @@
   readonly write?: (line: string) => void;
   /** Monotonic time in milliseconds, for the rate limit. */
   readonly now?: () => number;
+  /** Limit for each event; ten lines at once and one a second by default. */
+  readonly rate?: LineRate;
 }
 
 const consolaLevels: Readonly<Record<LogLevel, number>> = { error: 0, warn: 1, info: 3, debug: 4 };
@@ -30,7 +32,7 @@
  * does not drown its cause.
  */
 export function createLogger(options: LoggerOptions): Logger {
-  const limit = new EventRateLimit(options.now);
+  const limit = new EventRateLimit(options.now, options.rate);
   const consola = createConsola({
     level: consolaLevels[options.level],
     throttle: 0,
--- /dev/null
+++ b/packages/membership/src/HostDirectory.ts
@@ -0,0 +1,108 @@
+import type { Logger } from '@hickorybridge/logger';
+import type { StoredObject, WatchResult } from '@hickorybridge/store';
+import type { HostEntry } from '@hickorybridge/types';
+
+import { decodeHostEntry, hostKey } from './hostEntryCodec.js';
+
+/** An entry and the version of the object that it was read from. */
+interface KnownEntry {
+  readonly entry: HostEntry;
+  readonly version: number;
+}
+
+const noEntries: readonly HostEntry[] = [];
+
+/** All hosts as the store lists them. */
+export class HostDirectory {
+  readonly #logger: Logger;
+
+  readonly #known = new Map<string, KnownEntry>();
+
+  readonly #listeners: (() => void)[] = [];
+
+  #byService = new Map<string, readonly HostEntry[]>();
+
+  constructor(logger: Logger) {
+    this.#logger = logger;
+  }
+
+  get size(): number {
+    return this.#known.size;
+  }
+
+  /** Calls the listener after each change. */
+  onChange(listener: () => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Takes in what has changed in the store. */
+  apply(result: WatchResult): void {
+    const listed = new Set(result.changed.map(({ key }) => key));
+    if (result.complete === true) {
+      for (const key of this.#known.keys()) if (!listed.has(key)) this.#remove(key);
+    }
+    for (const key of result.removed ?? []) this.#remove(key);
+    for (const object of result.changed) this.#update(object);
+    this.#byService = groupByService([...this.#known.values()].map(({ entry }) => entry));
+    for (const listener of this.#listeners) listener();
+  }
+
+  entry(nodeId: string): HostEntry | undefined {
+    return this.#known.get(hostKey(nodeId))?.entry;
+  }
+
+  /** Version of a host's entry in the store; 0 when there is none. */
+  versionOf(nodeId: string): number {
+    return this.#known.get(hostKey(nodeId))?.version ?? 0;
+  }
+
+  list(): HostEntry[] {
+    return [...this.#known.values()].map(({ entry }) => entry);
+  }
+
+  /** Lists the hosts with a backend server of a service, those that leave included. */
+  ofService(service: string): readonly HostEntry[] {
+    return this.#byService.get(service) ?? noEntries;
+  }
+
+  #update(object: StoredObject): void {
+    const known = this.#known.get(object.key);
+    // A copy that lags may list an older version than was read before.
+    if (known !== undefined && known.version >= object.version) return;
+    const entry = decodeHostEntry(object.value);
+    if (entry === undefined || hostKey(entry.nodeId) !== object.key) {
+      this.#logger.warn('host-entry-ignored', 'an entry in the store describes no host', {
+        key: object.key,
+      });
+      return;
+    }
+    this.#known.set(object.key, { entry, version: object.version });
+    this.#logger.info('host-listed', 'a host was added or has changed', {
+      host: entry.nodeId,
+      service: entry.service,
+      backendServer: entry.backendServerId,
+      leaving: entry.leaving,
+      version: object.version,
+    });
+  }
+
+  #remove(key: string): void {
+    const known = this.#known.get(key);
+    if (known === undefined) return;
+    this.#known.delete(key);
+    this.#logger.info('host-removed', 'a host is not listed any more', {
+      host: known.entry.nodeId,
+      version: known.version,
+    });
+  }
+}
+
+function groupByService(entries: readonly HostEntry[]): Map<string, readonly HostEntry[]> {
+  const groups = new Map<string, HostEntry[]>();
+  for (const entry of entries) {
+    const group = groups.get(entry.service);
+    if (group === undefined) groups.set(entry.service, [entry]);
+    else group.push(entry);
+  }
+  return groups;
+}
--- /dev/null
+++ b/packages/membership/src/HostRegistration.ts
@@ -0,0 +1,124 @@
+import type { Logger } from '@hickorybridge/logger';
+import type { RemovingStore, WriteOutcome } from '@hickorybridge/store';
+import type { HostEntry } from '@hickorybridge/types';
+import type { Clock, RandomSource } from '@hickorybridge/utils';
+
+import { encodeHostEntry, hostKey } from './hostEntryCodec.js';
+
+/** What the registration of this host needs. */
+export interface HostRegistrationOptions {
+  readonly nodeId: string;
+  readonly store: RemovingStore;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+}
+
+const firstRetryMilliseconds = 100;
+const longestRetryMilliseconds = 1000;
+
+/** Keeps this host's entry in the store equal to what the node knows. Writes only changes. */
+export class HostRegistration {
+  readonly #options: HostRegistrationOptions;
+
+  /** What the store should hold; `undefined` for no entry. */
+  #wanted: HostEntry | undefined;
+
+  /** What it was last seen to hold: the text and its version. */
+  #written: { readonly text: string | undefined; readonly version: number } | undefined;
+
+  #wake = new AbortController();
+
+  constructor(options: HostRegistrationOptions) {
+    this.#options = options;
+  }
+
+  /** Changes the entry. The write follows in the background. */
+  set(entry: HostEntry | undefined): void {
+    this.#wanted = entry;
+    this.#wake.abort();
+  }
+
+  /** Takes in what the store was seen to hold; an entry that another node removed is restored. */
+  seen(entry: HostEntry | undefined, version: number): void {
+    const known = this.#written;
+    if (known !== undefined && entry !== undefined && version < known.version) return;
+    const text = entry === undefined ? undefined : encodeHostEntry(entry);
+    this.#written = { text, version };
+    if (text !== this.#wantedText()) this.#wake.abort();
+  }
+
+  /** Writes until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    let delay = firstRetryMilliseconds;
+    while (!signal.aborted) {
+      if (this.#isCurrent()) {
+        await this.#sleepUntilWoken(signal);
+        delay = firstRetryMilliseconds;
+        continue;
+      }
+      if (await this.#write()) continue;
+      await this.#options.clock.sleep(delay * (0.5 + 0.5 * this.#options.random.next()), signal);
+      delay = Math.min(longestRetryMilliseconds, delay * 2);
+    }
+  }
+
+  #wantedText(): string | undefined {
+    return this.#wanted === undefined ? undefined : encodeHostEntry(this.#wanted);
+  }
+
+  #isCurrent(): boolean {
+    const wanted = this.#wantedText();
+    if (this.#written === undefined) return wanted === undefined;
+    return this.#written.text === wanted;
+  }
+
+  async #sleepUntilWoken(signal: AbortSignal): Promise<void> {
+    this.#wake = new AbortController();
+    const stop = () => this.#wake.abort();
+    signal.addEventListener('abort', stop, { once: true });
+    await new Promise<void>((resolve) => {
+      this.#wake.signal.addEventListener('abort', () => resolve(), { once: true });
+    });
+    signal.removeEventListener('abort', stop);
+  }
+
+  /** Writes once; false when it has to be tried again later. */
+  async #write(): Promise<boolean> {
+    const { logger, nodeId, store } = this.#options;
+    const key = hostKey(nodeId);
+    const version = this.#written?.version ?? 0;
+    const text = this.#wantedText();
+    const outcome =
+      text === undefined
+        ? await store.remove(key, version)
+        : await store.writeConditional(key, text, version);
+    logger.info('host-entry-written', 'the entry of this host was written', {
+      outcome: outcome.type,
+      version: outcome.type === 'done' ? outcome.version : version,
+      removed: text === undefined,
+    });
+    return this.#takeOutcome(outcome, text);
+  }
+
+  #takeOutcome(outcome: WriteOutcome, text: string | undefined): boolean {
+    switch (outcome.type) {
+      case 'done':
+        this.#written = { text, version: text === undefined ? 0 : outcome.version };
+        return true;
+      case 'refused': {
+        const { current } = outcome;
+        if (current === undefined) {
+          // Nothing was done, or the entry is gone; a new one is refused if it still stands.
+          this.#written = undefined;
+          return false;
+        }
+        this.#written = { text: current.value, version: current.version };
+        return true;
+      }
+      default:
+        // The next conditional write finds out whether this one took effect.
+        return false;
+    }
+  }
+}
--- /dev/null
+++ b/packages/membership/src/StoreFollower.ts
@@ -0,0 +1,90 @@
+import type { Logger } from '@hickorybridge/logger';
+import type { RemovingStore, WatchResult } from '@hickorybridge/store';
+import type { Clock, RandomSource } from '@hickorybridge/utils';
+
+/** What following a part of the store needs. */
+export interface StoreFollowerOptions {
+  readonly store: RemovingStore;
+  /** Keys that start with this are followed. */
+  readonly prefix: string;
+  /** Whether answers that are seconds old will do; they cost less. */
+  readonly mayBeStale: boolean;
+  /** How long one call waits for a change, in milliseconds. */
+  readonly waitMilliseconds: number;
+  /** Pause after a change, so that changes that come together are read together. */
+  readonly pauseMilliseconds: number;
+  readonly onChange: (result: WatchResult) => void;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+}
+
+const firstRetryMilliseconds = 100;
+// Bounds how long a node learns nothing after the store has come back.
+const longestRetryMilliseconds = 1000;
+
+/** Follows the objects under a prefix: reads all once, then waits for changes. */
+export class StoreFollower {
+  readonly #options: StoreFollowerOptions;
+
+  #failures = 0;
+
+  /** When the store last answered, in monotonic milliseconds; `undefined` before the first time. */
+  #answeredAt: number | undefined;
+
+  constructor(options: StoreFollowerOptions) {
+    this.#options = options;
+  }
+
+  /** Time since the store last answered, in milliseconds; `undefined` before the first time. */
+  get ageMilliseconds(): number | undefined {
+    const answeredAt = this.#answeredAt;
+    return answeredAt === undefined ? undefined : this.#options.clock.now() - answeredAt;
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, mayBeStale, pauseMilliseconds, prefix, store, waitMilliseconds } = this.#options;
+    let revision = 0;
+    while (!signal.aborted) {
+      const result = await store.watch(prefix, revision, waitMilliseconds, signal, mayBeStale);
+      if (signal.aborted) return;
+      if (!result.ok) {
+        await this.#failed(result.error.detail, signal);
+        continue;
+      }
+      this.#succeeded();
+      // A store that was restored from a copy may count from a lower revision again.
+      revision = result.value.revision < revision ? 0 : result.value.revision;
+      this.#options.onChange(result.value);
+      if (result.value.changed.length > 0) await clock.sleep(pauseMilliseconds, signal);
+    }
+  }
+
+  async #failed(detail: string, signal: AbortSignal): Promise<void> {
+    const { clock, logger, prefix, random } = this.#options;
+    this.#failures += 1;
+    if (this.#failures === 1) {
+      logger.warn('store-lost', 'the store does not answer; what was read last stays in use', {
+        prefix,
+        detail,
+      });
+    }
+    const delay = Math.min(
+      longestRetryMilliseconds,
+      firstRetryMilliseconds * 2 ** Math.min(this.#failures - 1, 8),
+    );
+    await clock.sleep(delay * (0.5 + 0.5 * random.next()), signal);
+  }
+
+  #succeeded(): void {
+    const { clock, logger, prefix } = this.#options;
+    if (this.#failures > 0) {
+      logger.info('store-regained', 'the store answers again', {
+        prefix,
+        failures: this.#failures,
+      });
+    }
+    this.#failures = 0;
+    this.#answeredAt = clock.now();
+  }
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -5,3 +5,7 @@
 export type { AnnouncedBackendServer, NodeRecord } from './NodeRecord.js';
 export { PacedStore, type PacedStoreOptions } from './PacedStore.js';
 export { RoleName } from './RoleAssignment.js';
+export * from './HostDirectory.js';
+export * from './HostRegistration.js';
+export * from './StoreFollower.js';
+export { hostPrefix } from './hostEntryCodec.js';
--- a/packages/peer-protocol/src/ClockOffset.ts
+++ b/packages/peer-protocol/src/ClockOffset.ts
@@ -15,6 +15,8 @@
 
   #windowStart: number;
 
+  #roundTrip = Number.POSITIVE_INFINITY;
+
   constructor(sentAt: number, peerClock: number) {
     this.#windowStart = sentAt;
     this.#current = sentAt - peerClock;
@@ -27,6 +29,12 @@
       this.#windowStart = now;
     }
     this.#current = Math.max(this.#current, sentAt - peerClock);
+    this.#roundTrip = Math.min(this.#roundTrip, now - sentAt);
+  }
+
+  /** Shortest time from a message to its answer, in milliseconds; `undefined` before the first. */
+  get roundTripMilliseconds(): number | undefined {
+    return Number.isFinite(this.#roundTrip) ? this.#roundTrip : undefined;
   }
 
   /** Gives the own time at which the peer's clock shows `peerTime`, at the latest. */
--- a/packages/peer-protocol/src/PeerConnection.ts
+++ b/packages/peer-protocol/src/PeerConnection.ts
@@ -5,6 +5,7 @@
   succeed,
   type ControlCallError,
   type ControlHandler,
+  type LoadReport,
   type Location,
   type NodeIdentity,
   type RequestHead,
@@ -13,7 +14,7 @@
 import type { Clock } from '@hickorybridge/utils';
 
 import type { ControlBudget } from './ControlBudget.js';
-import { BodyMode, FrameType, type Frame, type OpenFrame } from './frame.js';
+import { BodyMode, FrameType, loadFrameVersion, type Frame, type OpenFrame } from './frame.js';
 import type { FrameSocket } from './FrameSocket.js';
 import { IncomingStream } from './IncomingStream.js';
 import { OutgoingStream, type StreamConnection } from './OutgoingStream.js';
@@ -21,14 +22,30 @@
 import { TrafficClass, trafficClassOf, type PeerTraffic } from './PeerTraffic.js';
 import type { ExecutionOutcome, RequestBody, RequestExecutor } from './RequestExecutor.js';
 
-const heartbeatWhenWaitingMilliseconds = 1000;
-const heartbeatWhenIdleMilliseconds = 20_000;
-const silenceLimitMilliseconds = 4000;
 // A timer that fires this late shows that this process itself was paused.
 const ownPauseMilliseconds = 2000;
 // A cancelled request is confirmed by the peer; a peer that does not is taken as lost.
 const cancelConfirmationMilliseconds = 1000;
 
+/** When a connection is found to be silent, in milliseconds. */
+export interface PeerLiveness {
+  /** Silence after which a heartbeat is sent while something waits for the peer. */
+  readonly heartbeatWhenWaitingMilliseconds: number;
+  readonly heartbeatWhenIdleMilliseconds: number;
+  /** Time without a reply to a heartbeat after which the connection is closed. */
+  readonly silenceLimitMilliseconds: number;
+  /** How often the connection is looked at. */
+  readonly tickMilliseconds: number;
+}
+
+/** For links between regions whose peers may pause for seconds. */
+export const patientLiveness: PeerLiveness = {
+  heartbeatWhenWaitingMilliseconds: 1000,
+  heartbeatWhenIdleMilliseconds: 20_000,
+  silenceLimitMilliseconds: 4000,
+  tickMilliseconds: 500,
+};
+
 /** What a connection needs besides its socket. */
 export interface PeerConnectionOptions {
   readonly socket: FrameSocket;
@@ -42,6 +59,9 @@
   readonly budget: ControlBudget;
   /** Calls whose names start so belong to requests and not to control. */
   readonly requestCallPrefix: string;
+  readonly liveness: PeerLiveness;
+  /** Takes the load that the peer reports unasked. */
+  readonly onLoad: (report: LoadReport) => void;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -111,6 +131,8 @@
 
   /** Reads frames until the connection ends, then ends everything that depended on it. */
   async run(): Promise<string> {
+    // The handshake may have been slow, and deadlines would be translated too early.
+    this.#sendHeartbeat(this.#options.clock.now());
     const reason = await this.#readFrames();
     this.#options.socket.destroy();
     this.#failEverything(reason);
@@ -170,6 +192,22 @@
     if (trafficClass === TrafficClass.control) budget.spend(distance, bytes);
   }
 
+  /** Tells the peer a load, if its version of the protocol takes it. */
+  sendLoad(report: LoadReport): void {
+    if (this.#options.introduction.version < loadFrameVersion) return;
+    // A peer that does not read gets the next report instead.
+    if (!this.#options.socket.congested) this.send({ type: FrameType.load, report });
+  }
+
+  /** Shortest time from a heartbeat to its reply, in milliseconds. */
+  get roundTripMilliseconds(): number | undefined {
+    return this.#options.introduction.clockOffset.roundTripMilliseconds;
+  }
+
+  get distance(): Distance {
+    return this.#options.distance;
+  }
+
   sendWhenWritable(frame: Frame): Promise<void> | undefined {
     this.send(frame);
     return this.#options.socket.congested ? this.#options.socket.drained() : undefined;
@@ -182,18 +220,25 @@
 
   /** Sends a heartbeat when one is due, and closes the connection when the peer is silent. */
   tick(): void {
+    const { liveness } = this.#options;
     const now = this.#options.clock.now();
     const ownPause = now - this.#lastTickAt > ownPauseMilliseconds;
     this.#lastTickAt = now;
     if (ownPause) this.#heartbeatSentAt = undefined;
     if (this.#heartbeatSentAt !== undefined) {
-      if (now - this.#heartbeatSentAt > silenceLimitMilliseconds) this.#closeSilent();
+      if (now - this.#heartbeatSentAt > liveness.silenceLimitMilliseconds) this.#closeSilent();
       return;
     }
     const silence = now - this.#lastReceivedAt;
     const limit =
-      this.outstanding > 0 ? heartbeatWhenWaitingMilliseconds : heartbeatWhenIdleMilliseconds;
+      this.outstanding > 0
+        ? liveness.heartbeatWhenWaitingMilliseconds
+        : liveness.heartbeatWhenIdleMilliseconds;
     if (silence < limit) return;
+    this.#sendHeartbeat(now);
+  }
+
+  #sendHeartbeat(now: number): void {
     this.#heartbeatSentAt = now;
     this.send({ type: FrameType.heartbeat, clock: now });
   }
@@ -268,6 +313,9 @@
       case FrameType.reply:
         this.#receiveReply(frame.call, frame.error, frame.body);
         return undefined;
+      case FrameType.load:
+        this.#options.onLoad(frame.report);
+        return undefined;
       default:
         return `frame type ${frame.type} after the handshake`;
     }
@@ -280,8 +328,12 @@
     const ownParity = this.#nextStream % 2;
     if (frame.stream % 2 === ownParity) return `stream ${frame.stream} belongs to this side`;
     this.#highestIncomingStream = frame.stream;
-    const deadline = this.#options.introduction.clockOffset.toOwnClock(frame.head.deadline);
-    const stream = new IncomingStream(this, { ...frame, head: { ...frame.head, deadline } });
+    const { clockOffset } = this.#options.introduction;
+    const deadline = clockOffset.toOwnClock(frame.head.deadline);
+    const { usefulUntil: peerTime } = frame.head;
+    const usefulUntil = peerTime === undefined ? undefined : clockOffset.toOwnClock(peerTime);
+    const head = { ...frame.head, deadline, usefulUntil };
+    const stream = new IncomingStream(this, { ...frame, head });
     this.#incoming.set(frame.stream, stream);
     stream.run(this.#options.executor);
     return undefined;
--- a/packages/peer-protocol/src/PeerPool.ts
+++ b/packages/peer-protocol/src/PeerPool.ts
@@ -6,6 +6,8 @@
   type ControlCallError,
   type ControlChannel,
   type ControlHandler,
+  type Distance,
+  type LoadReport,
   type NodeIdentity,
   type RequestHead,
   type Result,
@@ -18,7 +20,7 @@
 import { FrameSocket } from './FrameSocket.js';
 import type { LocalEndpoint } from './handshake.js';
 import { openSocket } from './openSocket.js';
-import { PeerConnection } from './PeerConnection.js';
+import { patientLiveness, PeerConnection, type PeerLiveness } from './PeerConnection.js';
 import { PeerTraffic } from './PeerTraffic.js';
 import {
   acceptHandshake,
@@ -29,7 +31,6 @@
 import type { ExecutionOutcome, RequestBody, RequestExecutor } from './RequestExecutor.js';
 
 const dialTimeoutMilliseconds = 1000;
-const tickMilliseconds = 500;
 // Both sides have long since chosen the other connection by then.
 const spareMilliseconds = 5000;
 // No name of a call starts with this character.
@@ -50,6 +51,12 @@
   readonly requestCallPrefix?: string;
   /** Is told of each handshake, with the peer's deployment number. */
   readonly introduced?: (introduction: PeerIntroduction) => void;
+  /** When a peer is found to be silent; `patientLiveness` by default. */
+  readonly liveness?: PeerLiveness;
+  /** Is told of the load that a peer reports unasked. */
+  readonly onLoad?: (nodeId: string, report: LoadReport) => void;
+  /** Is told when the last connection with a peer has ended. */
+  readonly onLost?: (nodeId: string, reason: string) => void;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -78,13 +85,16 @@
 
   readonly #ticker: NodeJS.Timeout;
 
+  readonly #liveness: PeerLiveness;
+
   #server: Server | undefined;
 
   #disposed = false;
 
   constructor(options: PeerPoolOptions) {
     this.#options = options;
-    this.#ticker = setInterval(() => this.#tick(), tickMilliseconds);
+    this.#liveness = options.liveness ?? patientLiveness;
+    this.#ticker = setInterval(() => this.#tick(), this.#liveness.tickMilliseconds);
     this.#ticker.unref();
   }
 
@@ -129,6 +139,29 @@
     return connection.value.call(name, body, timeoutMilliseconds);
   }
 
+  /** Whether a connection with a node is open. */
+  isConnected(nodeId: string): boolean {
+    return this.#openConnection(nodeId) !== undefined;
+  }
+
+  /** Shortest time to a connected node and back, in milliseconds, once it was measured. */
+  roundTripTo(nodeId: string): number | undefined {
+    return this.#openConnection(nodeId)?.roundTripMilliseconds;
+  }
+
+  /** Opens the connection with a node, unless there is one. */
+  async open(nodeId: string): Promise<Result<undefined, ControlCallError>> {
+    const connection = await this.#connectionTo(nodeId);
+    return connection.ok ? succeed(undefined) : connection;
+  }
+
+  /** Tells the connected peers up to a distance a load. */
+  sendLoad(report: LoadReport, farthest: Distance): void {
+    for (const connection of this.#connections.values()) {
+      if (!connection.closed && connection.distance <= farthest) connection.sendLoad(report);
+    }
+  }
+
   async connect(
     address: SocketAddress,
     timeoutMilliseconds: number,
@@ -245,6 +278,8 @@
       traffic: this.traffic,
       budget: this.#options.budget ?? unlimitedControlBudget,
       requestCallPrefix: this.#options.requestCallPrefix ?? noPrefix,
+      liveness: this.#liveness,
+      onLoad: (report) => this.#options.onLoad?.(introduction.identity.nodeId, report),
       clock,
       logger,
     });
@@ -277,8 +312,12 @@
     this.#all.delete(connection);
     if (this.#connections.get(nodeId) === connection) {
       const other = [...this.#all].find((candidate) => candidate.identity.nodeId === nodeId);
-      if (other === undefined) this.#connections.delete(nodeId);
-      else this.#connections.set(nodeId, other);
+      if (other === undefined) {
+        this.#connections.delete(nodeId);
+        if (!this.#disposed) this.#options.onLost?.(nodeId, reason);
+      } else {
+        this.#connections.set(nodeId, other);
+      }
     }
     if (!this.#disposed) {
       this.#options.logger.info('peer-disconnected', 'connection with a peer ended', {
--- a/packages/peer-protocol/src/WireReader.ts
+++ b/packages/peer-protocol/src/WireReader.ts
@@ -20,6 +20,13 @@
     throw this.#wrongType('a finite number', item);
   }
 
+  optionalNumber(): number | undefined {
+    const item = this.#items[this.#position];
+    if (item !== undefined && item !== null) return this.number();
+    this.#position += 1;
+    return undefined;
+  }
+
   /** A stream or call number, or a count of bytes. */
   count(): number {
     const item = this.any();
--- a/packages/peer-protocol/src/frame.ts
+++ b/packages/peer-protocol/src/frame.ts
@@ -8,7 +8,7 @@
 } from '@hickorybridge/types';
 
 /** Version of the peer protocol that this code speaks, and the oldest that it accepts. */
-export const protocolVersion = 2;
+export const protocolVersion = 3;
 export const oldestProtocolVersion = 1;
 
 /** Largest payload of a frame, in bytes. */
@@ -33,8 +33,12 @@
   heartbeatReply: 12,
   call: 13,
   reply: 14,
+  load: 15,
 } as const;
 
+/** First version of the protocol whose peers take load frames. */
+export const loadFrameVersion = 3;
+
 /** Introduces a process to its peer. */
 export interface HelloFrame {
   readonly type: typeof FrameType.hello;
@@ -147,6 +151,12 @@
   readonly body: unknown;
 }
 
+/** Tells a peer the load of the sender's backend server. It has no reply. */
+export interface LoadFrame {
+  readonly type: typeof FrameType.load;
+  readonly report: LoadReport;
+}
+
 export type Frame =
   | HelloFrame
   | ProofFrame
@@ -161,4 +171,5 @@
   | HeartbeatFrame
   | HeartbeatReplyFrame
   | CallFrame
-  | ReplyFrame;
+  | ReplyFrame
+  | LoadFrame;
--- a/packages/peer-protocol/src/frameCodec.ts
+++ b/packages/peer-protocol/src/frameCodec.ts
@@ -8,7 +8,7 @@
 } from '@hickorybridge/types';
 import { Encoder, setSizeLimits } from 'cbor-x';
 
-import { BodyMode, FrameType, type Frame } from './frame.js';
+import { BodyMode, FrameType, type AnswerFrame, type Frame } from './frame.js';
 import { WireReader } from './WireReader.js';
 
 /** Bytes of the length in front of each frame. */
@@ -90,6 +90,7 @@
         frame.head.headers,
         reportToWire(frame.report),
         frame.body ?? null,
+        frame.head.endsWithConnection ?? false,
       ];
     case FrameType.refuse:
       return [frame.type, frame.stream, frame.reason, reportToWire(frame.report)];
@@ -105,6 +106,8 @@
       return [frame.type, frame.call, frame.name, frame.body];
     case FrameType.reply:
       return [frame.type, frame.call, frame.error ?? null, frame.body];
+    case FrameType.load:
+      return [frame.type, reportToWire(frame.report)];
     // no default: the compiler checks that every type is handled
   }
 }
@@ -125,6 +128,7 @@
     head.depth,
     head.attempts,
     head.traceparent ?? null,
+    head.usefulUntil ?? null,
   ];
 }
 
@@ -136,6 +140,8 @@
     report.queued,
     report.serviceMilliseconds,
     report.rampShare,
+    report.workFactor ?? null,
+    report.workMilliseconds ?? null,
   ];
 }
 
@@ -165,13 +171,7 @@
     case FrameType.credit:
       return { type, stream: reader.count(), bytes: reader.count() };
     case FrameType.answer:
-      return {
-        type,
-        stream: reader.count(),
-        head: { status: statusFrom(reader.count()), headers: reader.headerList() },
-        report: requiredReport(reader),
-        body: reader.optionalBytes(),
-      };
+      return answerFromWire(reader);
     case FrameType.refuse:
       return {
         type,
@@ -197,11 +197,29 @@
       return { type, call: reader.count(), name: reader.string(), body: reader.any() };
     case FrameType.reply:
       return { type, call: reader.count(), error: reader.optionalString(), body: reader.any() };
+    case FrameType.load:
+      return { type, report: requiredReport(reader) };
     default:
       throw new TypeError(`frame type ${type} is not known`);
   }
 }
 
+function answerFromWire(reader: WireReader): AnswerFrame {
+  const stream = reader.count();
+  const head = { status: statusFrom(reader.count()), headers: reader.headerList() };
+  const report = requiredReport(reader);
+  const body = reader.optionalBytes();
+  // Versions before 3 of the protocol have no such field.
+  const endsWithConnection = reader.any() === true;
+  return {
+    type: FrameType.answer,
+    stream,
+    head: endsWithConnection ? { ...head, endsWithConnection } : head,
+    report,
+    body,
+  };
+}
+
 function openFromWire(reader: WireReader): Frame {
   const stream = reader.count();
   const head = reader.nested();
@@ -230,6 +248,8 @@
     depth: reader.count(),
     attempts: reader.count(),
     traceparent: reader.optionalString(),
+    // Versions before 3 of the protocol have no such field.
+    usefulUntil: reader.optionalNumber(),
   };
 }
 
@@ -240,17 +260,22 @@
 
 function requiredReport(reader: WireReader): LoadReport {
   const report = reportFromWire(reader.nested());
-  if (report === undefined) throw new TypeError('an answer has no load report');
+  if (report === undefined) throw new TypeError('the frame has no load report');
   return report;
 }
 
 function reportFromWire(reader: WireReader | undefined): LoadReport | undefined {
   if (reader === undefined) return undefined;
-  return {
+  const report = {
     limit: reader.number(),
     inFlight: reader.number(),
     queued: reader.number(),
     serviceMilliseconds: reader.number(),
     rampShare: reader.number(),
   };
+  // Versions before 3 of the protocol have no such fields.
+  const workFactor = reader.optionalNumber();
+  const workMilliseconds = reader.optionalNumber();
+  if (workFactor === undefined && workMilliseconds === undefined) return report;
+  return { ...report, workFactor, workMilliseconds };
 }
--- /dev/null
+++ b/packages/routing/src/HostLoad.ts
@@ -0,0 +1,82 @@
+import type { LoadReport } from '@hickorybridge/types';
+import type { HostSpeed } from '@hickorybridge/utils';
+
+/** Share of a new answer in the share of errors. */
+const errorSmoothing = 0.15;
+/** Time after which an observed share of errors has halved without new answers, in milliseconds. */
+const errorHalfLifeMilliseconds = 3000;
+
+/** What this node knows of the load of one host's backend server. */
+export class HostLoad {
+  #report: LoadReport | undefined;
+
+  #reportedAt = 0;
+
+  /** Requests of this node since the last report, which that report does not count. */
+  #sentSinceReport = 0;
+
+  #errorShare = 0;
+
+  #errorsAt = 0;
+
+  /** Until when the host is passed over, in monotonic milliseconds. */
+  #avoidedUntil = 0;
+
+  reported(report: LoadReport, now: number): void {
+    this.#report = report;
+    this.#reportedAt = now;
+    this.#sentSinceReport = 0;
+  }
+
+  /** Counts a request that was sent. */
+  sent(): void {
+    this.#sentSinceReport += 1;
+  }
+
+  /** Counts an answer, or a loss, which says as much as an error. */
+  answered(failed: boolean, now: number): void {
+    const share = this.errorShare(now);
+    this.#errorShare = share + errorSmoothing * ((failed ? 1 : 0) - share);
+    this.#errorsAt = now;
+  }
+
+  /** Passes the host over for some time, because it refused. */
+  avoid(milliseconds: number, now: number): void {
+    this.#avoidedUntil = now + milliseconds;
+  }
+
+  isAvoided(now: number): boolean {
+    return now < this.#avoidedUntil;
+  }
+
+  errorShare(now: number): number {
+    return this.#errorShare * 2 ** ((this.#errorsAt - now) / errorHalfLifeMilliseconds);
+  }
+
+  /** Smoothed work of a request at the host; `undefined` before its first report. */
+  get workMilliseconds(): number | undefined {
+    const report = this.#report;
+    return report === undefined || report.serviceMilliseconds === 0
+      ? undefined
+      : report.serviceMilliseconds / report.rampShare;
+  }
+
+  /** Predicts how long work takes there that starts now, in milliseconds. */
+  expectedDuration(work: number, speed: HostSpeed, now: number): number {
+    return speed.expectedDuration(work, this.#report?.workFactor, now - this.#reportedAt);
+  }
+
+  /**
+   * Predicts how long a request waits there for a slot. A queue that was reported some time ago is
+   * assumed to have been worked off since.
+   */
+  expectedWait(speed: HostSpeed, now: number): number {
+    const report = this.#report;
+    if (report === undefined) return 0;
+    const { inFlight, limit, queued, rampShare, serviceMilliseconds } = report;
+    const excess = inFlight + queued + this.#sentSinceReport + 1 - limit;
+    if (excess <= 0) return 0;
+    const work = (excess * serviceMilliseconds) / rampShare / Math.max(1, limit);
+    return Math.max(0, this.expectedDuration(work, speed, now) - (now - this.#reportedAt));
+  }
+}
--- /dev/null
+++ b/packages/routing/src/returnAdvice.ts
@@ -0,0 +1,26 @@
+import type { RandomSource } from '@hickorybridge/utils';
+
+/** What is known when a caller is told to come back. */
+export interface ReturnAdviceOptions {
+  /** Predicted wait at the least loaded host, in milliseconds. */
+  readonly waitMilliseconds: number;
+  /** Time that the caller still has, in milliseconds. */
+  readonly remainingMilliseconds: number;
+  readonly random: RandomSource;
+}
+
+/** A refused caller that returns sooner only meets the same queue. */
+const minimumMilliseconds = 50;
+/** Later, too little time is left for the request itself. */
+const maxRemainingShare = 1 / 3;
+
+/**
+ * Advises when a refused caller is to come back: when the queue that it met will be shorter, spread
+ * over the time until then, so that the callers of one burst do not return as another.
+ */
+export function returnAdvice(options: ReturnAdviceOptions): number {
+  const { random, remainingMilliseconds, waitMilliseconds } = options;
+  const latest = Math.max(minimumMilliseconds, remainingMilliseconds * maxRemainingShare);
+  const center = Math.min(latest, Math.max(minimumMilliseconds, waitMilliseconds));
+  return center * (0.5 + 0.5 * random.next());
+}
--- a/packages/store/src/PlatformStore.ts
+++ b/packages/store/src/PlatformStore.ts
@@ -28,6 +28,24 @@
   /** Revision to continue from. */
   readonly revision: number;
   readonly changed: readonly StoredObject[];
+  /** Keys of objects that were removed. */
+  readonly removed?: readonly string[];
+  /** True when `changed` lists everything that stands, because the history was gone. */
+  readonly complete?: boolean;
+}
+
+/** A store that also removes objects and can answer a watch from a copy that lags. */
+export interface RemovingStore extends PlatformStore {
+  /** Removes an object whose version is `expectedVersion`. */
+  remove(key: string, expectedVersion: number): Promise<WriteOutcome>;
+  /** Like `watch`; with `mayBeStale` the answer may be seconds old and costs less. */
+  watch(
+    prefix: string,
+    afterRevision: number,
+    waitMilliseconds: number,
+    signal?: AbortSignal,
+    mayBeStale?: boolean,
+  ): Promise<Result<WatchResult, StoreUnavailable>>;
 }
 
 /** The only way in which hickorybridge uses the platform's store. */
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,6 +1,7 @@
 export * from './backendServer.js';
 export * from './controlChannel.js';
 export * from './directory.js';
+export * from './hostSettings.js';
 export * from './loadReport.js';
 export * from './location.js';
 export * from './nodeIdentity.js';
@@ -8,3 +9,4 @@
 export * from './problem.js';
 export * from './requestHead.js';
 export * from './result.js';
+export * from './routeConfiguration.js';
--- a/packages/types/src/loadReport.ts
+++ b/packages/types/src/loadReport.ts
@@ -8,4 +8,17 @@
   readonly serviceMilliseconds: number;
   /** Share of the full limit that a cold backend server has reached, from 0 to 1. */
   readonly rampShare: number;
+  /** How long work takes on the host at the moment; 1 is usual, absent when it is not known. */
+  readonly workFactor?: number | undefined;
+  /** With an answer: the time that this request took, as if work had always taken the usual time. */
+  readonly workMilliseconds?: number | undefined;
+}
+
+/** Load figures that a backend server states with an answer. */
+export interface LoadFigures {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** How long work takes on its host at the moment; 1 is usual. */
+  readonly workFactor: number;
 }
--- a/packages/types/src/requestHead.ts
+++ b/packages/types/src/requestHead.ts
@@ -18,6 +18,8 @@
   readonly headers: HeaderList;
   /** Milliseconds of the monotonic clock of the process that holds this object. */
   readonly deadline: number;
+  /** Until when an answer is fully useful, on the same clock; absent when the kind has no target. */
+  readonly usefulUntil?: number | undefined;
   /** Number of calls above this one. */
   readonly depth: number;
   /** Tries that are still permitted, this one included. */
@@ -29,6 +31,11 @@
 export interface AnswerHead {
   readonly status: number;
   readonly headers: HeaderList;
+  /**
+   * True when only the end of its connection ended the answer. It may have been cut short, so it
+   * is passed on in the same way and never with a length.
+   */
+  readonly endsWithConnection?: boolean;
 }
 
 /** Why admission refused a request. A refused request did not run. */
--- a/scripts/generateReference.mjs
+++ b/scripts/generateReference.mjs
@@ -3,7 +3,7 @@
 // not current.
 import { existsSync, readdirSync, readFileSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
-// eslint-disable-next-line import-x/no-extraneous-dependencies -- a tool of the workspace.
+
 import prettier from 'prettier';
 import { commands, ExitCode } from '@hickorybridge/command-line';
 import {
