Tests of the adapter, the path and the decisions; three faults that they found

Cause: (1) a host whose backend server states no load figures recorded no work, so that nothing was predicted; (2) a node could not repeat a request in its first seconds, because its budget started with one second's share; (3) a queue kept a timer alive. Change: work follows the clock until a factor is observed; the budget starts with the node's whole burst; the timer does not hold the process.

--- a/packages/admission/src/SlotAdmission.ts
+++ b/packages/admission/src/SlotAdmission.ts
@@ -146,7 +146,7 @@
       this.#queue.add(waiting);
       this.#dispatchQueued();
       this.#refuseUnservable();
-      this.#sweeper ??= setInterval(() => this.#refuseUnservable(), sweepMilliseconds);
+      this.#sweeper ??= setInterval(() => this.#refuseUnservable(), sweepMilliseconds).unref();
     });
   }
 
--- /dev/null
+++ b/packages/admission/src/__tests__/SlotAdmission.test.ts
@@ -0,0 +1,152 @@
+import { HostSpeed } from '@hickorybridge/utils';
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import type { AdmissionOutcome, AdmissionRequest, Permit } from '../AdmissionController.js';
+import { KneeEstimate } from '../KneeEstimate.js';
+import { SlotAdmission } from '../SlotAdmission.js';
+import { ManualClock } from './ManualClock.js';
+
+function makeAdmission(slots: number) {
+  const clock = new ManualClock();
+  const speed = new HostSpeed();
+  const admission = new SlotAdmission({ slots, coldMilliseconds: 0, speed, clock });
+  const order: string[] = [];
+  const request = (changes: Partial<AdmissionRequest> = {}): AdmissionRequest => ({
+    kind: 'read',
+    weight: 0.5,
+    depth: 0,
+    deadline: clock.now() + 1000,
+    usefulUntil: clock.now() + 500,
+    signal: new AbortController().signal,
+    ...changes,
+  });
+  const enqueue = (name: string, changes: Partial<AdmissionRequest> = {}) => {
+    const outcome = admission.admit(request(changes));
+    outcome.then((settled) => {
+      order.push(settled.type === 'admitted' ? name : `${name} refused: ${settled.reason}`);
+    });
+    return outcome;
+  };
+  /** Runs one request so that the service time of its kind is known. */
+  const teach = async (kind: string, milliseconds: number) => {
+    const permit = permitOf(await admission.admit(request({ kind })));
+    await clock.advance(milliseconds);
+    permit.release(milliseconds);
+  };
+  return { admission, clock, enqueue, order, request, speed, teach };
+}
+
+function permitOf(outcome: AdmissionOutcome): Permit {
+  assert.equal(outcome.type, 'admitted');
+  return outcome.permit;
+}
+
+describe('admission by slots', () => {
+  it('priority inversion: guards against calls that wait behind new work', async () => {
+    const { admission, clock, enqueue, order, request } = makeAdmission(1);
+    const permit = permitOf(await admission.admit(request()));
+    enqueue('new work', { weight: 1 });
+    enqueue('call', { depth: 1 });
+    permit.release(10);
+    await clock.advance(1);
+    assert.deepEqual(order, ['call']);
+  });
+
+  it('overload: guards against timely requests that wait behind late ones', async () => {
+    const { admission, clock, enqueue, order, request, teach } = makeAdmission(1);
+    await teach('read', 100);
+    const permit = permitOf(await admission.admit(request({ deadline: clock.now() + 9000 })));
+    enqueue('late', { usefulUntil: clock.now() + 50, deadline: clock.now() + 5000 });
+    enqueue('timely', { usefulUntil: clock.now() + 900, deadline: clock.now() + 5000 });
+    permit.release(100);
+    await clock.advance(1);
+    assert.deepEqual(order, ['timely']);
+  });
+
+  it('overload: guards against a weightier kind that waits behind a lighter one', async () => {
+    const { admission, clock, enqueue, order, request } = makeAdmission(1);
+    const permit = permitOf(await admission.admit(request()));
+    enqueue('light', { weight: 0.3 });
+    enqueue('weighty', { weight: 0.5 });
+    permit.release(10);
+    await clock.advance(1);
+    assert.deepEqual(order, ['weighty']);
+  });
+
+  it('overload: guards against a request that is held until its deadline in vain', async () => {
+    const { admission, clock, enqueue, order, request, teach } = makeAdmission(1);
+    await teach('read', 100);
+    permitOf(await admission.admit(request()));
+    const far = { deadline: clock.now() + 250, usefulUntil: clock.now() + 250 };
+    enqueue('first', far);
+    enqueue('second', far);
+    await clock.advance(1);
+    assert.deepEqual(order, ['second refused: deadline-unreachable']);
+  });
+
+  it('guards against more requests in flight than slots', async () => {
+    const { admission, enqueue, request } = makeAdmission(2);
+    await admission.admit(request());
+    const permit = permitOf(await admission.admit(request()));
+    enqueue('third');
+    assert.equal(admission.report().inFlight, 2);
+    assert.equal(admission.report().queued, 1);
+    permit.release();
+    assert.equal(admission.report().inFlight, 2);
+  });
+
+  it('guards against a start of queued requests long after the backend server has left', async () => {
+    const { admission, clock, enqueue, order, request } = makeAdmission(1);
+    const permit = permitOf(await admission.admit(request()));
+    enqueue('queued');
+    admission.leave();
+    assert.deepEqual(await admission.admit(request()), { type: 'refused', reason: 'leaving' });
+    admission.refuseQueued();
+    permit.release();
+    await clock.advance(1);
+    assert.deepEqual(order, ['queued refused: leaving']);
+  });
+
+  it('slow spell: guards against a queue that is planned at the usual speed', async () => {
+    const { admission, clock, enqueue, order, request, speed, teach } = makeAdmission(1);
+    await teach('read', 100);
+    speed.observe(5, clock.now());
+    permitOf(await admission.admit(request()));
+    enqueue('hopeless', { deadline: clock.now() + 220, usefulUntil: clock.now() + 220 });
+    await clock.advance(1);
+    assert.deepEqual(order, ['hopeless refused: deadline-unreachable']);
+  });
+});
+
+describe('a backend server that is slower when nearly full', () => {
+  const slots = 13;
+
+  function feed(knee: KneeEstimate, slowAbove: number, factor: number, rounds = 30): void {
+    for (let round = 0; round < rounds; round += 1) {
+      for (let level = 4; level <= slots; level += 1) {
+        // Times vary by a third to either side, as those of real requests do.
+        const variation = 1 + (((round * 7 + level * 3) % 5) - 2) / 6;
+        knee.record('read', 20 * variation * (level > slowAbove ? factor : 1), level, 0);
+      }
+    }
+  }
+
+  it('knee: guards against slots that make all others slower', () => {
+    const knee = new KneeEstimate(slots);
+    feed(knee, 10, 1.7);
+    assert.equal(knee.limitAt(0), 10);
+  });
+
+  it('no knee: guards against slots that stay empty without need', () => {
+    const knee = new KneeEstimate(slots);
+    feed(knee, slots, 1);
+    assert.equal(knee.limitAt(0), slots);
+  });
+
+  it('knee that was gone: guards against a limit that is kept for ever', () => {
+    const knee = new KneeEstimate(slots);
+    feed(knee, 10, 1.7);
+    assert.equal(knee.limitAt(61_000), slots);
+  });
+});
--- a/packages/coordination/src/RetryBudget.ts
+++ b/packages/coordination/src/RetryBudget.ts
@@ -8,6 +8,8 @@
   readonly minimumPerSecond: number;
   /** Further tries that can be saved up. */
   readonly burst: number;
+  /** Further tries that are permitted at once at the start; one second's minimum by default. */
+  readonly initial?: number;
   readonly clock: Pick<Clock, 'now'>;
 }
 
@@ -22,7 +24,7 @@
   constructor(options: RetryBudgetOptions) {
     this.#options = options;
     // One second's minimum: a process that has just started has earned nothing yet.
-    this.#tokens = Math.min(options.burst, options.minimumPerSecond);
+    this.#tokens = Math.min(options.burst, options.initial ?? options.minimumPerSecond);
     this.#filledAt = options.clock.now();
   }
 
--- a/packages/host-node/src/HostNode.ts
+++ b/packages/host-node/src/HostNode.ts
@@ -1,4 +1,4 @@
-import type { HostRegistration } from '@hickorybridge/membership';
+import type { HostDirectory, HostRegistration } from '@hickorybridge/membership';
 import type { Logger } from '@hickorybridge/logger';
 import type { PeerPool } from '@hickorybridge/peer-protocol';
 import type { HostEntry } from '@hickorybridge/types';
@@ -7,16 +7,17 @@
 import type { BackendServerRegistry } from './backend/BackendServerRegistry.js';
 import type { CallersListener } from './callers/CallersListener.js';
 import type { ReportsListener } from './control/ReportsListener.js';
-import type { SettingsFile } from './control/SettingsFile.js';
+import type { SettingsSource } from './control/SettingsFile.js';
 import type { StatusListener } from './control/StatusListener.js';
 import type { RequestRouter } from './routing/RequestRouter.js';
 
 /** The parts of a node, as `createHostNode` wires them. */
 export interface HostNodeParts {
-  readonly settings: SettingsFile;
+  readonly settings: SettingsSource;
   readonly backendServers: BackendServerRegistry;
   readonly router: RequestRouter;
   readonly pool: PeerPool;
+  readonly directory: HostDirectory;
   readonly registration: HostRegistration;
   readonly callers: CallersListener;
   readonly reports: ReportsListener;
@@ -56,6 +57,21 @@
     return !this.stopping && this.#parts.router.configuration !== undefined;
   }
 
+  /** Version of the configuration in force; 0 before the first. */
+  get configurationVersion(): number {
+    return this.#parts.router.configuration?.version ?? 0;
+  }
+
+  /** Number of hosts that the node knows. */
+  get hostCount(): number {
+    return this.#parts.directory.size;
+  }
+
+  /** Requests that the backend server beside this node runs. */
+  get requestsInFlight(): number {
+    return this.#parts.backendServers.load()?.inFlight ?? 0;
+  }
+
   /** Opens the listeners. */
   async start(): Promise<void> {
     const { callers, logger, metrics, pool, readiness, reports, settings } = this.#parts;
--- /dev/null
+++ b/packages/host-node/src/__tests__/hostNode.test.ts
@@ -0,0 +1,389 @@
+import { silentLogger } from '@hickorybridge/logger';
+import { BackendFault, StandInObjectStore, StandInPlatformBackend } from '@hickorybridge/stand-ins';
+import type { HostSettings } from '@hickorybridge/types';
+import { RandomSource, systemClock } from '@hickorybridge/utils';
+import assert from 'node:assert/strict';
+import { Agent, request, type IncomingMessage } from 'node:http';
+import { createServer } from 'node:net';
+import { buffer } from 'node:stream/consumers';
+import { describe, it, type TestContext } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import type { SettingsSource } from '../control/SettingsFile.js';
+import { createHostNode } from '../createHostNode.js';
+import type { HostNode } from '../HostNode.js';
+
+const host = '127.0.0.1';
+const service = 'desk';
+
+interface Answer {
+  readonly status: number;
+  readonly text: string;
+  readonly headers: IncomingMessage['headers'];
+  readonly complete: boolean;
+}
+
+interface Member {
+  readonly node: HostNode;
+  readonly backend: StandInPlatformBackend;
+  readonly settings: HostSettings;
+}
+
+function configurationWith(version: number, timeout = '1000ms') {
+  const columns = [
+    'name',
+    'host',
+    'path_prefix',
+    'kind',
+    'timeout',
+    'target_latency',
+    'priority',
+    'service',
+    'max_attempts',
+  ];
+  return {
+    version,
+    routes: {
+      columns,
+      rows: [
+        ['reads', 'a.example', '/reads/', 'safe', timeout, '500ms', 1, service, 2],
+        ['orders', 'a.example', '/orders/', 'unsafe', timeout, '500ms', 1, service, 2],
+      ],
+    },
+    services: { columns: ['name', 'max_conns'], rows: [[service, 50]] },
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 500_000,
+      header_timeout: '3s',
+      idle_timeout: '15s',
+    },
+  };
+}
+
+async function freePorts(count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const ports: number[] = [];
+  for (const server of servers) {
+    await new Promise<void>((resolve) => {
+      server.listen(0, host, resolve);
+    });
+    ports.push((server.address() as { port: number }).port);
+  }
+  for (const server of servers) server.close();
+  return ports;
+}
+
+async function startMember(
+  t: TestContext,
+  store: StandInObjectStore,
+  name: string,
+): Promise<Member> {
+  const backend = new StandInPlatformBackend(`i-${name}`);
+  await backend.start();
+  const [callers = 0, reports = 0, readiness = 0, peers = 0, metrics = 0] = await freePorts(5);
+  const at = (port: number) => ({ host, port });
+  const settings: HostSettings = {
+    nodeId: name,
+    address: host,
+    location: { region: 'r', failureDomain: `d-${name}` },
+    service,
+    backendServerAddress: at(backend.port),
+    listeners: {
+      callers: at(callers),
+      reports: at(reports),
+      readiness: at(readiness),
+      peers: at(peers),
+      metrics: at(metrics),
+    },
+    store: at(store.port),
+    reportIntervalMilliseconds: 1500,
+    bounds: {
+      drainMilliseconds: 500,
+      graceMilliseconds: 4000,
+      retryShare: 0.2,
+      retrySlack: 60,
+      retryWindowMilliseconds: 10_000,
+    },
+    linkMegabits: 1000,
+    processorShare: 1,
+  };
+  const source: SettingsSource = { current: settings, [Symbol.asyncDispose]: async () => {} };
+  const node = createHostNode({
+    settings: source,
+    clock: systemClock,
+    random: new RandomSource(2026),
+    logger: silentLogger,
+  });
+  await node.start();
+  t.after(async () => {
+    await node.stop();
+    await backend[Symbol.asyncDispose]();
+  });
+  return { node, backend, settings };
+}
+
+async function startFleet(t: TestContext, names: readonly string[]) {
+  const store = new StandInObjectStore();
+  await store.start();
+  store.put('config', 'main', configurationWith(1));
+  const members: Member[] = [];
+  for (const name of names) members.push(await startMember(t, store, name));
+  t.after(() => store[Symbol.asyncDispose]());
+  for (const member of members) await report(member);
+  await until(() => members.every(({ node }) => node.ready && node.hostCount === names.length));
+  // Connections between the nodes are opened in the background.
+  await sleep(500);
+  return { store, members };
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  const end = Date.now() + 5000;
+  while (!condition()) {
+    assert.ok(Date.now() < end, 'the condition did not come true in 5 s');
+    await sleep(10);
+  }
+}
+
+let sequence = 0;
+
+async function report({ backend, settings }: Member, changes: object = {}): Promise<Answer> {
+  sequence += 1;
+  const body = JSON.stringify({
+    address: `${host}:${backend.port}`,
+    born: 1,
+    info: { service, version: 'v1', zone: 'd', slots: 4 },
+    status: { state: 'ready', sequence, cold_time: '0ms', ...changes },
+  });
+  const { port } = settings.listeners.reports;
+  return call(port, { method: 'POST', path: `/v1/instances/${backend.id}/heartbeat`, body });
+}
+
+interface CallOptions {
+  readonly method?: string;
+  readonly path: string;
+  readonly id?: string;
+  readonly body?: string;
+  readonly headers?: Record<string, string>;
+  readonly agent?: Agent;
+}
+
+function call(port: number, options: CallOptions): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    const outgoing = request({
+      host,
+      port,
+      method: options.method ?? 'GET',
+      path: options.path,
+      ...(options.agent === undefined ? {} : { agent: options.agent }),
+      headers: {
+        host: 'a.example',
+        'request-id': options.id ?? 'r1',
+        'deadline-ms': '2000',
+        ...options.headers,
+      },
+    });
+    outgoing.once('error', reject);
+    outgoing.once('response', async (answer) => {
+      const text = await buffer(answer).catch(() => Buffer.alloc(0));
+      resolve({
+        status: answer.statusCode ?? 0,
+        text: text.toString('utf8'),
+        headers: answer.headers,
+        complete: answer.complete,
+      });
+    });
+    outgoing.end(options.body);
+  });
+}
+
+describe('the whole path', () => {
+  it('guards against answers that are changed on their way over two nodes', async (t) => {
+    const { members } = await startFleet(t, ['one', 'two']);
+    const [one, two] = members;
+    assert.ok(one !== undefined && two !== undefined);
+    await report(one, { state: 'draining' });
+    const { port } = one.settings.listeners.callers;
+    const body = 'a body';
+    const answer = await call(port, {
+      method: 'POST',
+      path: '/orders/1?x=1',
+      id: 'o1',
+      body,
+      headers: { 'caller-service': 'forged', 'x-other': 'kept' },
+    });
+    assert.equal(answer.status, 200);
+    assert.equal(answer.text, 'answer to o1 a body');
+    assert.equal(answer.headers['response-signature'], 'signed');
+    assert.deepEqual(two.backend.ran, ['o1']);
+    const [headers] = two.backend.headers;
+    assert.equal(headers?.['caller-service'], service);
+    assert.equal(headers?.['target-instance'], 'i-two');
+    assert.equal(headers?.['x-other'], 'kept');
+    assert.ok(Number(headers?.['deadline-ms']) <= 1000);
+  });
+
+  it('guards against 404 for a route before a configuration is known', async (t) => {
+    const store = new StandInObjectStore();
+    await store.start();
+    t.after(() => store[Symbol.asyncDispose]());
+    const member = await startMember(t, store, 'one');
+    const { callers, readiness } = member.settings.listeners;
+    assert.equal((await call(callers.port, { path: '/reads/1' })).status, 503);
+    assert.equal((await call(readiness.port, { path: '/v1/readyz' })).status, 503);
+    store.put('config', 'main', configurationWith(1));
+    await until(() => member.node.ready);
+    assert.equal((await call(callers.port, { path: '/none/1' })).status, 404);
+    assert.equal((await call(readiness.port, { path: '/v1/readyz' })).status, 200);
+  });
+
+  it('guards against an older configuration that comes after a newer one', async (t) => {
+    const { members, store } = await startFleet(t, ['one']);
+    const [one] = members;
+    assert.ok(one !== undefined);
+    store.put('config', 'main', configurationWith(9));
+    await until(() => one.node.configurationVersion === 9);
+    store.put('config', 'main', configurationWith(8));
+    await sleep(300);
+    assert.equal(one.node.configurationVersion, 9);
+  });
+
+  it('guards against requests for a backend server that has said that it leaves', async (t) => {
+    const { members } = await startFleet(t, ['one']);
+    const [one] = members;
+    assert.ok(one !== undefined);
+    const { port } = one.settings.listeners.callers;
+    assert.equal((await call(port, { path: '/reads/1', id: 'a' })).status, 200);
+    assert.equal((await report(one, { state: 'draining' })).status, 200);
+    const refused = await call(port, { path: '/reads/1', id: 'b' });
+    assert.equal(refused.status, 503);
+    assert.ok(Number(refused.headers['retry-after']) > 0);
+    assert.deepEqual(one.backend.ran, ['a']);
+    // A report that was sent before and comes late.
+    sequence -= 2;
+    await report(one);
+    sequence += 2;
+    assert.equal((await call(port, { path: '/reads/1', id: 'c' })).status, 503);
+    assert.deepEqual(one.backend.ran, ['a']);
+  });
+
+  it('guards against a stop that cuts a request off', async (t) => {
+    const { members } = await startFleet(t, ['one']);
+    const [one] = members;
+    assert.ok(one !== undefined);
+    one.backend.workMilliseconds = 400;
+    const { callers, readiness } = one.settings.listeners;
+    const running = call(callers.port, { path: '/reads/1', id: 'a' });
+    await sleep(100);
+    const stopped = one.node.stop();
+    assert.equal((await call(readiness.port, { path: '/v1/readyz' })).status, 503);
+    const during = await call(callers.port, { path: '/reads/1', id: 'b' });
+    assert.equal(during.status, 200);
+    assert.equal(during.headers.connection, 'close');
+    assert.equal((await running).status, 200);
+    await stopped;
+  });
+});
+
+describe('faults of a backend server', () => {
+  async function answerUnder(t: TestContext, fault: BackendFault, path: string) {
+    const { members } = await startFleet(t, ['one']);
+    const [one] = members;
+    assert.ok(one !== undefined);
+    one.backend.fault = fault;
+    const { port } = one.settings.listeners.callers;
+    const answer = await call(port, { path, id: 'x' });
+    return { answer, one, port };
+  }
+
+  it('guards against "not run" for a request that ran and whose answer was lost', async (t) => {
+    const { answer, one } = await answerUnder(t, BackendFault.loseAnswer, '/orders/1');
+    assert.equal(answer.status, 502);
+    assert.deepEqual(one.backend.ran, ['x']);
+  });
+
+  it('guards against "unknown" for a request that the backend server rejected', async (t) => {
+    const { answer, one } = await answerUnder(t, BackendFault.shed, '/orders/1');
+    assert.equal(answer.status, 503);
+    assert.deepEqual(one.backend.ran, []);
+  });
+
+  it("guards against another request's answer", async (t) => {
+    const { answer } = await answerUnder(t, BackendFault.wrongId, '/orders/1');
+    assert.equal(answer.status, 502);
+  });
+
+  it('guards against an answer that was cut short and looks complete', async (t) => {
+    const { answer } = await answerUnder(t, BackendFault.truncate, '/orders/1');
+    assert.equal(answer.status, 502);
+  });
+
+  it('guards against a length for an answer that only its connection ended', async (t) => {
+    const { answer } = await answerUnder(t, BackendFault.unframed, '/orders/1');
+    assert.equal(answer.status, 200);
+    assert.equal(answer.text, 'answer to x ');
+    assert.equal(answer.headers['content-length'], undefined);
+    assert.equal(answer.headers['transfer-encoding'], undefined);
+    assert.equal(answer.headers.connection, 'close');
+  });
+
+  it('guards against a second answer that is taken for that of the next request', async (t) => {
+    const { answer, one, port } = await answerUnder(t, BackendFault.extra, '/orders/1');
+    assert.equal(answer.status, 200);
+    one.backend.fault = BackendFault.none;
+    const next = await call(port, { path: '/orders/2', id: 'y' });
+    assert.equal(next.status, 200);
+    assert.equal(next.text, 'answer to y ');
+  });
+
+  it('guards against a new connection for each request', async (t) => {
+    const { one, port } = await answerUnder(t, BackendFault.none, '/reads/1');
+    for (let index = 0; index < 5; index += 1) await call(port, { path: '/reads/1' });
+    assert.equal(one.backend.connections, 1);
+  });
+
+  it('guards against an idempotent request that is given up while another host is sound', async (t) => {
+    const { members } = await startFleet(t, ['one', 'two']);
+    const [one, two] = members;
+    assert.ok(one !== undefined && two !== undefined);
+    one.backend.fault = BackendFault.loseAnswer;
+    const { port } = one.settings.listeners.callers;
+    const read = await call(port, { path: '/reads/1', id: 'r' });
+    assert.equal(read.status, 200);
+    const order = await call(port, { path: '/orders/1', id: 'o' });
+    const runs = [...one.backend.ran, ...two.backend.ran].filter((id) => id === 'o');
+    assert.equal(runs.length, 1);
+    assert.ok(order.status === 502 || order.status === 200);
+  });
+
+  it('guards against a backend server that works on after its caller has left', async (t) => {
+    const { members } = await startFleet(t, ['one', 'two']);
+    const [one] = members;
+    assert.ok(one !== undefined);
+    one.backend.workMilliseconds = 600;
+    const { port } = one.settings.listeners.callers;
+    const outgoing = request({
+      host,
+      port,
+      path: '/reads/1',
+      headers: { host: 'a.example', 'request-id': 'g', 'deadline-ms': '2000' },
+    });
+    outgoing.on('error', () => {});
+    outgoing.end();
+    await until(() => members.some(({ backend }) => backend.ran.includes('g')));
+    outgoing.destroy();
+    await until(() => members.every(({ node }) => node.requestsInFlight === 0));
+  });
+
+  it('guards against a caller that waits longer than the time of its route', async (t) => {
+    const { members, store } = await startFleet(t, ['one']);
+    const [one] = members;
+    assert.ok(one !== undefined);
+    store.put('config', 'main', configurationWith(2, '300ms'));
+    await until(() => one.node.configurationVersion === 2);
+    one.backend.workMilliseconds = 3000;
+    const startedAt = Date.now();
+    const answer = await call(one.settings.listeners.callers.port, { path: '/reads/1' });
+    assert.equal(answer.status, 504);
+    assert.ok(Date.now() - startedAt < 700);
+  });
+});
--- a/packages/host-node/src/control/SettingsFile.ts
+++ b/packages/host-node/src/control/SettingsFile.ts
@@ -6,8 +6,13 @@
 /** How often the file is read, since it may change without a signal; in milliseconds. */
 const pollMilliseconds = 1000;
 
+/** Settings that may change while the node runs. */
+export interface SettingsSource extends AsyncDisposable {
+  readonly current: HostSettings;
+}
+
 /** The settings file of this host. Values that can change while the node runs are read from here. */
-export class SettingsFile implements AsyncDisposable {
+export class SettingsFile implements SettingsSource {
   readonly #path: string;
 
   readonly #logger: Logger;
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -21,7 +21,7 @@
 import { LoadPublisher } from './control/LoadPublisher.js';
 import { PeerKeeper } from './control/PeerKeeper.js';
 import { ReportsListener } from './control/ReportsListener.js';
-import type { SettingsFile } from './control/SettingsFile.js';
+import type { SettingsSource } from './control/SettingsFile.js';
 import { StatusListener } from './control/StatusListener.js';
 import { HostNode } from './HostNode.js';
 import { NodeObserver } from './NodeObserver.js';
@@ -31,7 +31,7 @@
 
 /** What a node is made of. */
 export interface CreateHostNodeOptions {
-  readonly settings: SettingsFile;
+  readonly settings: SettingsSource;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
@@ -196,6 +196,7 @@
     backendServers,
     router,
     pool,
+    directory,
     registration,
     callers,
     reports,
--- a/packages/host-node/src/routing/RequestRouter.ts
+++ b/packages/host-node/src/routing/RequestRouter.ts
@@ -81,6 +81,7 @@
       share: bounds.retryShare * usedShare,
       minimumPerSecond: slack / 2 / (bounds.retryWindowMilliseconds / 1000),
       burst: Math.max(1, slack / 2),
+      initial: Math.max(1, slack / 2),
       clock,
     });
     this.#budgets.set(service, budget);
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -8,3 +8,5 @@
 export type { DirectionSettings } from './link/Direction.js';
 export * from './link/LinkRelay.js';
 export * from './store/StandInStore.js';
+export * from './objectStore/StandInObjectStore.js';
+export * from './platformBackend/StandInPlatformBackend.js';
--- /dev/null
+++ b/packages/stand-ins/src/objectStore/StandInObjectStore.ts
@@ -0,0 +1,203 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+
+import { closeHttp, listenHttp, readJson, sendJson, urlOf } from '../httpListener.js';
+
+/** An object as the platform's store keeps it. */
+interface PlatformObject {
+  metadata: { name: string; rev: number };
+  spec: unknown;
+}
+
+interface Event {
+  readonly kind: string;
+  readonly rev: number;
+  readonly deleted: boolean;
+  readonly object: PlatformObject;
+}
+
+/** Faults of the stand-in. */
+export interface ObjectStoreFaults {
+  /** Status that every call gets; nothing is done. */
+  refuseWith: number | undefined;
+  /** Closes every connection without an answer. */
+  down: boolean;
+  /** Number of next writes that take effect but are not answered. */
+  loseWriteAnswers: number;
+}
+
+const objectPath = /^\/v1\/objects\/([^/?]+)(?:\/([^/?]+))?$/;
+const pageSize = 50;
+
+/** Stand-in for the platform's object store, as its published protocol describes it. */
+export class StandInObjectStore implements AsyncDisposable {
+  readonly faults: ObjectStoreFaults = { refuseWith: undefined, down: false, loseWriteAnswers: 0 };
+
+  calls = 0;
+
+  readonly #objects = new Map<string, PlatformObject>();
+
+  #events: Event[] = [];
+
+  #revision = 1;
+
+  /** Watches from before this revision get 410. */
+  #historyFrom = 0;
+
+  readonly #waiting = new Set<() => void>();
+
+  #server: Server | undefined;
+
+  get port(): number {
+    if (this.#server === undefined) throw new Error('the stand-in store is not started');
+    return Number(new URL(urlOf(this.#server)).port);
+  }
+
+  async start(): Promise<void> {
+    this.#server = await listenHttp((request, response) => this.#handle(request, response));
+  }
+
+  /** Writes an object as the operator does. */
+  put(kind: string, name: string, spec: unknown): void {
+    this.#revision += 1;
+    const object = { metadata: { name, rev: this.#revision }, spec };
+    this.#objects.set(`${kind}/${name}`, object);
+    this.#publish({ kind, rev: this.#revision, deleted: false, object });
+  }
+
+  specOf(kind: string, name: string): unknown {
+    return this.#objects.get(`${kind}/${name}`)?.spec;
+  }
+
+  /** Forgets all history, as the store may at any time. */
+  compact(): void {
+    this.#events = [];
+    this.#historyFrom = this.#revision;
+    for (const wake of this.#waiting) wake();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    if (this.#server !== undefined) await closeHttp(this.#server);
+  }
+
+  #publish(event: Event): void {
+    this.#events.push(event);
+    for (const wake of this.#waiting) wake();
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.calls += 1;
+    if (this.faults.down) {
+      response.destroy();
+      return;
+    }
+    if (this.faults.refuseWith !== undefined) {
+      sendJson(response, {}, this.faults.refuseWith);
+      return;
+    }
+    const url = new URL(request.url ?? '/', 'http://store');
+    const [, kind, encodedName] = objectPath.exec(url.pathname) ?? [];
+    if (kind === undefined) {
+      sendJson(response, {}, 404);
+      return;
+    }
+    const name = encodedName === undefined ? undefined : decodeURIComponent(encodedName);
+    if (request.method === 'GET') await this.#read(kind, name, url, response);
+    else await this.#write(kind, name, request, url, response);
+  }
+
+  async #read(
+    kind: string,
+    name: string | undefined,
+    url: URL,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (name !== undefined) {
+      const object = this.#objects.get(`${kind}/${name}`);
+      sendJson(response, object ?? {}, object === undefined ? 404 : 200);
+      return;
+    }
+    const watch = url.searchParams.get('watch');
+    if (watch === null) this.#list(kind, url.searchParams.get('after') ?? '', response);
+    else await this.#watch(kind, Number(watch), Number(url.searchParams.get('wait_ms')), response);
+  }
+
+  #list(kind: string, after: string, response: ServerResponse): void {
+    const all = [...this.#objects]
+      .filter(([key, { metadata }]) => key.startsWith(`${kind}/`) && metadata.name > after)
+      .map(([, object]) => object)
+      .sort((first, second) => (first.metadata.name < second.metadata.name ? -1 : 1));
+    const items = all.slice(0, pageSize);
+    sendJson(response, { items, has_more: all.length > pageSize, at: this.#revision });
+  }
+
+  async #watch(
+    kind: string,
+    revision: number,
+    wait: number,
+    response: ServerResponse,
+  ): Promise<void> {
+    const since = () => this.#events.filter((each) => each.kind === kind && each.rev > revision);
+    if (since().length === 0 && revision >= this.#historyFrom) await this.#sleep(wait);
+    if (revision < this.#historyFrom) {
+      sendJson(response, {}, 410);
+      return;
+    }
+    const events = since().map(({ deleted, object }) => ({ deleted, object }));
+    sendJson(response, { events, at: this.#revision });
+  }
+
+  async #sleep(milliseconds: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const wake = () => {
+        this.#waiting.delete(wake);
+        resolve();
+      };
+      this.#waiting.add(wake);
+      setTimeout(wake, milliseconds).unref();
+    });
+  }
+
+  async #write(
+    kind: string,
+    named: string | undefined,
+    request: IncomingMessage,
+    url: URL,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = (await readJson(request)) as {
+      metadata?: { name?: string; rev?: number };
+      spec?: unknown;
+    };
+    const name = named ?? body.metadata?.name ?? '';
+    const key = `${kind}/${name}`;
+    const current = this.#objects.get(key);
+    const expected = body.metadata?.rev ?? Number(url.searchParams.get('rev') ?? Number.NaN);
+    const conflicts =
+      request.method === 'POST'
+        ? current !== undefined
+        : !Number.isNaN(expected) && current?.metadata.rev !== expected;
+    if (request.method !== 'POST' && current === undefined) {
+      sendJson(response, {}, 404);
+      return;
+    }
+    if (conflicts) {
+      sendJson(response, current, 409);
+      return;
+    }
+    if (request.method === 'DELETE') this.#remove(kind, key, current);
+    else this.put(kind, name, body.spec);
+    if (this.faults.loseWriteAnswers > 0) {
+      this.faults.loseWriteAnswers -= 1;
+      response.destroy();
+      return;
+    }
+    sendJson(response, this.#objects.get(key) ?? {});
+  }
+
+  #remove(kind: string, key: string, current: PlatformObject | undefined): void {
+    if (current === undefined) return;
+    this.#revision += 1;
+    this.#objects.delete(key);
+    this.#publish({ kind, rev: this.#revision, deleted: true, object: current });
+  }
+}
--- a/packages/utils/src/HostSpeed.ts
+++ b/packages/utils/src/HostSpeed.ts
@@ -49,8 +49,8 @@
 
   /** Work that one slot has done since the start; the difference of two is that of the time between. */
   workAt(now: number): number {
-    const since = this.#observedAt === undefined ? 0 : now - this.#observedAt;
-    return this.#work + since / this.#factor;
+    if (this.#observedAt === undefined) return now;
+    return this.#work + (now - this.#observedAt) / this.#factor;
   }
 
   /**
@@ -73,7 +73,9 @@
   }
 
   #advance(factor: number, now: number): void {
-    if (this.#observedAt !== undefined) {
+    if (this.#observedAt === undefined) {
+      this.#work = now;
+    } else {
       const elapsed = now - this.#observedAt;
       // The factor has changed at some moment between the two observations.
       this.#work += elapsed / 2 / this.#factor + elapsed / 2 / factor;
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -8,12 +8,14 @@
 const testTimeoutMilliseconds = 120_000;
 const knownRedFile = path.join(root, 'KNOWN-RED.txt');
 
-/** Lists `packages/NAME/dist/__tests__/*.test.js`, sorted, as paths from the root. */
+/** Lists the compiled test files of all packages, sorted, as paths from the root. */
 function listTestFiles() {
   const packages = readdirSync(path.join(root, 'packages'), { withFileTypes: true });
   return packages
     .filter((entry) => entry.isDirectory())
-    .map((entry) => path.join('packages', entry.name, 'dist', '__tests__'))
+    .map((entry) => path.join('packages', entry.name))
+    .concat('platform')
+    .map((directory) => path.join(directory, 'dist', '__tests__'))
     .filter((directory) => existsSync(path.join(root, directory)))
     .flatMap((directory) =>
       readdirSync(path.join(root, directory))
