Queue ordered by value for each millisecond of a slot; far hosts cost more

Bytes between the regions were the greatest price. Change: TargetQueue ranks by the chance to be timely and to be served, times weight, over the expected time, which favours the youngest in an overload; one whose chance is below 0.3 is refused at once, also at its turn. Reports count only timely requests as queued. A far host costs 0.4 of a timely answer.

--- a/packages/admission/src/SlotAdmission.ts
+++ b/packages/admission/src/SlotAdmission.ts
@@ -9,7 +9,13 @@
 } from './AdmissionController.js';
 import { KneeEstimate } from './KneeEstimate.js';
 import { ServiceTimes } from './ServiceTimes.js';
-import { isTimely, TargetQueue, type QueueOutlook, type TargetQueueEntry } from './TargetQueue.js';
+import {
+  isHopeless,
+  isTimely,
+  TargetQueue,
+  type QueueOutlook,
+  type TargetQueueEntry,
+} from './TargetQueue.js';
 import { UsageShare } from './UsageShare.js';
 
 /** What the admission in front of one backend server needs. */
@@ -105,7 +111,8 @@
     return {
       limit: this.#limit,
       inFlight: this.#running.size,
-      queued: this.#queue.length,
+      // Those that are late already are overtaken by new requests.
+      queued: this.#queue.countTimely(this.#clock.now()),
       serviceMilliseconds: this.#expectedServiceTime(),
       rampShare: this.#isCold() ? coldShare : 1,
       workFactor: this.#settings.speed.factorAt(this.#clock.now()),
@@ -183,8 +190,8 @@
       const waiting = this.#queue.takeNext(now);
       if (waiting === undefined) return;
       waiting.request.signal.removeEventListener('abort', waiting.onAbort);
-      if (now < waiting.request.deadline) waiting.settle(this.#dispatch(waiting));
-      else waiting.settle({ type: 'refused', reason: 'deadline-passed' });
+      if (!isHopeless(waiting, now)) waiting.settle(this.#dispatch(waiting));
+      else waiting.settle({ type: 'refused', reason: 'deadline-unreachable' });
     }
     this.#queueChanged();
   }
--- a/packages/admission/src/TargetQueue.ts
+++ b/packages/admission/src/TargetQueue.ts
@@ -1,3 +1,5 @@
+import { probabilityWithin } from '@hickorybridge/utils';
+
 import type { AdmissionRequest } from './AdmissionController.js';
 
 /** A request that waits for a slot. */
@@ -7,18 +9,6 @@
   readonly expectedMilliseconds: number;
 }
 
-/** What a waiting request can still achieve; the smaller rank runs first. */
-const Rank = {
-  /** A call of a request that holds a slot elsewhere, which stays busy until the call ends. */
-  call: 0,
-  /** Can be answered while the answer is fully useful. */
-  timely: 1,
-  /** Can only be answered late. */
-  late: 2,
-} as const;
-
-type Rank = (typeof Rank)[keyof typeof Rank];
-
 /** How busy the backend server is when waiting times are predicted. */
 export interface QueueOutlook {
   readonly now: number;
@@ -29,10 +19,20 @@
   readonly timelyShare: number;
 }
 
+/** What a late answer is worth, as a share of a timely one. */
+const lateValue = 0.25;
+/** A request that would be answered before its deadline less often than this is refused. */
+const minimumChance = 0.3;
+/** A call was made by a request that holds a slot elsewhere until the call ends. */
+const minimumChanceOfCall = 0.1;
+/** With this chance to be in time a request counts as timely. */
+const timelyChance = 0.3;
+const minimumExpectedMilliseconds = 1;
+
 /**
- * Waiting requests of one backend server, in the order in which they are worth running. In an
- * overload this serves requests that can still be in time before those that are late already,
- * where a first-in-first-out queue would answer all of them late.
+ * Waiting requests of one backend server, ordered by what serving them now is worth for each
+ * millisecond of a slot. While there are more requests than can be served, those that came last
+ * have the best chance to be in time, and a first-in-first-out queue would answer all of them late.
  */
 export class TargetQueue<Entry extends TargetQueueEntry> {
   readonly #entries = new Set<Entry>();
@@ -41,6 +41,13 @@
     return this.#entries.size;
   }
 
+  /** Number of entries that can still be answered in time. */
+  countTimely(now: number): number {
+    let count = 0;
+    for (const entry of this.#entries) if (isTimely(entry, now)) count += 1;
+    return count;
+  }
+
   /** Lists all entries, in no particular order. */
   entries(): Entry[] {
     return [...this.#entries];
@@ -58,8 +65,13 @@
   /** Takes out the entry that is to run next. */
   takeNext(now: number): Entry | undefined {
     let best: Entry | undefined;
+    let bestRank = -Infinity;
     for (const entry of this.#entries) {
-      if (best === undefined || compare(entry, best, now) < 0) best = entry;
+      const rank = rankOf(entry, now);
+      if (rank > bestRank) {
+        best = entry;
+        bestRank = rank;
+      }
     }
     if (best !== undefined) this.#entries.delete(best);
     return best;
@@ -67,59 +79,53 @@
 
   /** Lists the entries whose turn would come too late for their deadlines. */
   findUnservable(outlook: QueueOutlook): Entry[] {
-    const unservable: Entry[] = [];
     const { now } = outlook;
-    const ordered = [...this.#entries].sort((first, second) => compare(first, second, now));
+    const unservable: Entry[] = [];
+    const ordered = [...this.#entries]
+      .map((entry) => ({ entry, rank: rankOf(entry, now) }))
+      .sort((first, second) => second.rank - first.rank);
     let workAhead = outlook.workInFlight;
-    for (const entry of ordered) {
+    for (const { entry } of ordered) {
       if (isUnservable(entry, workAhead, outlook)) unservable.push(entry);
       else workAhead += entry.expectedMilliseconds;
     }
     return unservable;
   }
-
-  /** Predicts how long a request would wait if it joined now, in milliseconds. */
-  predictWait(entry: TargetQueueEntry, outlook: QueueOutlook): number {
-    let workAhead = outlook.workInFlight;
-    for (const other of this.#entries) {
-      if (compare(other, entry, outlook.now) <= 0) workAhead += other.expectedMilliseconds;
-    }
-    return waitFor(entry, workAhead, outlook);
-  }
 }
 
-function isUnservable(entry: TargetQueueEntry, workAhead: number, outlook: QueueOutlook): boolean {
-  const start = outlook.now + waitFor(entry, workAhead, outlook);
-  return start + entry.expectedMilliseconds > entry.request.deadline;
-}
-
-/** Late requests also wait for the timely ones that will come meanwhile. */
-function waitFor(entry: TargetQueueEntry, workAhead: number, outlook: QueueOutlook): number {
-  const wait = workAhead / outlook.places;
-  return rankOf(entry, outlook.now) === Rank.late ? wait / (1 - outlook.timelyShare) : wait;
+/** Tells whether a request could be answered in time if it started now. */
+export function isTimely(
+  { expectedMilliseconds, request }: TargetQueueEntry,
+  now: number,
+): boolean {
+  if (request.depth > 0) return true;
+  return probabilityWithin(expectedMilliseconds, targetOf(request) - now) >= timelyChance;
 }
 
-function rankOf({ request, expectedMilliseconds }: TargetQueueEntry, now: number): Rank {
-  if (request.depth > 0) return Rank.call;
-  return now + expectedMilliseconds <= (request.usefulUntil ?? request.deadline)
-    ? Rank.timely
-    : Rank.late;
+/** Whether a request that starts at a time would most likely not end before its deadline. */
+export function isHopeless(entry: TargetQueueEntry, start: number): boolean {
+  const { expectedMilliseconds, request } = entry;
+  const chance = probabilityWithin(expectedMilliseconds, request.deadline - start);
+  return chance < (request.depth > 0 ? minimumChanceOfCall : minimumChance);
 }
 
-/** Tells whether a request could be answered in time if it started now. */
-export function isTimely(entry: TargetQueueEntry, now: number): boolean {
-  return rankOf(entry, now) !== Rank.late;
+function isUnservable(entry: TargetQueueEntry, workAhead: number, outlook: QueueOutlook): boolean {
+  const { now, places, timelyShare } = outlook;
+  const wait = workAhead / places;
+  // Requests that cannot be in time also wait for the timely ones that will come meanwhile.
+  const start = now + (isTimely(entry, now) ? wait : wait / (1 - timelyShare));
+  return isHopeless(entry, start);
 }
 
-function compare(first: TargetQueueEntry, second: TargetQueueEntry, now: number): number {
-  const rank = rankOf(first, now);
-  return (
-    rank - rankOf(second, now) ||
-    second.request.weight - first.request.weight ||
-    dueAt(first.request, rank) - dueAt(second.request, rank)
-  );
+/** What serving a request now is worth, for each millisecond of a slot. Calls go first. */
+function rankOf({ expectedMilliseconds, request }: TargetQueueEntry, now: number): number {
+  if (request.depth > 0) return Number.MAX_VALUE;
+  const timely = probabilityWithin(expectedMilliseconds, targetOf(request) - now);
+  const served = probabilityWithin(expectedMilliseconds, request.deadline - now);
+  const value = request.weight * (lateValue * served + (1 - lateValue) * timely);
+  return value / Math.max(minimumExpectedMilliseconds, expectedMilliseconds);
 }
 
-function dueAt(request: AdmissionRequest, rank: Rank): number {
-  return rank === Rank.late ? request.deadline : (request.usefulUntil ?? request.deadline);
+function targetOf(request: AdmissionRequest): number {
+  return request.usefulUntil ?? request.deadline;
 }
--- a/packages/routing/src/HostSelector.ts
+++ b/packages/routing/src/HostSelector.ts
@@ -1,5 +1,5 @@
 import { Distance, type HostEntry } from '@hickorybridge/types';
-import type { HostSpeed, RandomSource } from '@hickorybridge/utils';
+import { probabilityWithin, type HostSpeed, type RandomSource } from '@hickorybridge/utils';
 
 import type { HostLoad } from './HostLoad.js';
 
@@ -27,17 +27,14 @@
 const distanceCosts: Readonly<Record<Distance, number>> = {
   [Distance.sameFailureDomain]: 0,
   // Bytes between failure domains are paid for.
-  [Distance.sameRegion]: 0.05,
+  [Distance.sameRegion]: 0.06,
   // The link between the regions is narrow and costs several times as much.
-  [Distance.otherRegion]: 0.25,
+  [Distance.otherRegion]: 0.4,
 };
 /** What a late answer loses against a timely one. */
 const lateCost = 0.75;
 /** Prefers the sooner of two hosts that are both in time. */
 const waitCost = 0.15;
-/** Standard deviation of the time that a request takes, as a share of its mean. */
-const spreadShare = 0.5;
-const minimumSpreadMilliseconds = 10;
 /** Hosts whose costs differ by less are chosen at random, so that nodes do not all follow one report. */
 const indifference = 0.03;
 const maxHostFactor = 5;
@@ -75,18 +72,12 @@
   const allowed = Math.max(1, request.usefulUntil - now);
   return (
     distanceCosts[distance] +
-    lateCost * probabilityOfLateness(needed, allowed) +
+    lateCost * (1 - probabilityWithin(needed, allowed)) +
     (waitCost * needed) / allowed +
     load.errorShare(now)
   );
 }
 
-/** Logistic approximation of a normal distribution around the expected time. */
-function probabilityOfLateness(needed: number, allowed: number): number {
-  const spread = needed * spreadShare + minimumSpreadMilliseconds;
-  return 1 / (1 + Math.exp((1.7 * (allowed - needed)) / spread));
-}
-
 /** How much slower a host is than the others of its service. */
 function workFactorOf(load: HostLoad, usual: number | undefined): number {
   const own = load.workMilliseconds;
