--- a/packages/host-node/src/HostNode.ts
+++ b/packages/host-node/src/HostNode.ts
@@ -82,7 +82,13 @@
     await callers.listen(listeners.callers);
     await readiness.listen(listeners.readiness);
     await metrics.listen(listeners.metrics);
-    logger.info('node-started', 'the node takes requests', { node: nodeId, service, ...location });
+    logger.info('node-started', 'the node takes requests', {
+      node: nodeId,
+      service,
+      ...location,
+      peersPort: listeners.peers.port,
+      metricsPort: listeners.metrics.port,
+    });
   }
 
   /** Writes what this host offers into the store. */
@@ -115,7 +121,10 @@
   }
 
   async #shutDown(): Promise<void> {
-    const { callers, clock, logger, settings, supervisor } = this.#parts;
+    const { backendServers, callers, clock, logger, registration, settings, supervisor } =
+      this.#parts;
+    // The backend server has ended before the node: the host is taken away.
+    if (backendServers.current?.leaving === true) registration.set(undefined);
     const startedAt = clock.now();
     const limit = settings.current.bounds.graceMilliseconds - graceMarginMilliseconds;
     logger.info('node-stopping', 'stops when its open requests are answered', {
--- a/packages/host-node/src/backend/LocalBackendServer.ts
+++ b/packages/host-node/src/backend/LocalBackendServer.ts
@@ -33,6 +33,8 @@
 
 /** Share of the drain time in which queued requests may start; the rest allows for a slow node. */
 const queuedDrainShare = 0.6;
+/** The caller's node ends a request at its deadline, at nearly the same time as this one. */
+const deadlineSlackMilliseconds = 50;
 /** The first status of server errors. */
 const firstServerError = 500;
 
@@ -141,7 +143,10 @@
       onLoad: ({ workFactor }) => this.#observeFactor(workFactor),
       onEnd: (complete) => {
         this.#running.delete(head.requestId);
-        permit.release(complete && !failed ? clock.now() - startedAt : undefined);
+        const now = clock.now();
+        // Without those that were cut at their deadlines, slow work would look quicker than it is.
+        const cutAtDeadline = !complete && now > head.deadline - deadlineSlackMilliseconds;
+        permit.release((complete && !failed) || cutAtDeadline ? now - startedAt : undefined);
       },
     });
     const cancel = () => exchange.cancel(LossCause.connection);
--- a/packages/host-node/src/control/LoadPublisher.ts
+++ b/packages/host-node/src/control/LoadPublisher.ts
@@ -3,10 +3,6 @@
 
 /** How often a changed load is told, in milliseconds. */
 const intervalMilliseconds = 100;
-/** Reports to other failure domains are paid for, so only every so many goes there. */
-const wideEvery = 4;
-/** Requests by which the load has to differ from what was told last. */
-const minimumChange = 1;
 
 /** Tells peers the load of the backend server beside this node when it changes. */
 export class LoadPublisher implements AsyncDisposable {
@@ -16,11 +12,7 @@
 
   readonly #timer: NodeJS.Timeout;
 
-  #round = 0;
-
-  #toldNear = -1;
-
-  #toldWide = -1;
+  #told = -1;
 
   constructor(pool: PeerPool, load: () => LoadReport | undefined) {
     this.#pool = pool;
@@ -39,22 +31,11 @@
   }
 
   #publish(): void {
-    this.#round += 1;
     const report = this.#load();
     if (report === undefined) return;
     const occupied = report.inFlight + report.queued;
-    const wide = this.#round % wideEvery === 0 && differs(occupied, this.#toldWide);
-    if (wide) {
-      this.#pool.sendLoad(report, Distance.sameRegion);
-      this.#toldWide = occupied;
-      this.#toldNear = occupied;
-    } else if (differs(occupied, this.#toldNear)) {
-      this.#pool.sendLoad(report, Distance.sameFailureDomain);
-      this.#toldNear = occupied;
-    }
+    if (occupied === this.#told) return;
+    this.#pool.sendLoad(report, Distance.sameRegion);
+    this.#told = occupied;
   }
 }
-
-function differs(occupied: number, told: number): boolean {
-  return Math.abs(occupied - told) >= minimumChange;
-}
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -98,6 +98,7 @@
     addressOf: (peer) => directory.entry(peer)?.peerAddress,
     executor,
     liveness,
+    introduced: ({ identity }) => choice.loadOf(identity.nodeId).reconnected(),
     onLoad: (peer, report) => choice.loadOf(peer).reported(report, clock.now()),
     clock,
     logger,
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -7,7 +7,7 @@
 import type { RetryBudget } from '@hickorybridge/coordination';
 import type { Logger } from '@hickorybridge/logger';
 import { returnAdvice, type HostCandidate, type RouteTimes } from '@hickorybridge/routing';
-import type { RequestHead } from '@hickorybridge/types';
+import type { RefusalReason, RequestHead } from '@hickorybridge/types';
 import type { Clock, RandomSource } from '@hickorybridge/utils';
 
 import { FailureReason, type CallerOutcome, type CallerRequest } from './CallerRequest.js';
@@ -38,13 +38,14 @@
 const avoidAfterRefusalMilliseconds = 30;
 /** A host whose backend server could not be reached is passed over for this long. */
 const avoidAfterConnectionFailureMilliseconds = 300;
+/** A host that is about to end is passed over until it is connected again, or for this long. */
+const avoidLeavingMilliseconds = 5000;
 /** Without any host a request waits this long for one, as a share of its target. */
 const noHostWaitShare = 0.1;
 const noHostPollMilliseconds = 10;
 /** A repeat is sent only while this share of the expected service time is left. */
 const minimumRepeatShare = 1;
 const firstServerError = 500;
-const abandonedDetail = 'the time for the answer has passed';
 
 /** The routing of one request, from its first try to what its caller is told. */
 export class RequestRun {
@@ -64,6 +65,8 @@
 
   #refusals = 0;
 
+  #lastHost: string | undefined;
+
   /** An error answer of a backend server, kept while the request is repeated. */
   #errorAnswer: CallerOutcome | undefined;
 
@@ -85,7 +88,7 @@
       const onLeft = () => stop(this.#fail(FailureReason.callerLeft, 'the caller has left'));
       signal.addEventListener('abort', onLeft, { once: true });
       const onTimeout = () =>
-        stop(this.#errorAnswer ?? this.#fail(FailureReason.timeout, abandonedDetail));
+        stop(this.#errorAnswer ?? this.#fail(FailureReason.timeout, this.#describeWait()));
       const timer = setTimeout(onTimeout, deadline - clock.now());
       this.#route().then((outcome) => {
         clearTimeout(timer);
@@ -121,6 +124,7 @@
     const { clock, routeTimes, send } = this.#options;
     const { body, route } = this.#request;
     load.sent();
+    this.#lastHost = entry.nodeId;
     // Until the host says that it did not, it may run the request.
     const mayHaveRunBefore = this.#mayHaveRun;
     this.#mayHaveRun = true;
@@ -179,11 +183,7 @@
     }
     if (outcome.type === 'refused') {
       this.#refusals += 1;
-      const unreachable = outcome.reason === 'connection-refused' || outcome.reason === 'not-ready';
-      const avoid = unreachable
-        ? avoidAfterConnectionFailureMilliseconds
-        : avoidAfterRefusalMilliseconds;
-      load.avoid(avoid, clock.now());
+      load.avoid(avoidanceAfter(outcome.reason), clock.now());
       logger.info('request-refused', 'a host did not run the request', {
         requestId,
         route: route.name,
@@ -238,6 +238,11 @@
     });
   }
 
+  #describeWait(): string {
+    if (this.#lastHost === undefined) return 'no host was found for it in time';
+    return `no answer in time from host "${this.#lastHost}"`;
+  }
+
   #noHost(): CallerOutcome {
     const { service } = this.#request;
     return this.#fail(
@@ -261,3 +266,18 @@
     return { type: 'failed', reason, mayHaveRun: false, detail, returnMilliseconds };
   }
 }
+
+/** How long a host is passed over that refused a request, in milliseconds. */
+function avoidanceAfter(reason: RefusalReason): number {
+  switch (reason) {
+    case 'leaving':
+      return avoidLeavingMilliseconds;
+    case 'connection-refused':
+    case 'not-ready':
+    case 'not-sent':
+    case 'no-such-backend-server':
+      return avoidAfterConnectionFailureMilliseconds;
+    default:
+      return avoidAfterRefusalMilliseconds;
+  }
+}
--- a/packages/membership/src/HostRegistration.ts
+++ b/packages/membership/src/HostRegistration.ts
@@ -24,6 +24,9 @@
   /** What the store should hold; `undefined` for no entry. */
   #wanted: HostEntry | undefined;
 
+  /** A node that was just started does not know yet what its host offers, and leaves the entry. */
+  #isDecided = false;
+
   /** What it was last seen to hold: the text and its version. */
   #written: { readonly text: string | undefined; readonly version: number } | undefined;
 
@@ -36,6 +39,7 @@
   /** Changes the entry. The write follows in the background. */
   set(entry: HostEntry | undefined): void {
     this.#wanted = entry;
+    this.#isDecided = true;
     this.#wake.abort();
   }
 
@@ -68,6 +72,7 @@
   }
 
   #isCurrent(): boolean {
+    if (!this.#isDecided) return true;
     const wanted = this.#wantedText();
     if (this.#written === undefined) return wanted === undefined;
     return this.#written.text === wanted;
--- /dev/null
+++ b/packages/membership/src/__tests__/HostRegistration.test.ts
@@ -0,0 +1,75 @@
+import { silentLogger } from '@hickorybridge/logger';
+import type { RemovingStore, WriteOutcome } from '@hickorybridge/store';
+import type { HostEntry } from '@hickorybridge/types';
+import { RandomSource, systemClock } from '@hickorybridge/utils';
+import assert from 'node:assert/strict';
+import { test, type TestContext } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { HostRegistration } from '../HostRegistration.js';
+
+const entry: HostEntry = {
+  nodeId: 'n1',
+  peerAddress: { host: '10.0.0.1', port: 7000 },
+  location: { region: 'r', failureDomain: 'd' },
+  service: 's',
+  backendServerId: 'b1',
+  slots: 4,
+  leaving: false,
+};
+
+/** Starts a registration against a store that records its writes and answers as told. */
+function start(t: TestContext, answers: WriteOutcome[] = []) {
+  const writes: string[] = [];
+  const answer = (write: string): Promise<WriteOutcome> => {
+    writes.push(write);
+    return Promise.resolve(answers.shift() ?? { type: 'done', version: 10 + writes.length });
+  };
+  const store = {
+    writeConditional: (_key: string, _value: string, version: number) => answer(`put ${version}`),
+    remove: (_key: string, version: number) => answer(`remove ${version}`),
+  } as unknown as RemovingStore;
+  const registration = new HostRegistration({
+    nodeId: 'n1',
+    store,
+    clock: systemClock,
+    random: new RandomSource(2026),
+    logger: silentLogger,
+  });
+  const stop = new AbortController();
+  const running = registration.run(stop.signal);
+  t.after(async () => {
+    stop.abort();
+    await running;
+  });
+  return { registration, writes };
+}
+
+test('guards against a restarted node that removes the entry of its host', async (t) => {
+  const { registration, writes } = start(t);
+  registration.seen(entry, 5);
+  await sleep(30);
+  assert.deepEqual(writes, []);
+  registration.set(entry);
+  await sleep(30);
+  assert.deepEqual(writes, [], 'an entry that stands already is not written again');
+});
+
+test('guards against an entry that stays away after a write was refused or lost', async (t) => {
+  const { registration, writes } = start(t, [
+    { type: 'unknown', detail: 'lost' },
+    { type: 'refused', current: undefined },
+  ]);
+  registration.set(entry);
+  await sleep(500);
+  assert.deepEqual(writes, ['put 0', 'put 0', 'put 0']);
+});
+
+test('guards against an entry that another node removed', async (t) => {
+  const { registration, writes } = start(t);
+  registration.set(entry);
+  await sleep(30);
+  registration.seen(undefined, 0);
+  await sleep(30);
+  assert.deepEqual(writes, ['put 0', 'put 0']);
+});
--- a/packages/routing/src/HostLoad.ts
+++ b/packages/routing/src/HostLoad.ts
@@ -45,6 +45,12 @@
     this.#avoidedUntil = now + milliseconds;
   }
 
+  /** The host has a new process or a new connection: what was known of it does not hold any more. */
+  reconnected(): void {
+    this.#avoidedUntil = 0;
+    this.#report = undefined;
+  }
+
   isAvoided(now: number): boolean {
     return now < this.#avoidedUntil;
   }
--- a/packages/routing/src/returnAdvice.ts
+++ b/packages/routing/src/returnAdvice.ts
@@ -9,8 +9,8 @@
   readonly random: RandomSource;
 }
 
-/** A refused caller that returns sooner only meets the same queue. */
-const minimumMilliseconds = 50;
+/** A caller that returns sooner meets the same queue, or the same slow spell of a host. */
+const minimumMilliseconds = 250;
 /** Later, too little time is left for the request itself. */
 const maxRemainingShare = 1 / 3;
 
@@ -20,7 +20,7 @@
  */
 export function returnAdvice(options: ReturnAdviceOptions): number {
   const { random, remainingMilliseconds, waitMilliseconds } = options;
-  const latest = Math.max(minimumMilliseconds, remainingMilliseconds * maxRemainingShare);
+  const latest = remainingMilliseconds * maxRemainingShare;
   const center = Math.min(latest, Math.max(minimumMilliseconds, waitMilliseconds));
   return center * (0.5 + 0.5 * random.next());
 }
