Errors do not count as service times; advice with every 503; unreachable peers logged

Cause: found while reading the change: the times of error answers were recorded as service times, because the outcome was looked at one turn too late, so a backend server that fails quickly looked quick. A 503 without a configuration and one of a stopping node had no Retry-After. Failed dials to peers were dropped without a line. Three settings were decoded and not used. Change: the exchange says itself whether it was served.

--- a/packages/host-node/src/HostNode.ts
+++ b/packages/host-node/src/HostNode.ts
@@ -1,7 +1,7 @@
 import type { HostDirectory, HostRegistration } from '@hickorybridge/membership';
 import type { Logger } from '@hickorybridge/logger';
 import type { PeerPool } from '@hickorybridge/peer-protocol';
-import type { HostEntry } from '@hickorybridge/types';
+import type { HostEntry, LoadReport } from '@hickorybridge/types';
 import type { Clock, Supervisor } from '@hickorybridge/utils';
 
 import type { BackendServerRegistry } from './backend/BackendServerRegistry.js';
@@ -67,9 +67,9 @@
     return this.#parts.directory.size;
   }
 
-  /** Requests that the backend server beside this node runs. */
-  get requestsInFlight(): number {
-    return this.#parts.backendServers.load()?.inFlight ?? 0;
+  /** Load of the backend server beside this node; `undefined` before it has reported itself. */
+  get load(): LoadReport | undefined {
+    return this.#parts.backendServers.load();
   }
 
   /** Opens the listeners. */
--- a/packages/host-node/src/__tests__/hostNode.test.ts
+++ b/packages/host-node/src/__tests__/hostNode.test.ts
@@ -96,7 +96,6 @@
       metrics: at(metrics),
     },
     store: at(store.port),
-    reportIntervalMilliseconds: 1500,
     bounds: {
       drainMilliseconds: 500,
       graceMilliseconds: 4000,
@@ -104,8 +103,6 @@
       retrySlack: 60,
       retryWindowMilliseconds: 10_000,
     },
-    linkMegabits: 1000,
-    processorShare: 1,
   };
   const source: SettingsSource = { current: settings, [Symbol.asyncDispose]: async () => {} };
   const node = createHostNode({
@@ -371,7 +368,22 @@
     outgoing.end();
     await until(() => members.some(({ backend }) => backend.ran.includes('g')));
     outgoing.destroy();
-    await until(() => members.every(({ node }) => node.requestsInFlight === 0));
+    await until(() => members.every(({ node }) => node.load?.inFlight === 0));
+  });
+
+  it('grey failure: guards against quick errors that make a backend server look quick', async (t) => {
+    const { members } = await startFleet(t, ['one']);
+    const [one] = members;
+    assert.ok(one !== undefined);
+    const { port } = one.settings.listeners.callers;
+    one.backend.workMilliseconds = 200;
+    for (let index = 0; index < 3; index += 1) await call(port, { path: '/reads/1' });
+    const before = one.node.load?.serviceMilliseconds ?? 0;
+    one.backend.workMilliseconds = 1;
+    one.backend.fault = BackendFault.error;
+    for (let index = 0; index < 6; index += 1) await call(port, { path: '/reads/1' });
+    assert.ok(before > 150, String(before));
+    assert.ok((one.node.load?.serviceMilliseconds ?? 0) > before * 0.8);
   });
 
   it('guards against a caller that waits longer than the time of its route', async (t) => {
--- a/packages/host-node/src/backend/BackendServerExchange.ts
+++ b/packages/host-node/src/backend/BackendServerExchange.ts
@@ -39,12 +39,17 @@
   readonly body: RequestBody;
   readonly clock: Clock;
   readonly onLoad: (figures: LoadFigures) => void;
-  /** Is told when the backend server works on the request no longer, as far as this node knows. */
-  readonly onEnd: (complete: boolean) => void;
+  /**
+   * Is told when the backend server works on the request no longer, as far as this node knows.
+   * `served` is true after a complete answer that is no server error.
+   */
+  readonly onEnd: (served: boolean) => void;
 }
 
 /** A 421 says that another backend server has this address. */
 const misdirectedStatus = 421;
+/** The first status of server errors. */
+const firstServerError = 500;
 const bodilessStatuses: readonly number[] = [204, 304];
 
 /** One request to the backend server beside this node, and its answer. */
@@ -195,7 +200,7 @@
       }
       const data = bodilessStatuses.includes(status) ? Buffer.alloc(0) : Buffer.concat(chunks);
       this.#settle({ type: 'answered', head, body: { type: 'whole', data } });
-      this.#end(true);
+      this.#end(status < firstServerError);
     });
   }
 
@@ -208,7 +213,7 @@
     whenAnswerEnds(answer, (complete) => {
       if (complete) stream.end();
       else stream.destroy(new Error('the answer broke off'));
-      this.#end(complete);
+      this.#end(complete && head.status < firstServerError);
     });
     stream.once('close', () => {
       if (!answer.complete) this.#request.destroy();
@@ -235,10 +240,10 @@
     this.#resolve(outcome);
   }
 
-  #end(complete: boolean): void {
+  #end(served: boolean): void {
     if (this.#ended) return;
     this.#ended = true;
-    this.#options.onEnd(complete);
+    this.#options.onEnd(served);
   }
 }
 
--- a/packages/host-node/src/backend/LocalBackendServer.ts
+++ b/packages/host-node/src/backend/LocalBackendServer.ts
@@ -35,8 +35,6 @@
 const queuedDrainShare = 0.6;
 /** The caller's node ends a request at its deadline, at nearly the same time as this one. */
 const deadlineSlackMilliseconds = 50;
-/** The first status of server errors. */
-const firstServerError = 500;
 
 /** The backend server on this host, behind its admission. The only way to it. */
 export class LocalBackendServer implements RequestExecutor, AsyncDisposable {
@@ -132,7 +130,6 @@
       permit.release();
       return { type: 'not-run', reason: NotRunReason.cancelled };
     }
-    let failed = false;
     this.#running.add(head.requestId);
     const exchange = new BackendServerExchange({
       agent: this.#agent,
@@ -141,12 +138,12 @@
       body,
       clock,
       onLoad: ({ workFactor }) => this.#observeFactor(workFactor),
-      onEnd: (complete) => {
+      onEnd: (served) => {
         this.#running.delete(head.requestId);
         const now = clock.now();
         // Without those that were cut at their deadlines, slow work would look quicker than it is.
-        const cutAtDeadline = !complete && now > head.deadline - deadlineSlackMilliseconds;
-        permit.release((complete && !failed) || cutAtDeadline ? now - startedAt : undefined);
+        const cutAtDeadline = now > head.deadline - deadlineSlackMilliseconds;
+        permit.release(served || cutAtDeadline ? now - startedAt : undefined);
       },
     });
     const cancel = () => exchange.cancel(LossCause.connection);
@@ -155,7 +152,6 @@
     const outcome = await exchange.outcome;
     clearTimeout(timer);
     signal.removeEventListener('abort', cancel);
-    failed = outcome.type !== 'answered' || outcome.head.status >= firstServerError;
     return outcome;
   }
 
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -39,6 +39,8 @@
 // Above any configured limit; the configured one is checked for each request.
 const parserHeaderBytes = 256 * 1024;
 const defaultIdleMilliseconds = 15_000;
+// A started node reads the configuration within about this time, and a stopped one is back.
+const returnMilliseconds = 700;
 const defaultRemainingMilliseconds = 30_000;
 
 /** Takes the requests of callers on this host, and of its backend server. */
@@ -141,9 +143,15 @@
   #findRoute(request: IncomingMessage, requestId: string): Found | Failed {
     const { router } = this.#options;
     const { configuration } = router;
-    if (this.#refusing) return failure(FailureReason.stopping, 'this node is about to end');
+    if (this.#refusing) {
+      return {
+        ...failure(FailureReason.stopping, 'this node is about to end'),
+        returnMilliseconds,
+      };
+    }
     if (configuration === undefined) {
-      return failure(FailureReason.noConfiguration, 'this node knows no configuration yet');
+      const detail = 'this node knows no configuration yet';
+      return { ...failure(FailureReason.noConfiguration, detail), returnMilliseconds };
     }
     const headerBytes = request.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
     if (headerBytes > configuration.limits.maxHeaderBytes) {
--- a/packages/host-node/src/control/PeerKeeper.ts
+++ b/packages/host-node/src/control/PeerKeeper.ts
@@ -1,3 +1,4 @@
+import type { Logger } from '@hickorybridge/logger';
 import type { HostDirectory } from '@hickorybridge/membership';
 import type { PeerPool } from '@hickorybridge/peer-protocol';
 import { distanceBetween, Distance, type HostEntry, type Location } from '@hickorybridge/types';
@@ -11,6 +12,7 @@
   readonly pool: PeerPool;
   readonly clock: Clock;
   readonly random: RandomSource;
+  readonly logger: Logger;
 }
 
 /** How often missing connections are looked for, in milliseconds. */
@@ -72,7 +74,7 @@
   }
 
   async #connect({ nodeId }: HostEntry): Promise<void> {
-    const { clock, pool } = this.#options;
+    const { clock, logger, pool } = this.#options;
     if (pool.isConnected(nodeId)) {
       this.#retries.delete(nodeId);
       return;
@@ -83,6 +85,12 @@
       delay: Math.min(longestRetryMilliseconds, retry.delay * 2),
       at: clock.now() + retry.delay,
     });
-    await pool.open(nodeId);
+    const opened = await pool.open(nodeId);
+    if (!opened.ok) {
+      logger.warn('peer-unreachable', 'no connection with the node of a host; tried again', {
+        host: nodeId,
+        detail: opened.error.type === 'timeout' ? 'timeout' : opened.error.detail,
+      });
+    }
   }
 }
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -178,6 +178,7 @@
     pool,
     clock,
     random: random.fork(),
+    logger,
   });
   const supervisor = new Supervisor({ name: 'node', clock, onFailure: logTaskFailure(logger) });
   supervisor.start('configuration', (signal) => configurationFollower.run(signal));
--- a/packages/types/src/hostSettings.ts
+++ b/packages/types/src/hostSettings.ts
@@ -12,13 +12,7 @@
   readonly backendServerAddress: SocketAddress;
   readonly listeners: HostListeners;
   readonly store: SocketAddress;
-  /** How often the backend server reports itself, in milliseconds. */
-  readonly reportIntervalMilliseconds: number;
   readonly bounds: HostBounds;
-  /** Capacity of the host's own link, in megabits a second. */
-  readonly linkMegabits: number;
-  /** Share of a processor core that the node may use. */
-  readonly processorShare: number;
 }
 
 /** The addresses on which a node listens. */
