Measure host-node: processor time of real nodes at rest and for each call, by fleet size

Change: npm run measure -- host-node starts 12, 30 and 60 bundled nodes against the stand-ins and reads their processor time.

--- a/packages/measure/src/measures.ts
+++ b/packages/measure/src/measures.ts
@@ -1,3 +1,4 @@
+import { measureHostNode } from './hostNode/measureHostNode.js';
 import type { Measure, MeasureResult } from './Measure.js';
 import { measureAddedLatency } from './measureAddedLatency.js';
 import { measureClaims } from './measureClaims.js';
@@ -27,6 +28,7 @@
     resultOf(context.print, (print) =>
       measureDecisions({ ...context, repetitions: decisionRepetitions, print }),
     ),
+  'host-node': measureHostNode,
   policy: measurePolicy,
   start: measureStart,
 };
--- a/packages/measure/src/processFigures.ts
+++ b/packages/measure/src/processFigures.ts
@@ -13,7 +13,12 @@
 
 /** Gives the processor time that a process has used, in microseconds. */
 export function processorMicroseconds(entry: ManagedProcess): number {
-  const stat = readFileSync(`/proc/${entry.processId}/stat`, 'utf8');
+  return processorMicrosecondsOf(entry.processId ?? 0);
+}
+
+/** Gives the processor time that the process with a number has used, in microseconds. */
+export function processorMicrosecondsOf(processId: number): number {
+  const stat = readFileSync(`/proc/${processId}/stat`, 'utf8');
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
   const ticks = Number(fields[userTimeField]) + Number(fields[systemTimeField]);
   return (ticks * microsecondsPerSecond) / ticksPerSecond;
@@ -21,7 +26,12 @@
 
 /** Gives the resident memory of a process, in megabytes. */
 export function residentMegabytes(entry: ManagedProcess): number {
-  const status = readFileSync(`/proc/${entry.processId}/status`, 'utf8');
+  return residentMegabytesOf(entry.processId ?? 0);
+}
+
+/** Gives the resident memory of the process with a number, in megabytes. */
+export function residentMegabytesOf(processId: number): number {
+  const status = readFileSync(`/proc/${processId}/status`, 'utf8');
   const kilobytes = Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1]);
   return Math.round((kilobytes / kilobytesPerMegabyte) * 10) / 10;
 }
