Slots kept free for calls where calls are made

Cause: in an overloaded service chain a call of 40 ms waits behind requests of 400 ms, and its request holds a slot of another service meanwhile. Change: new requests leave as many slots free as calls use on average, a third at most.

--- a/packages/admission/src/SlotAdmission.ts
+++ b/packages/admission/src/SlotAdmission.ts
@@ -46,6 +46,10 @@
 const stuckPriorSamples = 4;
 /** A cold backend server reports this share of its speed. */
 const coldShare = 0.5;
+/** Calls that run at the same time on average; below this no slot is kept free for them. */
+const minimumCallsForReserve = 0.25;
+/** Share of the slots that is kept free for calls at most. */
+const maxReservedShare = 0.34;
 /** How often waiting requests are checked while nothing ends, in milliseconds. */
 const sweepMilliseconds = 25;
 
@@ -68,6 +72,9 @@
 
   readonly #timelyUsage: UsageShare;
 
+  /** What calls take of the slots. */
+  readonly #callUsage: UsageShare;
+
   readonly #queue = new TargetQueue<Waiting>();
 
   readonly #running = new Map<Permit, Running>();
@@ -84,13 +91,14 @@
     this.#startedAt = settings.clock.now();
     this.#knee = new KneeEstimate(settings.slots);
     this.#timelyUsage = new UsageShare(settings.slots);
+    this.#callUsage = new UsageShare(settings.slots);
   }
 
   admit(request: AdmissionRequest): Promise<AdmissionOutcome> {
     const reason = this.#reasonToRefuse(request);
     if (reason !== undefined) return Promise.resolve({ type: 'refused', reason });
     const entry = { request, expectedMilliseconds: this.#expectedDuration(request.kind) };
-    if (this.#queue.length === 0 && this.#running.size < this.#limit) {
+    if (this.#queue.length === 0 && this.#running.size < this.#limitFor(request)) {
       return Promise.resolve(this.#dispatch(entry));
     }
     return this.#enqueue(entry);
@@ -101,6 +109,20 @@
     return this.#knee.limitAt(this.#clock.now());
   }
 
+  /**
+   * Slots that new requests leave to calls. A call is short, and while it waits its request holds a
+   * slot of another backend server, so that a full service slows down those that call it.
+   */
+  get #reserved(): number {
+    const calls = this.#callUsage.at(this.#clock.now()) * this.#settings.slots;
+    if (calls < minimumCallsForReserve) return 0;
+    return Math.min(Math.ceil(calls), Math.floor(this.#limit * maxReservedShare));
+  }
+
+  #limitFor({ depth }: AdmissionRequest): number {
+    return depth > 0 ? this.#limit : this.#limit - this.#reserved;
+  }
+
   #expectedDuration(kind: string): number {
     const { speed } = this.#settings;
     const work = this.#serviceTimes.expectedFor(kind);
@@ -110,6 +132,7 @@
   report(workMilliseconds?: number): LoadReport {
     return {
       limit: this.#limit,
+      reserved: this.#reserved,
       inFlight: this.#running.size,
       // Those that are late already are overtaken by new requests.
       queued: this.#queue.countTimely(this.#clock.now()),
@@ -187,8 +210,9 @@
   #dispatchQueued(): void {
     while (this.#queue.length > 0 && this.#running.size < this.#limit) {
       const now = this.#clock.now();
-      const waiting = this.#queue.takeNext(now);
-      if (waiting === undefined) return;
+      const waiting = this.#queue.findNext(now);
+      if (waiting === undefined || this.#running.size >= this.#limitFor(waiting.request)) break;
+      this.#queue.remove(waiting);
       waiting.request.signal.removeEventListener('abort', waiting.onAbort);
       if (!isHopeless(waiting, now)) waiting.settle(this.#dispatch(waiting));
       else waiting.settle({ type: 'refused', reason: 'deadline-unreachable' });
@@ -204,6 +228,7 @@
     const startWork = this.#settings.speed.workAt(now);
     const level = this.#running.size + 1;
     this.#running.set(permit, { ...entry, startedAt: now, startWork, level });
+    if (entry.request.depth > 0) this.#callUsage.add(entry.expectedMilliseconds, now);
     if (isTimely(entry, now)) this.#timelyUsage.add(entry.expectedMilliseconds, now);
     return { type: 'admitted', permit };
   }
--- a/packages/admission/src/TargetQueue.ts
+++ b/packages/admission/src/TargetQueue.ts
@@ -62,8 +62,8 @@
     return this.#entries.delete(entry);
   }
 
-  /** Takes out the entry that is to run next. */
-  takeNext(now: number): Entry | undefined {
+  /** Gives the entry that is to run next. */
+  findNext(now: number): Entry | undefined {
     let best: Entry | undefined;
     let bestRank = -Infinity;
     for (const entry of this.#entries) {
@@ -73,7 +73,6 @@
         bestRank = rank;
       }
     }
-    if (best !== undefined) this.#entries.delete(best);
     return best;
   }
 
--- a/packages/admission/src/__tests__/SlotAdmission.test.ts
+++ b/packages/admission/src/__tests__/SlotAdmission.test.ts
@@ -96,6 +96,29 @@
     assert.equal(admission.report().inFlight, 2);
   });
 
+  it('nested calls: guards against calls that find every slot taken by long requests', async () => {
+    const { admission, clock, enqueue, order, request } = makeAdmission(4);
+    // A second in which calls use one slot on average.
+    for (let count = 0; count < 30; count += 1) {
+      const call = permitOf(await admission.admit(request({ kind: 'call', depth: 1 })));
+      await clock.advance(40);
+      call.release(40);
+    }
+    for (const name of ['first', 'second', 'third', 'fourth']) enqueue(name);
+    enqueue('call', { kind: 'call', depth: 1 });
+    await clock.advance(1);
+    assert.deepEqual(order, ['first', 'second', 'third', 'call']);
+    assert.equal(admission.report().reserved, 1);
+  });
+
+  it('guards against slots that are kept free for calls that nobody makes', async () => {
+    const { admission, clock, enqueue, order } = makeAdmission(4);
+    for (const name of ['first', 'second', 'third', 'fourth']) enqueue(name);
+    await clock.advance(1);
+    assert.deepEqual(order, ['first', 'second', 'third', 'fourth']);
+    assert.equal(admission.report().reserved, 0);
+  });
+
   it('guards against a start of queued requests long after the backend server has left', async () => {
     const { admission, clock, enqueue, order, request } = makeAdmission(1);
     const permit = permitOf(await admission.admit(request()));
--- a/packages/peer-protocol/src/frameCodec.ts
+++ b/packages/peer-protocol/src/frameCodec.ts
@@ -142,6 +142,7 @@
     report.rampShare,
     report.workFactor ?? null,
     report.workMilliseconds ?? null,
+    report.reserved ?? null,
   ];
 }
 
@@ -276,6 +277,9 @@
   // Versions before 3 of the protocol have no such fields.
   const workFactor = reader.optionalNumber();
   const workMilliseconds = reader.optionalNumber();
-  if (workFactor === undefined && workMilliseconds === undefined) return report;
-  return { ...report, workFactor, workMilliseconds };
+  const reserved = reader.optionalNumber();
+  if (workFactor === undefined && workMilliseconds === undefined && reserved === undefined) {
+    return report;
+  }
+  return { ...report, workFactor, workMilliseconds, reserved };
 }
--- a/packages/routing/src/HostLoad.ts
+++ b/packages/routing/src/HostLoad.ts
@@ -74,13 +74,14 @@
 
   /**
    * Predicts how long a request waits there for a slot. A queue that was reported some time ago is
-   * assumed to have been worked off since.
+   * assumed to have been worked off since. Calls go first and may take each slot.
    */
-  expectedWait(speed: HostSpeed, now: number): number {
+  expectedWait(speed: HostSpeed, now: number, depth = 0): number {
     const report = this.#report;
     if (report === undefined) return 0;
-    const { inFlight, limit, queued, rampShare, serviceMilliseconds } = report;
-    const excess = inFlight + queued + this.#sentSinceReport + 1 - limit;
+    const { inFlight, limit, queued, rampShare, reserved = 0, serviceMilliseconds } = report;
+    const ahead = depth > 0 ? inFlight : inFlight + reserved + queued;
+    const excess = ahead + this.#sentSinceReport + 1 - limit;
     if (excess <= 0) return 0;
     const work = (excess * serviceMilliseconds) / rampShare / Math.max(1, limit);
     return Math.max(0, this.expectedDuration(work, speed, now) - (now - this.#reportedAt));
--- a/packages/routing/src/HostSelector.ts
+++ b/packages/routing/src/HostSelector.ts
@@ -19,6 +19,8 @@
   readonly usefulUntil: number;
   /** Expected work of the route's requests, in milliseconds at the usual speed. */
   readonly workMilliseconds: number;
+  /** 0 for a caller's own request; more for a call, which goes first at a host. */
+  readonly depth?: number;
   /** How the speed of hosts changes. */
   readonly speed: HostSpeed;
 }
@@ -68,7 +70,7 @@
   const factor = workFactorOf(load, usual);
   const { now, speed } = request;
   const service = load.expectedDuration(request.workMilliseconds * factor, speed, now);
-  const needed = roundTripMilliseconds + load.expectedWait(speed, now) + service;
+  const needed = roundTripMilliseconds + load.expectedWait(speed, now, request.depth) + service;
   const allowed = Math.max(1, request.usefulUntil - now);
   return (
     distanceCosts[distance] +
--- a/packages/routing/src/LoadUpdates.ts
+++ b/packages/routing/src/LoadUpdates.ts
@@ -20,7 +20,10 @@
 
   /** Whether a number of nodes are to be told a report now; they count as told then. */
   take(report: LoadReport, users: number, now: number): boolean {
-    const excess = Math.max(0, report.inFlight + report.queued + 1 - report.limit);
+    const excess = Math.max(
+      0,
+      report.inFlight + report.queued + 1 + (report.reserved ?? 0) - report.limit,
+    );
     const slow = (report.workFactor ?? 1) > slowFactor;
     if (users === 0 || (excess === this.#toldExcess && slow === this.#toldSlow)) return false;
     if (now - this.#toldAt < intervalFor(users)) return false;
--- a/packages/types/src/loadReport.ts
+++ b/packages/types/src/loadReport.ts
@@ -2,6 +2,8 @@
 export interface LoadReport {
   /** Requests that may be in flight at the same time, at the moment. */
   readonly limit: number;
+  /** Of these, how many only calls of other requests may take; absent when there are none. */
+  readonly reserved?: number | undefined;
   readonly inFlight: number;
   readonly queued: number;
   /** Smoothed time that the backend server takes for one request, in milliseconds. */
