Hedged requests to free hosts; targets count from a caller's first attempt

Change: an idempotent request that takes twice its expected work goes to a second host with a free slot, within the budget (runHedged moves from node to peer-protocol and serves both; an error answer waits for the other try). CallerPatience tells returned callers by the time that they have left. RequestRun.#decide is split by outcome.

--- a/packages/host-node/src/__tests__/hostNode.test.ts
+++ b/packages/host-node/src/__tests__/hostNode.test.ts
@@ -352,6 +352,35 @@
     assert.ok(order.status === 502 || order.status === 200);
   });
 
+  it('straggler: guards against an idempotent request that waits for one slow host', async (t) => {
+    const { members } = await startFleet(t, ['one', 'two']);
+    const [one, two] = members;
+    assert.ok(one !== undefined && two !== undefined);
+    const { port } = one.settings.listeners.callers;
+    for (let index = 0; index < 8; index += 1) await call(port, { path: '/reads/1' });
+    one.backend.workMilliseconds = 900;
+    two.backend.workMilliseconds = 5;
+    const startedAt = performance.now();
+    const read = await call(port, { path: '/reads/1', id: 'r' });
+    const milliseconds = performance.now() - startedAt;
+    assert.equal(read.status, 200);
+    assert.ok(milliseconds < 450, `answered after ${Math.round(milliseconds)} ms`);
+    // The host that lost the race works on it no longer.
+    await until(() => members.every(({ node }) => node.load?.inFlight === 0));
+  });
+
+  it('straggler: guards against a second run of a request that is not idempotent', async (t) => {
+    const { members } = await startFleet(t, ['one', 'two']);
+    const [one, two] = members;
+    assert.ok(one !== undefined && two !== undefined);
+    const { port } = one.settings.listeners.callers;
+    for (let index = 0; index < 8; index += 1) await call(port, { path: '/orders/1' });
+    for (const { backend } of members) backend.workMilliseconds = 400;
+    await call(port, { path: '/orders/1', id: 'o' });
+    const runs = [...one.backend.ran, ...two.backend.ran].filter((id) => id === 'o');
+    assert.equal(runs.length, 1);
+  });
+
   it('guards against a backend server that works on after its caller has left', async (t) => {
     const { members } = await startFleet(t, ['one', 'two']);
     const [one] = members;
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -182,6 +182,10 @@
     const { arrivedAt, body, found, request, requestId, signal } = options;
     const { depth, route, service } = found;
     const remaining = remainingOf(request);
+    const deadline = arrivedAt + Math.min(remaining, route.timeoutMilliseconds);
+    // A call's time is what is left of its request's, which says nothing of earlier attempts.
+    const waited =
+      depth > 0 ? 0 : this.#options.router.patience.waitedBefore(route.name, remaining);
     return {
       requestId,
       route,
@@ -195,7 +199,8 @@
       ],
       body,
       arrivedAt,
-      deadline: arrivedAt + Math.min(remaining, route.timeoutMilliseconds),
+      usefulUntil: Math.min(deadline, arrivedAt + route.targetMilliseconds - waited),
+      deadline,
       callerDeadline: arrivedAt + remaining,
       depth,
       signal,
--- a/packages/host-node/src/routing/CallerRequest.ts
+++ b/packages/host-node/src/routing/CallerRequest.ts
@@ -13,6 +13,8 @@
   readonly headers: HeaderList;
   readonly body: RequestBody;
   readonly arrivedAt: number;
+  /** Until when an answer is fully useful to the caller, in monotonic milliseconds. */
+  readonly usefulUntil: number;
   /** When the caller is answered at the latest, in monotonic milliseconds. */
   readonly deadline: number;
   /** When the caller gives up, in monotonic milliseconds. */
--- a/packages/host-node/src/routing/HostChoice.ts
+++ b/packages/host-node/src/routing/HostChoice.ts
@@ -69,16 +69,36 @@
   }
 
   select(request: CallerRequest, excluded: ReadonlySet<string>): HostCandidate | undefined {
+    return this.#selectWhere(request, excluded, () => true);
+  }
+
+  /** Chooses among the hosts where a request would not have to wait. */
+  selectFree(request: CallerRequest, excluded: ReadonlySet<string>): HostCandidate | undefined {
+    const { clock, speed } = this.#options;
+    const now = clock.now();
+    return this.#selectWhere(
+      request,
+      excluded,
+      ({ load }) => load.expectedWait(speed, now, request.depth) === 0,
+    );
+  }
+
+  #selectWhere(
+    request: CallerRequest,
+    excluded: ReadonlySet<string>,
+    isWanted: (candidate: HostCandidate) => boolean,
+  ): HostCandidate | undefined {
     const { clock, routeTimes, selector, speed } = this.#options;
-    const { arrivedAt, deadline, route, service } = request;
+    const { depth, route, service, usefulUntil } = request;
     const now = clock.now();
     const candidates = this.#candidates(
       service,
       ({ nodeId }) => !excluded.has(nodeId) && !this.loadOf(nodeId).isAvoided(now),
     );
-    return selector.select(candidates, {
+    return selector.select(candidates.filter(isWanted), {
       now,
-      usefulUntil: Math.min(deadline, arrivedAt + route.targetMilliseconds),
+      depth,
+      usefulUntil,
       speed,
       workMilliseconds: routeTimes.expectedFor(route.name, route.targetMilliseconds),
     });
--- a/packages/host-node/src/routing/RequestRouter.ts
+++ b/packages/host-node/src/routing/RequestRouter.ts
@@ -1,5 +1,5 @@
 import { RetryBudget } from '@hickorybridge/coordination';
-import { RouteTable, RouteTimes, WeightedSplit } from '@hickorybridge/routing';
+import { CallerPatience, RouteTable, RouteTimes, WeightedSplit } from '@hickorybridge/routing';
 import type { HostBounds, Route, RouteConfiguration } from '@hickorybridge/types';
 
 import type { CallerOutcome, CallerRequest } from './CallerRequest.js';
@@ -19,6 +19,8 @@
 export class RequestRouter {
   readonly #options: RequestRouterOptions;
 
+  readonly patience = new CallerPatience();
+
   readonly #budgets = new Map<string, RetryBudget>();
 
   #configuration: RouteConfiguration | undefined;
@@ -47,7 +49,9 @@
     this.#configuration = configuration;
     this.#table = new RouteTable(configuration.routes);
     this.#splits = new Map();
-    this.#options.routeTimes.retain(new Set(configuration.routes.map(({ name }) => name)));
+    const names = new Set(configuration.routes.map(({ name }) => name));
+    this.#options.routeTimes.retain(names);
+    this.patience.retain(names);
     return true;
   }
 
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -1,6 +1,7 @@
 import {
   discardBody,
   LossCause,
+  runHedged,
   type ExecutionOutcome,
   type RequestBody,
 } from '@hickorybridge/peer-protocol';
@@ -12,6 +13,7 @@
 
 import { FailureReason, type CallerOutcome, type CallerRequest } from './CallerRequest.js';
 import type { HostChoice } from './HostChoice.js';
+import { HostTry } from './HostTry.js';
 
 /** Sends a request to the node of a host, or to the own backend server. */
 export type SendToHost = (
@@ -45,6 +47,12 @@
 const noHostPollMilliseconds = 10;
 /** A repeat is sent only while this share of the expected service time is left. */
 const minimumRepeatShare = 1;
+/**
+ * A request that takes this multiple of its expected work is late: slow spells of hosts last about
+ * as long as a call, and the other host is not in one.
+ */
+const lateFactor = 2;
+const minimumHedgeMilliseconds = 30;
 const firstServerError = 500;
 
 /** The routing of one request, from its first try to what its caller is told. */
@@ -55,10 +63,13 @@
 
   readonly #cancellation = new AbortController();
 
-  /** Hosts that have refused or failed this request. */
+  /** Hosts that were sent this request. */
   readonly #excluded = new Set<string>();
 
-  #mayHaveRun = false;
+  readonly #running = new Set<HostTry>();
+
+  /** Tries that may have run, or may still: each one until its host says that it did not. */
+  #possibleRuns = 0;
 
   /** Backend servers that were sent the request. */
   #arrivals = 0;
@@ -78,12 +89,14 @@
   /** Routes the request. The caller is told at its deadline, whatever a host does. */
   async run(): Promise<CallerOutcome> {
     const { clock } = this.#options;
-    const { deadline, service, signal } = this.#request;
-    this.#options.budgetOf(service).noteFirstTry();
+    const { deadline, depth, service, signal } = this.#request;
+    // Calls earn no repeats, since they may be repeats themselves.
+    if (depth === 0) this.#options.budgetOf(service).noteFirstTry();
     return new Promise((resolve) => {
       const stop = (outcome: CallerOutcome) => {
         resolve(outcome);
         this.#cancellation.abort();
+        for (const each of this.#running) each.cancel();
       };
       const onLeft = () => stop(this.#fail(FailureReason.callerLeft, 'the caller has left'));
       signal.addEventListener('abort', onLeft, { once: true });
@@ -102,8 +115,12 @@
     for (;;) {
       const candidate = await this.#selectHost();
       if (candidate === undefined) return this.#errorAnswer ?? this.#noHost();
-      const outcome = await this.#try(candidate);
-      const final = this.#decide(candidate, outcome);
+      const { outcome, winner } = await runHedged({
+        first: this.#start(candidate),
+        delayMilliseconds: this.#hedgeDelay(),
+        startHedge: () => this.#startHedge(),
+      });
+      const final = this.#decide(winner.candidate, outcome);
       if (final !== undefined) return final;
     }
   }
@@ -120,30 +137,62 @@
     }
   }
 
-  async #try({ entry, load }: HostCandidate): Promise<ExecutionOutcome> {
+  /** Time after which an idempotent request is sent to a second host, too. */
+  #hedgeDelay(): number | undefined {
+    const { route } = this.#request;
+    if (!route.idempotent || !this.#canSendAgain()) return undefined;
+    const expected = this.#options.routeTimes.expectedFor(route.name, route.targetMilliseconds);
+    return Math.max(minimumHedgeMilliseconds, expected * lateFactor);
+  }
+
+  /** Sends the request to a second host, if one has room for it and the budget allows. */
+  #startHedge(): HostTry | undefined {
+    const { budgetOf, hosts } = this.#options;
+    if (this.#cancellation.signal.aborted || !this.#mayRepeat()) return undefined;
+    const candidate = hosts.selectFree(this.#request, this.#excluded);
+    if (candidate === undefined) {
+      budgetOf(this.#request.service).giveBack();
+      return undefined;
+    }
+    this.#logRepeat(candidate.entry.nodeId, 'the first host is late');
+    return this.#start(candidate);
+  }
+
+  #start(candidate: HostCandidate): HostTry {
+    const { nodeId } = candidate.entry;
+    candidate.load.sent();
+    this.#excluded.add(nodeId);
+    this.#lastHost = nodeId;
+    this.#possibleRuns += 1;
+    this.#arrivals += 1;
+    const started = new HostTry(candidate, (signal) => this.#send(candidate, signal));
+    this.#running.add(started);
+    started.outcome.then(() => this.#running.delete(started));
+    return started;
+  }
+
+  async #send({ entry, load }: HostCandidate, signal: AbortSignal): Promise<ExecutionOutcome> {
     const { clock, routeTimes, send } = this.#options;
     const { body, route } = this.#request;
-    load.sent();
-    this.#lastHost = entry.nodeId;
-    // Until the host says that it did not, it may run the request.
-    const mayHaveRunBefore = this.#mayHaveRun;
-    this.#mayHaveRun = true;
     const head = this.#headFor(entry.nodeId, entry.backendServerId);
-    const outcome = await send(entry.nodeId, head, body, this.#cancellation.signal);
+    const outcome = await send(entry.nodeId, head, body, signal);
     const now = clock.now();
-    if (outcome.type === 'refused') this.#mayHaveRun = mayHaveRunBefore;
+    if (outcome.type === 'refused') {
+      this.#possibleRuns -= 1;
+      if (outcome.reason !== 'backend-server-shed') this.#arrivals -= 1;
+    }
     if (outcome.type !== 'lost' && outcome.report !== undefined) load.reported(outcome.report, now);
     if (outcome.type === 'answered') {
       load.answered(outcome.head.status >= firstServerError, now);
       const { workMilliseconds } = outcome.report;
       if (workMilliseconds !== undefined) routeTimes.record(route.name, workMilliseconds);
     }
-    if (outcome.type === 'lost' && !this.#cancellation.signal.aborted) load.answered(true, now);
+    if (outcome.type === 'lost' && !signal.aborted) load.answered(true, now);
     return outcome;
   }
 
   #headFor(nodeId: string, backendServerId: string): RequestHead {
-    const { arrivedAt, deadline, depth, headers, method, requestId, route, service, target } =
+    const { deadline, depth, headers, method, requestId, route, service, target, usefulUntil } =
       this.#request;
     return {
       requestId,
@@ -157,64 +206,84 @@
       target,
       headers,
       deadline,
-      usefulUntil: Math.min(deadline, arrivedAt + route.targetMilliseconds),
+      usefulUntil,
       depth,
       attempts: 1,
     };
   }
 
   /** Decides what follows a try: the caller's outcome, or `undefined` for another try. */
-  #decide({ entry, load }: HostCandidate, outcome: ExecutionOutcome): CallerOutcome | undefined {
-    const { clock, logger } = this.#options;
-    const { requestId, route } = this.#request;
-    this.#excluded.add(entry.nodeId);
-    if (outcome.type === 'answered') {
-      this.#arrivals += 1;
-      if (outcome.head.status < firstServerError || !this.#mayRepeat()) {
-        if (this.#errorAnswer?.type === 'answered' && outcome.head.status >= firstServerError) {
-          discardBody(outcome.body);
-          return this.#errorAnswer;
-        }
-        return outcome;
-      }
+  #decide(candidate: HostCandidate, outcome: ExecutionOutcome): CallerOutcome | undefined {
+    switch (outcome.type) {
+      case 'answered':
+        return this.#decideAnswered(candidate, outcome);
+      case 'refused':
+        return this.#decideRefused(candidate, outcome);
+      default:
+        return this.#decideLost(candidate, outcome);
+    }
+  }
+
+  #decideAnswered(
+    { entry }: HostCandidate,
+    outcome: Extract<ExecutionOutcome, { type: 'answered' }>,
+  ): CallerOutcome | undefined {
+    const { status } = outcome.head;
+    if (status < firstServerError) return outcome;
+    if (this.#mayRepeat()) {
+      if (this.#errorAnswer?.type === 'answered') discardBody(this.#errorAnswer.body);
       this.#errorAnswer = outcome;
-      this.#logRepeat(entry.nodeId, `status ${outcome.head.status}`);
+      this.#logRepeat(entry.nodeId, `status ${status}`);
       return undefined;
     }
-    if (outcome.type === 'refused') {
-      this.#refusals += 1;
-      load.avoid(avoidanceAfter(outcome.reason), clock.now());
-      logger.info('request-refused', 'a host did not run the request', {
-        requestId,
-        route: route.name,
-        host: entry.nodeId,
-        reason: outcome.reason,
-        inFlight: outcome.report?.inFlight,
-        queued: outcome.report?.queued,
-      });
-      if (outcome.reason === 'backend-server-shed') {
-        this.#arrivals += 1;
-        if (!this.#mayRepeat()) return this.#errorAnswer ?? this.#overloaded(outcome.reason);
-        return undefined;
-      }
-      if (this.#refusals < maxRefusals && this.#canSendAgain()) return undefined;
-      return this.#errorAnswer ?? this.#overloaded(outcome.reason);
-    }
-    this.#arrivals += 1;
-    if (route.idempotent && outcome.cause === LossCause.connection && this.#mayRepeat()) {
-      this.#logRepeat(entry.nodeId, outcome.detail);
+    if (this.#errorAnswer?.type !== 'answered') return outcome;
+    discardBody(outcome.body);
+    return this.#errorAnswer;
+  }
+
+  #decideRefused(
+    { entry, load }: HostCandidate,
+    { reason, report }: Extract<ExecutionOutcome, { type: 'refused' }>,
+  ): CallerOutcome | undefined {
+    const { clock, logger } = this.#options;
+    const { requestId, route } = this.#request;
+    this.#refusals += 1;
+    load.avoid(avoidanceAfter(reason), clock.now());
+    logger.info('request-refused', 'a host did not run the request', {
+      requestId,
+      route: route.name,
+      host: entry.nodeId,
+      reason,
+      inFlight: report?.inFlight,
+      queued: report?.queued,
+    });
+    const isRepeated =
+      reason === 'backend-server-shed'
+        ? this.#mayRepeat()
+        : this.#refusals < maxRefusals && this.#canSendAgain();
+    if (isRepeated) return undefined;
+    return this.#errorAnswer ?? this.#overloaded(reason);
+  }
+
+  #decideLost(
+    { entry }: HostCandidate,
+    { cause, detail }: Extract<ExecutionOutcome, { type: 'lost' }>,
+  ): CallerOutcome | undefined {
+    const { route } = this.#request;
+    if (route.idempotent && cause === LossCause.connection && this.#mayRepeat()) {
+      this.#logRepeat(entry.nodeId, detail);
       return undefined;
     }
     const reason =
-      outcome.cause === LossCause.deadline ? FailureReason.timeout : FailureReason.connectionLost;
-    return this.#errorAnswer ?? this.#fail(reason, outcome.detail);
+      cause === LossCause.deadline ? FailureReason.timeout : FailureReason.connectionLost;
+    return this.#errorAnswer ?? this.#fail(reason, detail);
   }
 
   /** Whether the request may be sent to one more backend server. */
   #mayRepeat(): boolean {
     const { budgetOf, clock, routeTimes } = this.#options;
     const { deadline, route, service } = this.#request;
-    if (this.#mayHaveRun && !route.idempotent) return false;
+    if (this.#possibleRuns > 0 && !route.idempotent) return false;
     if (this.#arrivals >= route.maxAttempts || !this.#canSendAgain()) return false;
     const expected = routeTimes.expectedFor(route.name, route.targetMilliseconds);
     if (clock.now() + expected * minimumRepeatShare > deadline) return false;
@@ -256,7 +325,7 @@
   }
 
   #fail(reason: FailureReason, detail: string): CallerOutcome {
-    if (this.#mayHaveRun) return { type: 'failed', reason, mayHaveRun: true, detail };
+    if (this.#possibleRuns > 0) return { type: 'failed', reason, mayHaveRun: true, detail };
     const { clock, hosts, random } = this.#options;
     const returnMilliseconds = returnAdvice({
       waitMilliseconds: hosts.shortestWait(this.#request.service),
--- a/packages/node/src/routing/RoutingRun.ts
+++ b/packages/node/src/routing/RoutingRun.ts
@@ -1,4 +1,9 @@
-import { LossCause, type ExecutionOutcome } from '@hickorybridge/peer-protocol';
+import {
+  LossCause,
+  runHedged,
+  type ExecutionOutcome,
+  type HedgedOutcome,
+} from '@hickorybridge/peer-protocol';
 import {
   attemptsForTry,
   retryDecision,
@@ -9,7 +14,6 @@
 import { Outcome, ProblemName, type BackendServerEntry } from '@hickorybridge/types';
 import { match } from 'ts-pattern';
 
-import { runHedged, type HedgedOutcome } from './HedgedTry.js';
 import type { RequestRouterOptions } from './RequestRouter.js';
 import { RequestTry } from './RequestTry.js';
 import { failed, type RoutedOutcome, type RoutedRequest } from './RoutedRequest.js';
@@ -92,7 +96,7 @@
   }
 
   /** Sends the request once, with a hedged request when it is late, and waits for the outcome. */
-  async #try(entry: BackendServerEntry): Promise<HedgedOutcome> {
+  async #try(entry: BackendServerEntry): Promise<HedgedOutcome<RequestTry>> {
     const { budgets, clock } = this.#options;
     const { body, deadline, depth, kind, signal } = this.#request;
     const startedAt = clock.now();
@@ -157,7 +161,7 @@
   }
 
   /** Decides what follows a try without an answer: `undefined` for another try. */
-  #decide({ carried, mayHaveRun }: HedgedOutcome): StopReason | undefined {
+  #decide({ carried, mayHaveRun }: HedgedOutcome<RequestTry>): StopReason | undefined {
     const decision = retryDecision({
       failure: mayHaveRun ? TryFailure.ambiguous : TryFailure.notRun,
       idempotent: this.#request.kind.idempotent,
--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -6,5 +6,6 @@
 export * from './RequestExecutor.js';
 export * from './frame.js';
 export * from './frameCodec.js';
+export * from './runHedged.js';
 export { type LocalEndpoint } from './handshake.js';
 export { type PeerIntroduction } from './performHandshake.js';
--- a/packages/node/src/routing/HedgedTry.ts
+++ b/packages/peer-protocol/src/runHedged.ts
@@ -1,10 +1,19 @@
-import { discardBody, type ExecutionOutcome } from '@hickorybridge/peer-protocol';
+import { discardBody } from './AnswerBody.js';
+import type { ExecutionOutcome } from './RequestExecutor.js';
 
-import type { RequestTry } from './RequestTry.js';
+/** One sending of a request to one backend server, which can be cancelled. */
+export interface CancellableTry {
+  readonly outcome: Promise<ExecutionOutcome>;
+  /** Permission to repeat that the try carries away. */
+  readonly attempts: number;
+  cancel(): void;
+}
 
 /** How a try and its hedged request ended together. */
-export interface HedgedOutcome {
+export interface HedgedOutcome<Try> {
   readonly outcome: ExecutionOutcome;
+  /** The try whose outcome this is. */
+  readonly winner: Try;
   /** Whether a try that brought no answer may have run. */
   readonly mayHaveRun: boolean;
   /** Permission that the tries carried away together. */
@@ -12,16 +21,20 @@
 }
 
 /** What `runHedged` needs. */
-export interface HedgedTryOptions {
-  readonly first: RequestTry;
+export interface HedgedTryOptions<Try extends CancellableTry> {
+  readonly first: Try;
   /** Time after which the hedged request is due, in milliseconds; `undefined` for none. */
   readonly delayMilliseconds: number | undefined;
   /** Starts the hedged request, or gives `undefined` when the budget or the servers forbid it. */
-  readonly startHedge: () => RequestTry | undefined;
+  readonly startHedge: () => Try | undefined;
 }
 
+const firstServerError = 500;
+
 /** Waits for a try and sends a hedged request when it is late. The loser is cancelled. */
-export async function runHedged(options: HedgedTryOptions): Promise<HedgedOutcome> {
+export async function runHedged<Try extends CancellableTry>(
+  options: HedgedTryOptions<Try>,
+): Promise<HedgedOutcome<Try>> {
   const { first, delayMilliseconds, startHedge } = options;
   if (delayMilliseconds === undefined) return alone(first, await first.outcome);
   const late = await outcomeWithin(first, delayMilliseconds);
@@ -31,12 +44,20 @@
   return race(first, second);
 }
 
-function alone(only: RequestTry, outcome: ExecutionOutcome): HedgedOutcome {
-  return { outcome, mayHaveRun: outcome.type === 'lost', carried: only.attempts };
+function alone<Try extends CancellableTry>(
+  only: Try,
+  outcome: ExecutionOutcome,
+): HedgedOutcome<Try> {
+  return {
+    outcome,
+    winner: only,
+    mayHaveRun: outcome.type === 'lost',
+    carried: only.attempts,
+  };
 }
 
 async function outcomeWithin(
-  first: RequestTry,
+  first: CancellableTry,
   milliseconds: number,
 ): Promise<ExecutionOutcome | undefined> {
   let timer: NodeJS.Timeout | undefined;
@@ -48,24 +69,36 @@
   return outcome;
 }
 
-async function race(first: RequestTry, second: RequestTry): Promise<HedgedOutcome> {
+async function race<Try extends CancellableTry>(
+  first: Try,
+  second: Try,
+): Promise<HedgedOutcome<Try>> {
   const carried = first.attempts + second.attempts;
   const [earlier, later] = await Promise.race([
     first.outcome.then(() => [first, second] as const),
     second.outcome.then(() => [second, first] as const),
   ]);
   const outcome = await earlier.outcome;
-  if (outcome.type === 'answered') {
+  if (isServed(outcome)) {
     discard(later);
-    return { outcome, mayHaveRun: true, carried };
+    return { outcome, winner: earlier, mayHaveRun: true, carried };
   }
   const last = await later.outcome;
-  const mayHaveRun = outcome.type === 'lost' || last.type === 'lost';
-  return { outcome: last, mayHaveRun, carried };
+  // An error answer tells the caller more than a loss or a refusal.
+  if (outcome.type === 'answered' && last.type !== 'answered') {
+    return { outcome, winner: earlier, mayHaveRun: true, carried };
+  }
+  if (outcome.type === 'answered') discardBody(outcome.body);
+  const mayHaveRun = outcome.type !== 'refused' || last.type === 'lost';
+  return { outcome: last, winner: later, mayHaveRun, carried };
+}
+
+function isServed(outcome: ExecutionOutcome): boolean {
+  return outcome.type === 'answered' && outcome.head.status < firstServerError;
 }
 
 /** Cancels a try that is not needed any more, and its answer if that has started already. */
-async function discard(loser: RequestTry): Promise<void> {
+async function discard(loser: CancellableTry): Promise<void> {
   loser.cancel();
   const outcome = await loser.outcome;
   if (outcome.type === 'answered') discardBody(outcome.body);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,5 @@
 export * from './BackendServerSelector.js';
+export * from './CallerPatience.js';
 export * from './HedgePolicy.js';
 export * from './HostLoad.js';
 export * from './HostSelector.js';
