Configuration watch renewed every 25 s, with a cheap check beside it; late requests explained

Cause: each node renewed its watch every 4 s, a quarter of all priced calls; and the log of a late request did not say whether it waited or ran. Change: the current watch waits 25 s, and a second one that may be stale (a tenth of the price) brings the configuration within seconds when the first went silent, with a test against a store whose watches go silent. A host logs request-late-here with the time in the queue, the time at the backend server and its load.

--- a/packages/host-node/src/__tests__/hostNode.test.ts
+++ b/packages/host-node/src/__tests__/hostNode.test.ts
@@ -244,6 +244,15 @@
     assert.equal(one.node.configurationVersion, 9);
   });
 
+  it('guards against a configuration that is missed because a connection went silent', async (t) => {
+    const { members, store } = await startFleet(t, ['one']);
+    const [one] = members;
+    assert.ok(one !== undefined);
+    store.faults.silentWatches = true;
+    store.put('config', 'main', configurationWith(2));
+    await until(() => one.node.configurationVersion === 2);
+  });
+
   it('guards against requests for a backend server that has said that it leaves', async (t) => {
     const { members } = await startFleet(t, ['one']);
     const [one] = members;
--- a/packages/host-node/src/backend/LocalBackendServer.ts
+++ b/packages/host-node/src/backend/LocalBackendServer.ts
@@ -92,14 +92,20 @@
     body: RequestBody,
     signal: AbortSignal,
   ): Promise<ExecutionOutcome> {
+    const { clock, speed } = this.#options;
+    const arrivedAt = clock.now();
     const admission = await this.#admission.admit({ ...head, signal });
     if (admission.type === 'refused') {
       return { type: 'refused', reason: admission.reason, report: this.load() };
     }
-    const { clock, speed } = this.#options;
-    const startWork = speed.workAt(clock.now());
+    const startedAt = clock.now();
+    const startWork = speed.workAt(startedAt);
     const outcome = await this.#run(head, body, signal, admission.permit);
-    const work = speed.workAt(clock.now()) - startWork;
+    const now = clock.now();
+    const work = speed.workAt(now) - startWork;
+    if (outcome.type !== 'answered' || now > (head.usefulUntil ?? head.deadline)) {
+      this.#logLate(head, outcome, { queued: startedAt - arrivedAt, ran: now - startedAt, work });
+    }
     return this.#toExecutionOutcome(outcome, work);
   }
 
@@ -109,6 +115,28 @@
     this.#agent.destroy();
   }
 
+  /** Tells where the time of a request went that was late or not answered. */
+  #logLate(
+    { depth, kind, requestId }: RequestHead,
+    outcome: ExchangeOutcome,
+    milliseconds: { readonly queued: number; readonly ran: number; readonly work: number },
+  ): void {
+    const { inFlight, limit, queued, workFactor } = this.load();
+    this.#options.logger.info('request-late-here', 'a request was late or not answered', {
+      requestId,
+      route: kind,
+      depth,
+      outcome: outcome.type === 'answered' ? outcome.head.status : outcome.type,
+      queuedMilliseconds: Math.round(milliseconds.queued),
+      ranMilliseconds: Math.round(milliseconds.ran),
+      workMilliseconds: Math.round(milliseconds.work),
+      inFlight,
+      queued,
+      limit,
+      workFactor,
+    });
+  }
+
   #observeFactor(workFactor: number): void {
     const { clock, onLoadChanged, speed } = this.#options;
     const now = clock.now();
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -37,8 +37,11 @@
   readonly logger: Logger;
 }
 
-// A configuration has to be in force within seconds, also when the connection went silent.
-const configurationWaitMilliseconds = 4000;
+// Each call is paid for, and this watch is renewed only when nothing has changed.
+const configurationWaitMilliseconds = 25_000;
+// A second watch that may be stale costs a tenth. It brings a configuration within seconds when the
+// connection of the first has gone silent, or the store was away.
+const configurationCheckMilliseconds = 3000;
 // The list of hosts may lag: a host that is not listed yet is only used a little later.
 const hostsWaitMilliseconds = 15_000;
 const configurationPauseMilliseconds = 100;
@@ -167,6 +170,12 @@
     pauseMilliseconds: configurationPauseMilliseconds,
     onChange: (result) => configurations.take(result),
   });
+  const configurationCheck = follow(configurationPrefix, {
+    mayBeStale: true,
+    waitMilliseconds: configurationCheckMilliseconds,
+    pauseMilliseconds: configurationPauseMilliseconds,
+    onChange: (result) => configurations.take(result),
+  });
   const hostsFollower = follow(hostPrefix, {
     mayBeStale: true,
     waitMilliseconds: hostsWaitMilliseconds,
@@ -184,6 +193,7 @@
   });
   const supervisor = new Supervisor({ name: 'node', clock, onFailure: logTaskFailure(logger) });
   supervisor.start('configuration', (signal) => configurationFollower.run(signal));
+  supervisor.start('configuration-check', (signal) => configurationCheck.run(signal));
   supervisor.start('hosts', (signal) => hostsFollower.run(signal));
   supervisor.start('registration', (signal) => registration.run(signal));
   supervisor.start('peers', (signal) => keeper.run(signal));
--- a/packages/membership/src/StoreFollower.ts
+++ b/packages/membership/src/StoreFollower.ts
@@ -20,8 +20,9 @@
 }
 
 const firstRetryMilliseconds = 100;
-// Bounds how long a node learns nothing after the store has come back.
-const longestRetryMilliseconds = 1000;
+// Bounds how long a node learns nothing after the store has come back. Calls that fail are paid
+// for, too, and a call that may be stale costs a tenth.
+const longestRetryMilliseconds = { current: 3000, stale: 1000 };
 
 /** Follows the objects under a prefix: reads all once, then waits for changes. */
 export class StoreFollower {
@@ -61,7 +62,7 @@
   }
 
   async #failed(detail: string, signal: AbortSignal): Promise<void> {
-    const { clock, logger, prefix, random } = this.#options;
+    const { clock, logger, mayBeStale, prefix, random } = this.#options;
     this.#failures += 1;
     if (this.#failures === 1) {
       logger.warn('store-lost', 'the store does not answer; what was read last stays in use', {
@@ -70,7 +71,7 @@
       });
     }
     const delay = Math.min(
-      longestRetryMilliseconds,
+      mayBeStale ? longestRetryMilliseconds.stale : longestRetryMilliseconds.current,
       firstRetryMilliseconds * 2 ** Math.min(this.#failures - 1, 8),
     );
     await clock.sleep(delay * (0.5 + 0.5 * random.next()), signal);
--- a/packages/stand-ins/src/objectStore/StandInObjectStore.ts
+++ b/packages/stand-ins/src/objectStore/StandInObjectStore.ts
@@ -21,6 +21,8 @@
   refuseWith: number | undefined;
   /** Closes every connection without an answer. */
   down: boolean;
+  /** Never answers watches that need current data, as on a connection that went silent. */
+  silentWatches: boolean;
   /** Number of next writes that take effect but are not answered. */
   loseWriteAnswers: number;
 }
@@ -30,7 +32,12 @@
 
 /** Stand-in for the platform's object store, as its published protocol describes it. */
 export class StandInObjectStore implements AsyncDisposable {
-  readonly faults: ObjectStoreFaults = { refuseWith: undefined, down: false, loseWriteAnswers: 0 };
+  readonly faults: ObjectStoreFaults = {
+    refuseWith: undefined,
+    down: false,
+    silentWatches: false,
+    loseWriteAnswers: 0,
+  };
 
   calls = 0;
 
@@ -118,7 +125,7 @@
     }
     const watch = url.searchParams.get('watch');
     if (watch === null) this.#list(kind, url.searchParams.get('after') ?? '', response);
-    else await this.#watch(kind, Number(watch), Number(url.searchParams.get('wait_ms')), response);
+    else await this.#watch(kind, Number(watch), url.searchParams, response);
   }
 
   #list(kind: string, after: string, response: ServerResponse): void {
@@ -133,11 +140,14 @@
   async #watch(
     kind: string,
     revision: number,
-    wait: number,
+    parameters: URLSearchParams,
     response: ServerResponse,
   ): Promise<void> {
     const since = () => this.#events.filter((each) => each.kind === kind && each.rev > revision);
-    if (since().length === 0 && revision >= this.#historyFrom) await this.#sleep(wait);
+    if (since().length === 0 && revision >= this.#historyFrom) {
+      await this.#sleep(Number(parameters.get('wait_ms')));
+    }
+    if (this.faults.silentWatches && parameters.get('allow_stale') !== '1') return;
     if (revision < this.#historyFrom) {
       sendJson(response, {}, 410);
       return;
