--- a/packages/admission/src/AdmissionController.ts
+++ b/packages/admission/src/AdmissionController.ts
@@ -9,6 +9,8 @@
   readonly deadline: number;
   /** Until when an answer is fully useful, on the same clock; the deadline by default. */
   readonly usefulUntil?: number | undefined;
+  /** Work that the sender expects, in milliseconds at the usual speed of hosts. */
+  readonly expectedWorkMilliseconds?: number | undefined;
   /** Removes the request from the queue when it aborts. */
   readonly signal: AbortSignal;
 }
--- a/packages/admission/src/SlotAdmission.ts
+++ b/packages/admission/src/SlotAdmission.ts
@@ -9,6 +9,7 @@
 } from './AdmissionController.js';
 import { KneeEstimate } from './KneeEstimate.js';
 import { ServiceTimes } from './ServiceTimes.js';
+import { Slowness } from './Slowness.js';
 import {
   isHopeless,
   isTimely,
@@ -68,6 +69,8 @@
   /** Times at the usual speed of the host. */
   readonly #serviceTimes = new ServiceTimes();
 
+  readonly #slowness = new Slowness();
+
   readonly #knee: KneeEstimate;
 
   readonly #timelyUsage: UsageShare;
@@ -133,6 +136,7 @@
     return {
       limit: this.#limit,
       reserved: this.#reserved,
+      slowness: this.#slownessNow(),
       inFlight: this.#running.size,
       // Those that are late already are overtaken by new requests.
       queued: this.#queue.countTimely(this.#clock.now()),
@@ -247,6 +251,10 @@
     const now = this.#clock.now();
     const work = Math.max(0, this.#settings.speed.workAt(now) - startWork);
     this.#serviceTimes.record(request.kind, work, now, false);
+    const { expectedWorkMilliseconds } = request;
+    if (expectedWorkMilliseconds !== undefined) {
+      this.#slowness.record(work, expectedWorkMilliseconds);
+    }
     const levelAtEnd = this.#running.size + 1;
     this.#knee.record(request.kind, work, Math.max(level, levelAtEnd), now);
   }
@@ -265,6 +273,15 @@
     return sum / (stuckPriorSamples + this.#running.size);
   }
 
+  #slownessNow(): number {
+    const workNow = this.#settings.speed.workAt(this.#clock.now());
+    const running = [...this.#running.values()].map(({ request, startWork }) => ({
+      work: workNow - startWork,
+      expectedWork: request.expectedWorkMilliseconds ?? Infinity,
+    }));
+    return this.#slowness.with(running);
+  }
+
   #isCold(): boolean {
     return this.#clock.now() - this.#startedAt < this.#settings.coldMilliseconds;
   }
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -192,6 +192,7 @@
   }
 
   #headFor(nodeId: string, backendServerId: string): RequestHead {
+    const { routeTimes } = this.#options;
     const { deadline, depth, headers, method, requestId, route, service, target, usefulUntil } =
       this.#request;
     return {
@@ -207,6 +208,7 @@
       headers,
       deadline,
       usefulUntil,
+      expectedWorkMilliseconds: routeTimes.expectedFor(route.name, route.targetMilliseconds),
       depth,
       attempts: 1,
     };
--- a/packages/peer-protocol/src/frameCodec.ts
+++ b/packages/peer-protocol/src/frameCodec.ts
@@ -129,6 +129,7 @@
     head.attempts,
     head.traceparent ?? null,
     head.usefulUntil ?? null,
+    head.expectedWorkMilliseconds ?? null,
   ];
 }
 
@@ -143,6 +144,7 @@
     report.workFactor ?? null,
     report.workMilliseconds ?? null,
     report.reserved ?? null,
+    report.slowness ?? null,
   ];
 }
 
@@ -251,6 +253,7 @@
     traceparent: reader.optionalString(),
     // Versions before 3 of the protocol have no such field.
     usefulUntil: reader.optionalNumber(),
+    expectedWorkMilliseconds: reader.optionalNumber(),
   };
 }
 
@@ -278,8 +281,9 @@
   const workFactor = reader.optionalNumber();
   const workMilliseconds = reader.optionalNumber();
   const reserved = reader.optionalNumber();
-  if (workFactor === undefined && workMilliseconds === undefined && reserved === undefined) {
-    return report;
-  }
-  return { ...report, workFactor, workMilliseconds, reserved };
+  const slowness = reader.optionalNumber();
+  const further = { workFactor, workMilliseconds, reserved, slowness };
+  return Object.values(further).every((value) => value === undefined)
+    ? report
+    : { ...report, ...further };
 }
--- a/packages/routing/src/HostLoad.ts
+++ b/packages/routing/src/HostLoad.ts
@@ -59,12 +59,10 @@
     return this.#errorShare * 2 ** ((this.#errorsAt - now) / errorHalfLifeMilliseconds);
   }
 
-  /** Smoothed work of a request at the host; `undefined` before its first report. */
-  get workMilliseconds(): number | undefined {
+  /** Work of requests there as a multiple of what is usual for their kinds. */
+  get slowness(): number {
     const report = this.#report;
-    return report === undefined || report.serviceMilliseconds === 0
-      ? undefined
-      : report.serviceMilliseconds / report.rampShare;
+    return report === undefined ? 1 : (report.slowness ?? 1) / report.rampShare;
   }
 
   /** Predicts how long work takes there that starts now, in milliseconds. */
--- a/packages/routing/src/HostSelector.ts
+++ b/packages/routing/src/HostSelector.ts
@@ -39,7 +39,8 @@
 const waitCost = 0.15;
 /** Hosts whose costs differ by less are chosen at random, so that nodes do not all follow one report. */
 const indifference = 0.03;
-const maxHostFactor = 5;
+/** Bounds what the slowness of a host counts, in both directions. */
+const maxSlowness = 5;
 
 /** Chooses the host where a request costs least: in lateness, distance and errors. */
 export class HostSelector {
@@ -50,12 +51,11 @@
   }
 
   select(candidates: readonly HostCandidate[], request: HostRequest): HostCandidate | undefined {
-    const usual = usualWork(candidates);
     let best: HostCandidate | undefined;
     let bestCost = Infinity;
     for (const candidate of candidates) {
       const jitter = this.#random.next() * indifference;
-      const cost = costOf(candidate, request, usual) + jitter;
+      const cost = costOf(candidate, request) + jitter;
       if (cost < bestCost) {
         best = candidate;
         bestCost = cost;
@@ -65,11 +65,11 @@
   }
 }
 
-function costOf(candidate: HostCandidate, request: HostRequest, usual: number | undefined): number {
+function costOf(candidate: HostCandidate, request: HostRequest): number {
   const { distance, load, roundTripMilliseconds } = candidate;
-  const factor = workFactorOf(load, usual);
+  const slowness = Math.min(maxSlowness, Math.max(1 / maxSlowness, load.slowness));
   const { now, speed } = request;
-  const service = load.expectedDuration(request.workMilliseconds * factor, speed, now);
+  const service = load.expectedDuration(request.workMilliseconds * slowness, speed, now);
   const needed = roundTripMilliseconds + load.expectedWait(speed, now, request.depth) + service;
   const allowed = Math.max(1, request.usefulUntil - now);
   return (
@@ -79,23 +79,3 @@
     load.errorShare(now)
   );
 }
-
-/** How much slower a host is than the others of its service. */
-function workFactorOf(load: HostLoad, usual: number | undefined): number {
-  const own = load.workMilliseconds;
-  if (own === undefined || usual === undefined) return 1;
-  return Math.min(maxHostFactor, Math.max(1 / maxHostFactor, own / usual));
-}
-
-function usualWork(candidates: readonly HostCandidate[]): number | undefined {
-  let sum = 0;
-  let count = 0;
-  for (const { load } of candidates) {
-    const time = load.workMilliseconds;
-    if (time !== undefined) {
-      sum += time;
-      count += 1;
-    }
-  }
-  return count === 0 ? undefined : sum / count;
-}
--- a/packages/types/src/loadReport.ts
+++ b/packages/types/src/loadReport.ts
@@ -12,6 +12,11 @@
   readonly rampShare: number;
   /** How long work takes on the host at the moment; 1 is usual, absent when it is not known. */
   readonly workFactor?: number | undefined;
+  /**
+   * Work of requests here as a multiple of what their senders expected from all hosts of the
+   * service; absent before the first request.
+   */
+  readonly slowness?: number | undefined;
   /** With an answer: the time that this request took, as if work had always taken the usual time. */
   readonly workMilliseconds?: number | undefined;
 }
--- a/packages/types/src/requestHead.ts
+++ b/packages/types/src/requestHead.ts
@@ -20,6 +20,8 @@
   readonly deadline: number;
   /** Until when an answer is fully useful, on the same clock; absent when the kind has no target. */
   readonly usefulUntil?: number | undefined;
+  /** Work that the sender expects, in milliseconds at the usual speed of hosts. */
+  readonly expectedWorkMilliseconds?: number | undefined;
   /** Number of calls above this one. */
   readonly depth: number;
   /** Tries that are still permitted, this one included. */
