A request is sent to no further host once its caller was told

Cause: since tries have a cancellation of their own, a try that was cancelled in a host's queue, because the caller had left or its time had passed, was answered with a refusal, and the run went on to the next host, where nobody cancelled it. Change: the run ends when its caller has been told. RequestRun.test.ts, without a network, fails on the former sources in both cases (asked one and two) and passes now.

--- /dev/null
+++ b/packages/host-node/src/__tests__/RequestRun.test.ts
@@ -0,0 +1,107 @@
+import { RetryBudget } from '@hickorybridge/coordination';
+import { silentLogger } from '@hickorybridge/logger';
+import type { ExecutionOutcome } from '@hickorybridge/peer-protocol';
+import { HostLoad, RouteTimes, type HostCandidate } from '@hickorybridge/routing';
+import { Distance, type Route } from '@hickorybridge/types';
+import { RandomSource, systemClock } from '@hickorybridge/utils';
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { describe, it } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import type { CallerRequest } from '../routing/CallerRequest.js';
+import type { HostChoice } from '../routing/HostChoice.js';
+import { RequestRun } from '../routing/RequestRun.js';
+
+const route: Route = {
+  name: 'orders',
+  host: 'a.example',
+  pathPrefix: '/',
+  idempotent: false,
+  timeoutMilliseconds: 60,
+  targetMilliseconds: 500,
+  priority: 0,
+  maxAttempts: 2,
+  services: [{ service: 'desk', weight: 1 }],
+};
+
+function candidate(nodeId: string): HostCandidate {
+  return {
+    entry: {
+      nodeId,
+      peerAddress: { host: '10.0.0.1', port: 1 },
+      location: { region: 'r', failureDomain: 'd' },
+      service: 'desk',
+      backendServerId: `b-${nodeId}`,
+      slots: 4,
+      leaving: false,
+    },
+    distance: Distance.sameRegion,
+    load: new HostLoad(),
+    roundTripMilliseconds: 1,
+  };
+}
+
+/** Three hosts, each of which holds a request in its queue until it is cancelled. */
+function startRun(timeoutMilliseconds: number) {
+  const asked: string[] = [];
+  const first = (_request: CallerRequest, excluded: ReadonlySet<string>) =>
+    ['one', 'two', 'three']
+      .filter((nodeId) => !excluded.has(nodeId))
+      .map(candidate)
+      .at(0);
+  const hosts = { select: first, selectFree: first, shortestWait: () => 0 };
+  const leaving = new AbortController();
+  const arrivedAt = systemClock.now();
+  const run = new RequestRun(
+    {
+      hosts: hosts as unknown as HostChoice,
+      send: async (nodeId, _head, _body, signal): Promise<ExecutionOutcome> => {
+        asked.push(nodeId);
+        if (!signal.aborted) await once(signal, 'abort');
+        return { type: 'refused', reason: 'cancelled', report: undefined };
+      },
+      budgetOf: () =>
+        new RetryBudget({ share: 0, minimumPerSecond: 0, burst: 1, clock: systemClock }),
+      routeTimes: new RouteTimes(),
+      clock: systemClock,
+      random: new RandomSource(2026),
+      logger: silentLogger,
+    },
+    {
+      requestId: 'r',
+      route,
+      service: 'desk',
+      method: 'POST',
+      target: '/',
+      headers: [],
+      body: { type: 'none' },
+      arrivedAt,
+      usefulUntil: arrivedAt + 500,
+      deadline: arrivedAt + timeoutMilliseconds,
+      callerDeadline: arrivedAt + 2000,
+      depth: 0,
+      signal: leaving.signal,
+    },
+  );
+  return { asked, leaving, outcome: run.run() };
+}
+
+describe('the routing of one request', () => {
+  it('guards against another host that is asked after the caller has left', async () => {
+    const { asked, leaving, outcome } = startRun(2000);
+    await sleep(10);
+    leaving.abort();
+    await outcome;
+    await sleep(50);
+    assert.deepEqual(asked, ['one']);
+  });
+
+  it('guards against another host that is asked after the caller was answered', async () => {
+    const { asked, outcome } = startRun(60);
+    const told = await outcome;
+    await sleep(50);
+    assert.equal(told.type, 'failed');
+    assert.deepEqual(asked, ['one']);
+  });
+});
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -114,12 +114,18 @@
   async #route(): Promise<CallerOutcome> {
     for (;;) {
       const candidate = await this.#selectHost();
+      // The caller has been told, and nothing may run for it any more.
+      if (this.#cancellation.signal.aborted) return this.#noHost();
       if (candidate === undefined) return this.#errorAnswer ?? this.#noHost();
       const { outcome, winner } = await runHedged({
         first: this.#start(candidate),
         delayMilliseconds: this.#hedgeDelay(),
         startHedge: () => this.#startHedge(),
       });
+      if (this.#cancellation.signal.aborted) {
+        if (outcome.type === 'answered') discardBody(outcome.body);
+        return this.#noHost();
+      }
       const final = this.#decide(winner.candidate, outcome);
       if (final !== undefined) return final;
     }
