Nodes log how full their backend server was, and how long a request's calls took

Cause: a late request has a line with the number in flight when it ended, but nothing tells how full the other hosts of its service were, so that bad placement and a lack of slots look the same; nor does the line say what part of its time the request's calls took.

Tests: Occupancy.test.ts.

--- a/packages/admission/src/SlotAdmission.ts
+++ b/packages/admission/src/SlotAdmission.ts
@@ -8,6 +8,7 @@
   Permit,
 } from './AdmissionController.js';
 import { KneeEstimate, type LevelEvidence } from './KneeEstimate.js';
+import { Occupancy, type OccupancySummary } from './Occupancy.js';
 import { ServiceTimes } from './ServiceTimes.js';
 import { Slowness } from './Slowness.js';
 import {
@@ -78,6 +79,8 @@
   /** What calls take of the slots. */
   readonly #callUsage: UsageShare;
 
+  readonly #occupancy: Occupancy;
+
   readonly #queue = new TargetQueue<Waiting>();
 
   readonly #running = new Map<Permit, Running>();
@@ -95,6 +98,7 @@
     this.#knee = new KneeEstimate(settings.slots);
     this.#timelyUsage = new UsageShare(settings.slots);
     this.#callUsage = new UsageShare(settings.slots);
+    this.#occupancy = new Occupancy(settings.slots, this.#startedAt);
   }
 
   admit(request: AdmissionRequest): Promise<AdmissionOutcome> {
@@ -162,6 +166,11 @@
     this.#knee.learn(peer, evidence, this.#clock.now());
   }
 
+  /** How the backend server was used since the last call. */
+  takeOccupancy(): OccupancySummary {
+    return this.#occupancy.take(this.#clock.now());
+  }
+
   leave(): void {
     this.#leaving = true;
   }
@@ -193,6 +202,7 @@
       };
       entry.request.signal.addEventListener('abort', waiting.onAbort, { once: true });
       this.#queue.add(waiting);
+      this.#occupancyChanged();
       this.#dispatchQueued();
       this.#refuseUnservable();
       this.#sweeper ??= setInterval(() => this.#refuseUnservable(), sweepMilliseconds).unref();
@@ -247,6 +257,7 @@
     const startWork = this.#settings.speed.workAt(now);
     const level = this.#running.size + 1;
     this.#running.set(permit, { ...entry, startedAt: now, startWork, level });
+    this.#occupancyChanged();
     if (entry.request.depth > 0) this.#callUsage.add(entry.expectedMilliseconds, now);
     if (isTimely(entry, now)) this.#timelyUsage.add(entry.expectedMilliseconds, now);
     return { type: 'admitted', permit };
@@ -256,6 +267,7 @@
     const running = this.#running.get(permit);
     if (running === undefined) return;
     this.#running.delete(permit);
+    this.#occupancyChanged();
     if (serviceMilliseconds !== undefined) {
       this.#record(running);
     }
@@ -305,7 +317,15 @@
     return this.#running.size === 0 && this.#queue.length === 0;
   }
 
+  #occupancyChanged(): void {
+    this.#occupancy.update(
+      { inFlight: this.#running.size, waiting: this.#queue.length, limit: this.#limit },
+      this.#clock.now(),
+    );
+  }
+
   #queueChanged(): void {
+    this.#occupancyChanged();
     if (this.#queue.length === 0) {
       clearInterval(this.#sweeper);
       this.#sweeper = undefined;
--- a/packages/host-node/src/NodeObserver.ts
+++ b/packages/host-node/src/NodeObserver.ts
@@ -1,3 +1,4 @@
+import type { OccupancySummary } from '@hickorybridge/admission';
 import type { Logger } from '@hickorybridge/logger';
 import { Counter, LatencyHistogram } from '@hickorybridge/telemetry';
 
@@ -13,6 +14,9 @@
 
   readonly #storeCalls = new Map<string, Counter>();
 
+  /** Seconds in flight and waiting are summed over requests. */
+  readonly #usage = { inFlightSeconds: 0, waitingSeconds: 0, fullSeconds: 0 };
+
   constructor(logger: Logger) {
     this.#logger = logger;
   }
@@ -21,6 +25,13 @@
     counterOf(this.#storeCalls, `operation="${operation}",result="${result}"`).add();
   }
 
+  /** Sums up how the backend server was used. */
+  backendServerUsed(summary: OccupancySummary): void {
+    this.#usage.inFlightSeconds += summary.inFlightMilliseconds / 1000;
+    this.#usage.waitingSeconds += summary.waitingMilliseconds / 1000;
+    this.#usage.fullSeconds += summary.fullMilliseconds / 1000;
+  }
+
   finished({ depth, milliseconds, outcome, requestId, route, service }: FinishedExchange): void {
     const name = route?.name ?? '';
     const result = outcome.type === 'answered' ? String(outcome.head.status) : outcome.reason;
@@ -59,6 +70,12 @@
       lines.push(`${name}_sum{${label}} ${histogram.sumMilliseconds / 1000}`);
       lines.push(`${name}_count{${label}} ${histogram.count}`);
     }
+    const { fullSeconds, inFlightSeconds, waitingSeconds } = this.#usage;
+    lines.push(
+      `hickorybridge_requests_in_flight_seconds_total ${inFlightSeconds}`,
+      `hickorybridge_requests_waiting_seconds_total ${waitingSeconds}`,
+      `hickorybridge_backend_server_full_seconds_total ${fullSeconds}`,
+    );
     lines.push(`hickorybridge_resident_memory_bytes ${process.memoryUsage.rss()}`);
     return `${lines.join('\n')}\n`;
   }
--- a/packages/host-node/src/backend/BackendServerRegistry.ts
+++ b/packages/host-node/src/backend/BackendServerRegistry.ts
@@ -1,3 +1,4 @@
+import type { OccupancySummary } from '@hickorybridge/admission';
 import type { Logger } from '@hickorybridge/logger';
 import type { ExecutionOutcome, RequestBody, RequestExecutor } from '@hickorybridge/peer-protocol';
 import type { BackendServerReport, LoadReport, RequestHead } from '@hickorybridge/types';
@@ -94,6 +95,16 @@
     return this.#current?.isCallOfRunning(requestId) ?? false;
   }
 
+  /** A call of a request that the backend server may be running has ended. */
+  callFinished(requestId: string, milliseconds: number): void {
+    this.#current?.callFinished(requestId, milliseconds);
+  }
+
+  /** How the backend server in use was used since the last call. */
+  takeOccupancy(): OccupancySummary | undefined {
+    return this.#current?.takeOccupancy();
+  }
+
   load(): LoadReport | undefined {
     return this.#current?.load();
   }
--- a/packages/host-node/src/backend/LocalBackendServer.ts
+++ b/packages/host-node/src/backend/LocalBackendServer.ts
@@ -1,4 +1,9 @@
-import { SlotAdmission, type LevelEvidence, type Permit } from '@hickorybridge/admission';
+import {
+  SlotAdmission,
+  type LevelEvidence,
+  type OccupancySummary,
+  type Permit,
+} from '@hickorybridge/admission';
 import type { Logger } from '@hickorybridge/logger';
 import {
   LossCause,
@@ -31,6 +36,29 @@
   readonly onLoadChanged: () => void;
 }
 
+/** The calls of one request that have ended. */
+interface FinishedCalls {
+  count: number;
+  /** Summed over the calls, which may overlap. */
+  milliseconds: number;
+}
+
+interface AdmittedRequest {
+  readonly head: RequestHead;
+  readonly body: RequestBody;
+  readonly signal: AbortSignal;
+  readonly permit: Permit;
+  readonly calls: FinishedCalls;
+}
+
+/** Where the time of a request went, in milliseconds. */
+interface RequestTimes {
+  readonly queued: number;
+  readonly ran: number;
+  readonly work: number;
+  readonly calls: FinishedCalls;
+}
+
 /** Share of the drain time in which queued requests may start; the rest allows for a slow node. */
 const queuedDrainShare = 0.6;
 /** The caller's node ends a request at its deadline, at nearly the same time as this one. */
@@ -46,8 +74,8 @@
 
   readonly #agent: ConnectionAgent;
 
-  /** Ids of the requests that the backend server runs. */
-  readonly #running = new Set<string>();
+  /** The requests that the backend server runs, by their ids. */
+  readonly #running = new Map<string, FinishedCalls>();
 
   #leaving = false;
 
@@ -70,6 +98,11 @@
     return this.#admission.report();
   }
 
+  /** How it was used since the last call. */
+  takeOccupancy(): OccupancySummary {
+    return this.#admission.takeOccupancy();
+  }
+
   /** Whether it was found to serve more with some slots left empty. */
   get isKneeFound(): boolean {
     return this.#admission.isKneeFound;
@@ -108,8 +141,15 @@
 
   /** Calls carry the id of the request that they belong to, a dot, and their own. */
   isCallOfRunning(requestId: string): boolean {
-    const end = requestId.lastIndexOf('.');
-    return end > 0 && this.#running.has(requestId.slice(0, end));
+    return this.#callsOfCaller(requestId) !== undefined;
+  }
+
+  /** Takes in how long a call lasted that a request made which runs here. */
+  callFinished(requestId: string, milliseconds: number): void {
+    const calls = this.#callsOfCaller(requestId);
+    if (calls === undefined) return;
+    calls.count += 1;
+    calls.milliseconds += milliseconds;
   }
 
   async execute(
@@ -125,11 +165,17 @@
     }
     const startedAt = clock.now();
     const startWork = speed.workAt(startedAt);
-    const outcome = await this.#run(head, body, signal, admission.permit);
+    const calls: FinishedCalls = { count: 0, milliseconds: 0 };
+    const outcome = await this.#run({ head, body, signal, permit: admission.permit, calls });
     const now = clock.now();
     const work = speed.workAt(now) - startWork;
     if (outcome.type !== 'answered' || now > (head.usefulUntil ?? head.deadline)) {
-      this.#logLate(head, outcome, { queued: startedAt - arrivedAt, ran: now - startedAt, work });
+      this.#logLate(head, outcome, {
+        queued: startedAt - arrivedAt,
+        ran: now - startedAt,
+        work,
+        calls,
+      });
     }
     return this.#toExecutionOutcome(outcome, work);
   }
@@ -144,7 +190,7 @@
   #logLate(
     { depth, kind, requestId }: RequestHead,
     outcome: ExchangeOutcome,
-    milliseconds: { readonly queued: number; readonly ran: number; readonly work: number },
+    { calls, queued: waited, ran, work }: RequestTimes,
   ): void {
     const { inFlight, limit, queued, workFactor } = this.load();
     this.#options.logger.info('request-late-here', 'a request was late or not answered', {
@@ -152,9 +198,11 @@
       route: kind,
       depth,
       outcome: outcome.type === 'answered' ? outcome.head.status : outcome.type,
-      queuedMilliseconds: Math.round(milliseconds.queued),
-      ranMilliseconds: Math.round(milliseconds.ran),
-      workMilliseconds: Math.round(milliseconds.work),
+      queuedMilliseconds: Math.round(waited),
+      ranMilliseconds: Math.round(ran),
+      workMilliseconds: Math.round(work),
+      calls: calls.count,
+      callsMilliseconds: Math.round(calls.milliseconds),
       inFlight,
       queued,
       limit,
@@ -170,12 +218,12 @@
     if (workFactor !== before) onLoadChanged();
   }
 
-  async #run(
-    head: RequestHead,
-    body: RequestBody,
-    signal: AbortSignal,
-    permit: Permit,
-  ): Promise<ExchangeOutcome> {
+  #callsOfCaller(requestId: string): FinishedCalls | undefined {
+    const end = requestId.lastIndexOf('.');
+    return end > 0 ? this.#running.get(requestId.slice(0, end)) : undefined;
+  }
+
+  async #run({ body, calls, head, permit, signal }: AdmittedRequest): Promise<ExchangeOutcome> {
     const { clock, report } = this.#options;
     const startedAt = clock.now();
     // Checked again here, because this process may have been paused since the admission.
@@ -183,7 +231,7 @@
       permit.release();
       return { type: 'not-run', reason: NotRunReason.cancelled };
     }
-    this.#running.add(head.requestId);
+    this.#running.set(head.requestId, calls);
     let timer: NodeJS.Timeout | undefined;
     const exchange = new BackendServerExchange({
       agent: this.#agent,
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -23,6 +23,7 @@
 import { ConfigurationPeers } from './control/ConfigurationPeers.js';
 import { KneeExchange } from './control/KneeExchange.js';
 import { LoadPublisher } from './control/LoadPublisher.js';
+import { OccupancyLog } from './control/OccupancyLog.js';
 import { PeerKeeper } from './control/PeerKeeper.js';
 import { ReportsListener } from './control/ReportsListener.js';
 import type { SettingsSource } from './control/SettingsFile.js';
@@ -158,7 +159,11 @@
     service: () => settings.current.service,
     isNestedCall: (requestId) => backendServers.isCallOfRunning(requestId),
     stopping: () => node.stopping,
-    onFinished: (finished) => observer.finished(finished),
+    onFinished: (finished) => {
+      observer.finished(finished);
+      const { depth, milliseconds, requestId } = finished;
+      if (depth > 0) backendServers.callFinished(requestId, milliseconds);
+    },
     clock,
   });
   const configurations = new ConfigurationFollower({
@@ -261,6 +266,11 @@
   supervisor.start('registration', (signal) => registration.run(signal));
   supervisor.start('peers', (signal) => keeper.run(signal));
   publisher = new LoadPublisher(pool, () => backendServers.load(), clock);
+  const occupancyLog = new OccupancyLog({
+    takeOccupancy: () => backendServers.takeOccupancy(),
+    onSummary: (summary) => observer.backendServerUsed(summary),
+    logger,
+  });
   const reports = new ReportsListener(backendServers, logger);
   const readiness = new StatusListener(
     new Map([[readinessPath, () => ({ status: node.ready ? 200 : 503, text: '' })]]),
@@ -283,6 +293,7 @@
     closeables: [
       callers,
       publisher,
+      occupancyLog,
       pool,
       backendServers,
       reports,
