A request goes to a host whose load was asked for just now

What callers saw: lookups late or without an answer, at hosts with all slots in use or nearly so, while hosts beside them were idle.

Cause: senders chose hosts by loads that were seconds old. A host told its load to its users every 270 ms or later, and only when a request would have to wait there; between two requests of one sender to one host pass two seconds in a fleet of 88. Class of fault: knowledge that thins out as the fleet grows and is used as if it were new.

Change: before a request is sent, up to three promising hosts of the region are asked for their load (frame loadRequest, answered by a load frame), and three more when none has a free slot; the emptier of free hosts is preferred. Nothing is asked where a round trip is more than a tenth of the work.

--- a/packages/host-node/src/__tests__/RequestRun.test.ts
+++ b/packages/host-node/src/__tests__/RequestRun.test.ts
@@ -50,7 +50,7 @@
       .filter((nodeId) => !excluded.has(nodeId))
       .map(candidate)
       .at(0);
-  const hosts = { select: first, selectFree: first, shortestWait: () => 0 };
+  const hosts = { choose: first, selectFree: first, shortestWait: () => 0 };
   const leaving = new AbortController();
   const arrivedAt = systemClock.now();
   const run = new RequestRun(
--- /dev/null
+++ b/packages/host-node/src/__tests__/SimulatedHost.ts
@@ -0,0 +1,54 @@
+import { LoadUpdates } from '@hickorybridge/routing';
+import type { HostEntry, LoadReport } from '@hickorybridge/types';
+
+import type { SimulatedNode } from './SimulatedFleet.js';
+
+/** A backend server with its queue, and what it tells of its load. */
+export class SimulatedHost {
+  inFlight = 0;
+
+  readonly waiting: (() => void)[] = [];
+
+  readonly updates = new LoadUpdates();
+
+  /** When each node sent its last request here. */
+  readonly lastRequests = new Map<SimulatedNode, number>();
+
+  readonly entry: HostEntry;
+
+  readonly #workMilliseconds: number;
+
+  constructor(entry: HostEntry, workMilliseconds: number) {
+    this.entry = entry;
+    this.#workMilliseconds = workMilliseconds;
+  }
+
+  get report(): LoadReport {
+    return {
+      limit: this.entry.slots,
+      inFlight: this.inFlight,
+      queued: this.waiting.length,
+      serviceMilliseconds: this.#workMilliseconds,
+      rampShare: 1,
+    };
+  }
+
+  get isFull(): boolean {
+    return this.inFlight >= this.entry.slots;
+  }
+
+  /** Takes a request, which waits while the backend server is full; `work` runs it. */
+  take(work: (done: () => void) => void): void {
+    const start = () => {
+      this.inFlight += 1;
+      work(() => this.#end());
+    };
+    if (this.isFull) this.waiting.push(start);
+    else start();
+  }
+
+  #end(): void {
+    this.inFlight -= 1;
+    this.waiting.shift()?.();
+  }
+}
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -31,6 +31,7 @@
 import { HostNode } from './HostNode.js';
 import { NodeObserver } from './NodeObserver.js';
 import { HostChoice } from './routing/HostChoice.js';
+import { LoadInquiry } from './routing/LoadInquiry.js';
 import { RequestRouter } from './routing/RequestRouter.js';
 import type { SendToHost } from './routing/RequestRun.js';
 
@@ -82,6 +83,7 @@
   let node: HostNode;
   let router: RequestRouter;
   let choice: HostChoice;
+  let inquiry: LoadInquiry;
   let publisher: LoadPublisher;
   let exchange: DocumentExchange;
   let configurationFollower: StoreFollower;
@@ -119,10 +121,15 @@
     executor,
     liveness,
     introduced: ({ identity }) => choice.loadOf(identity.nodeId).reconnected(),
-    onLoad: (peer, report) => choice.loadOf(peer).reported(report, clock.now()),
+    ownLoad: () => backendServers.load(),
+    onLoad: (peer, report) => {
+      choice.loadOf(peer).reported(report, clock.now());
+      inquiry.reported(peer);
+    },
     clock,
     logger,
   });
+  inquiry = new LoadInquiry({ request: (peer) => pool.requestLoad(peer), clock });
   const routeTimes = new RouteTimes();
   choice = new HostChoice({
     nodeId,
@@ -130,6 +137,7 @@
     directory,
     subset,
     selector: new HostSelector(random.fork()),
+    inquiry,
     routeTimes,
     speed,
     isReachable: (peer) => {
--- a/packages/host-node/src/routing/HostChoice.ts
+++ b/packages/host-node/src/routing/HostChoice.ts
@@ -1,8 +1,12 @@
 import type { HostDirectory } from '@hickorybridge/membership';
 import {
   choiceSizes,
+  chooseAsked,
   HostLoad,
+  isAskable,
+  isFresh,
   type HostCandidate,
+  type HostRequest,
   type HostSelector,
   type HostSubset,
   type RouteTimes,
@@ -17,6 +21,7 @@
 import type { Clock, HostSpeed } from '@hickorybridge/utils';
 
 import type { CallerRequest } from './CallerRequest.js';
+import type { LoadInquiry } from './LoadInquiry.js';
 
 /** What the choice of a host needs. */
 export interface HostChoiceOptions {
@@ -25,6 +30,7 @@
   readonly directory: HostDirectory;
   readonly subset: HostSubset;
   readonly selector: HostSelector;
+  readonly inquiry: LoadInquiry;
   readonly routeTimes: RouteTimes;
   /** How the speed of hosts changes, as seen on this one. */
   readonly speed: HostSpeed;
@@ -36,6 +42,9 @@
   readonly clock: Clock;
 }
 
+/** How often hosts are asked for one request; each time takes a round trip. */
+const maxInquiries = 2;
+
 // Assumed until the first heartbeat has come back; far ones are left to hosts that are known.
 const assumedRoundTrips: Readonly<Record<Distance, number>> = {
   [Distance.sameFailureDomain]: 1,
@@ -68,40 +77,73 @@
     }
   }
 
-  select(request: CallerRequest, excluded: ReadonlySet<string>): HostCandidate | undefined {
-    return this.#selectWhere(request, excluded, () => true);
+  /**
+   * Chooses a host by loads that were asked for just now. When those that promise most have no free
+   * slot, others are asked once more.
+   */
+  async choose(
+    request: CallerRequest,
+    excluded: ReadonlySet<string>,
+  ): Promise<HostCandidate | undefined> {
+    const { clock, inquiry, selector } = this.#options;
+    const startedAt = clock.now();
+    const asked = new Set<string>();
+    for (let round = 0; round < maxInquiries; round += 1) {
+      const hostRequest = this.#hostRequest(request);
+      const unasked = this.#usable(request, excluded).filter(
+        ({ entry }) => !asked.has(entry.nodeId),
+      );
+      const wanted = chooseAsked(selector.rank(unasked, hostRequest), hostRequest);
+      if (wanted.length === 0) break;
+      const nodeIds = wanted.map(({ entry }) => entry.nodeId);
+      await inquiry.ask(nodeIds);
+      for (const nodeId of nodeIds) asked.add(nodeId);
+      if (this.#hasFreeHost(request, excluded, startedAt)) break;
+    }
+    const hostRequest = this.#hostRequest(request);
+    const usable = this.#usable(request, excluded);
+    // A host of unknown load is the last choice, since its load would look like an average one.
+    const known = usable.filter(
+      (candidate) =>
+        !isAskable(candidate, hostRequest) || isFresh(candidate, hostRequest, startedAt),
+    );
+    return selector.select(known.length > 0 ? known : usable, hostRequest);
+  }
+
+  /** Whether a host whose load is known has a free slot. */
+  #hasFreeHost(request: CallerRequest, excluded: ReadonlySet<string>, startedAt: number): boolean {
+    const { speed } = this.#options;
+    const hostRequest = this.#hostRequest(request);
+    return this.#usable(request, excluded).some(
+      (candidate) =>
+        candidate.distance !== Distance.otherRegion &&
+        isFresh(candidate, hostRequest, startedAt) &&
+        candidate.load.expectedWait(speed, hostRequest.now, request.depth) === 0,
+    );
   }
 
   /** Chooses among the hosts where a request would not have to wait. */
   selectFree(request: CallerRequest, excluded: ReadonlySet<string>): HostCandidate | undefined {
-    const { clock, speed } = this.#options;
-    const now = clock.now();
-    return this.#selectWhere(
-      request,
-      excluded,
-      ({ load }) => load.expectedWait(speed, now, request.depth) === 0,
+    const { selector, speed } = this.#options;
+    const hostRequest = this.#hostRequest(request);
+    const free = this.#usable(request, excluded).filter(
+      ({ load }) => load.expectedWait(speed, hostRequest.now, request.depth) === 0,
     );
+    return selector.select(free, hostRequest);
   }
 
-  #selectWhere(
-    request: CallerRequest,
-    excluded: ReadonlySet<string>,
-    isWanted: (candidate: HostCandidate) => boolean,
-  ): HostCandidate | undefined {
-    const { clock, routeTimes, selector, speed } = this.#options;
-    const { depth, route, service, usefulUntil } = request;
-    const now = clock.now();
-    const candidates = this.#candidates(
+  #hostRequest({ depth, route, usefulUntil }: CallerRequest): HostRequest {
+    const { clock, routeTimes, speed } = this.#options;
+    const workMilliseconds = routeTimes.expectedFor(route.name, route.targetMilliseconds);
+    return { now: clock.now(), depth, usefulUntil, speed, workMilliseconds };
+  }
+
+  #usable({ service }: CallerRequest, excluded: ReadonlySet<string>): HostCandidate[] {
+    const now = this.#options.clock.now();
+    return this.#candidates(
       service,
       ({ nodeId }) => !excluded.has(nodeId) && !this.loadOf(nodeId).isAvoided(now),
     );
-    return selector.select(candidates.filter(isWanted), {
-      now,
-      depth,
-      usefulUntil,
-      speed,
-      workMilliseconds: routeTimes.expectedFor(route.name, route.targetMilliseconds),
-    });
   }
 
   /** Predicts the wait at the least loaded host of a service, in milliseconds. */
--- /dev/null
+++ b/packages/host-node/src/routing/LoadInquiry.ts
@@ -0,0 +1,65 @@
+import type { Clock } from '@hickorybridge/utils';
+
+/** What asking for loads needs. */
+export interface LoadInquiryOptions {
+  /** Asks a node for its load; `reported` is called when it comes. False when it would not answer. */
+  readonly request: (nodeId: string) => boolean;
+  readonly clock: Clock;
+}
+
+/**
+ * A host in the region answers within about 2 ms. One that takes longer is busy itself, or its node
+ * is slow, and the request goes to one that has answered.
+ */
+const longestWaitMilliseconds = 10;
+
+interface Pending {
+  readonly askedAt: number;
+  readonly answered: Promise<void>;
+  readonly settle: () => void;
+}
+
+/** Asks hosts for their load right before a request is sent. */
+export class LoadInquiry {
+  readonly #options: LoadInquiryOptions;
+
+  readonly #pending = new Map<string, Pending>();
+
+  constructor(options: LoadInquiryOptions) {
+    this.#options = options;
+  }
+
+  /** Waits until all these hosts have told their load, but not for long. */
+  async ask(nodeIds: readonly string[]): Promise<void> {
+    const answers = nodeIds.map((nodeId) => this.#ask(nodeId)).filter((each) => each !== undefined);
+    if (answers.length === 0) return;
+    const done = new AbortController();
+    const timeout = this.#options.clock.sleep(longestWaitMilliseconds, done.signal);
+    await Promise.race([Promise.all(answers), timeout]);
+    done.abort();
+  }
+
+  /** A host has told its load. */
+  reported(nodeId: string): void {
+    const pending = this.#pending.get(nodeId);
+    if (pending === undefined) return;
+    this.#pending.delete(nodeId);
+    pending.settle();
+  }
+
+  /** Asks one host, unless it was asked just now. */
+  #ask(nodeId: string): Promise<void> | undefined {
+    const { clock, request } = this.#options;
+    const now = clock.now();
+    const known = this.#pending.get(nodeId);
+    if (known !== undefined && now - known.askedAt < longestWaitMilliseconds) return known.answered;
+    if (!request(nodeId)) return undefined;
+    let settle = known?.settle ?? (() => {});
+    let answered = known?.answered;
+    answered ??= new Promise<void>((resolve) => {
+      settle = resolve;
+    });
+    this.#pending.set(nodeId, { askedAt: now, answered, settle });
+    return answered;
+  }
+}
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -136,7 +136,7 @@
     const { arrivedAt, route } = this.#request;
     const waitUntil = arrivedAt + route.targetMilliseconds * noHostWaitShare;
     for (;;) {
-      const candidate = hosts.select(this.#request, this.#excluded);
+      const candidate = await hosts.choose(this.#request, this.#excluded);
       if (candidate !== undefined || this.#excluded.size > 0) return candidate;
       if (clock.now() >= waitUntil || this.#cancellation.signal.aborted) return undefined;
       await clock.sleep(noHostPollMilliseconds, this.#cancellation.signal);
--- a/packages/peer-protocol/src/PeerConnection.ts
+++ b/packages/peer-protocol/src/PeerConnection.ts
@@ -14,7 +14,14 @@
 import type { Clock } from '@hickorybridge/utils';
 
 import type { ControlBudget } from './ControlBudget.js';
-import { BodyMode, FrameType, loadFrameVersion, type Frame, type OpenFrame } from './frame.js';
+import {
+  BodyMode,
+  FrameType,
+  loadFrameVersion,
+  loadRequestFrameVersion,
+  type Frame,
+  type OpenFrame,
+} from './frame.js';
 import type { FrameSocket } from './FrameSocket.js';
 import { IncomingStream } from './IncomingStream.js';
 import { OutgoingStream, type StreamConnection } from './OutgoingStream.js';
@@ -60,7 +67,9 @@
   /** Calls whose names start so belong to requests and not to control. */
   readonly requestCallPrefix: string;
   readonly liveness: PeerLiveness;
-  /** Takes the load that the peer reports unasked. */
+  /** Load that the peer is told when it asks. */
+  readonly ownLoad: () => LoadReport | undefined;
+  /** Takes the load that the peer reports. */
   readonly onLoad: (report: LoadReport) => void;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -202,6 +211,13 @@
     if (!this.#options.socket.congested) this.send({ type: FrameType.load, report });
   }
 
+  /** Asks the peer for its load. Returns false when it would not answer. */
+  requestLoad(): boolean {
+    if (this.closed || this.#options.introduction.version < loadRequestFrameVersion) return false;
+    this.send({ type: FrameType.loadRequest });
+    return true;
+  }
+
   /** Shortest time from a heartbeat to its reply, in milliseconds. */
   get roundTripMilliseconds(): number | undefined {
     return this.#options.introduction.clockOffset.roundTripMilliseconds;
@@ -319,6 +335,9 @@
       case FrameType.load:
         this.#options.onLoad(frame.report);
         return undefined;
+      case FrameType.loadRequest:
+        this.#tellLoad();
+        return undefined;
       default:
         return `frame type ${frame.type} after the handshake`;
     }
@@ -370,6 +389,11 @@
     return undefined;
   }
 
+  #tellLoad(): void {
+    const report = this.#options.ownLoad();
+    if (report !== undefined) this.sendLoad(report);
+  }
+
   #replyToHeartbeat(echoedClock: number): void {
     const clock = this.#options.clock.now();
     this.send({ type: FrameType.heartbeatReply, echoedClock, clock });
--- a/packages/peer-protocol/src/PeerPool.ts
+++ b/packages/peer-protocol/src/PeerPool.ts
@@ -53,7 +53,9 @@
   readonly introduced?: (introduction: PeerIntroduction) => void;
   /** When a peer is found to be silent; `patientLiveness` by default. */
   readonly liveness?: PeerLiveness;
-  /** Is told of the load that a peer reports unasked. */
+  /** Load that peers are told when they ask; without one they get no answer. */
+  readonly ownLoad?: () => LoadReport | undefined;
+  /** Is told of the load that a peer reports. */
   readonly onLoad?: (nodeId: string, report: LoadReport) => void;
   /** Is told when the last connection with a peer has ended. */
   readonly onLost?: (nodeId: string, reason: string) => void;
@@ -185,6 +187,11 @@
     for (const connection of this.#usersOf(audience)) connection.sendLoad(report);
   }
 
+  /** Asks a connected node for its load, which `onLoad` gets. Returns false when it would not answer. */
+  requestLoad(nodeId: string): boolean {
+    return this.#openConnection(nodeId)?.requestLoad() ?? false;
+  }
+
   async connect(
     address: SocketAddress,
     timeoutMilliseconds: number,
@@ -311,6 +318,7 @@
       budget: this.#options.budget ?? unlimitedControlBudget,
       requestCallPrefix: this.#options.requestCallPrefix ?? noPrefix,
       liveness: this.#liveness,
+      ownLoad: () => this.#options.ownLoad?.(),
       onLoad: (report) => this.#options.onLoad?.(introduction.identity.nodeId, report),
       clock,
       logger,
--- a/packages/peer-protocol/src/frame.ts
+++ b/packages/peer-protocol/src/frame.ts
@@ -8,7 +8,7 @@
 } from '@hickorybridge/types';
 
 /** Version of the peer protocol that this code speaks, and the oldest that it accepts. */
-export const protocolVersion = 3;
+export const protocolVersion = 4;
 export const oldestProtocolVersion = 1;
 
 /** Largest payload of a frame, in bytes. */
@@ -34,11 +34,15 @@
   call: 13,
   reply: 14,
   load: 15,
+  loadRequest: 16,
 } as const;
 
 /** First version of the protocol whose peers take load frames. */
 export const loadFrameVersion = 3;
 
+/** First version of the protocol whose peers answer a request for their load. */
+export const loadRequestFrameVersion = 4;
+
 /** Introduces a process to its peer. */
 export interface HelloFrame {
   readonly type: typeof FrameType.hello;
@@ -157,6 +161,11 @@
   readonly report: LoadReport;
 }
 
+/** Asks a peer for the load of its backend server; a load frame answers it, if there is one. */
+export interface LoadRequestFrame {
+  readonly type: typeof FrameType.loadRequest;
+}
+
 export type Frame =
   | HelloFrame
   | ProofFrame
@@ -172,4 +181,5 @@
   | HeartbeatReplyFrame
   | CallFrame
   | ReplyFrame
-  | LoadFrame;
+  | LoadFrame
+  | LoadRequestFrame;
--- a/packages/peer-protocol/src/frameCodec.ts
+++ b/packages/peer-protocol/src/frameCodec.ts
@@ -108,6 +108,8 @@
       return [frame.type, frame.call, frame.error ?? null, frame.body];
     case FrameType.load:
       return [frame.type, reportToWire(frame.report)];
+    case FrameType.loadRequest:
+      return [frame.type];
     // no default: the compiler checks that every type is handled
   }
 }
@@ -202,6 +204,8 @@
       return { type, call: reader.count(), error: reader.optionalString(), body: reader.any() };
     case FrameType.load:
       return { type, report: requiredReport(reader) };
+    case FrameType.loadRequest:
+      return { type };
     default:
       throw new TypeError(`frame type ${type} is not known`);
   }
--- a/packages/routing/src/HostLoad.ts
+++ b/packages/routing/src/HostLoad.ts
@@ -6,11 +6,14 @@
 /** Time after which an observed share of errors has halved without new answers, in milliseconds. */
 const errorHalfLifeMilliseconds = 3000;
 
+/** Assumed share of the limit in use at a host that has told nothing lately. */
+const unknownCrowding = 0.5;
+
 /** What this node knows of the load of one host's backend server. */
 export class HostLoad {
   #report: LoadReport | undefined;
 
-  #reportedAt = 0;
+  #reportedAt = -Infinity;
 
   /** Requests of this node since the last report, which that report does not count. */
   #sentSinceReport = 0;
@@ -49,6 +52,12 @@
   reconnected(): void {
     this.#avoidedUntil = 0;
     this.#report = undefined;
+    this.#reportedAt = -Infinity;
+  }
+
+  /** Time since the last report, in milliseconds; infinite before the first. */
+  ageAt(now: number): number {
+    return now - this.#reportedAt;
   }
 
   isAvoided(now: number): boolean {
@@ -65,6 +74,19 @@
     return report === undefined ? 1 : (report.slowness ?? 1) / report.rampShare;
   }
 
+  /**
+   * Share of the limit that is in use or waited for. An old report tells nothing of it, since all
+   * that was in flight then has ended.
+   */
+  crowdingAt(now: number): number {
+    const report = this.#report;
+    if (report === undefined) return unknownCrowding;
+    const { inFlight, limit, queued, serviceMilliseconds } = report;
+    const crowding = (inFlight + queued + this.#sentSinceReport) / Math.max(1, limit);
+    const stillHolds = Math.exp(-this.ageAt(now) / Math.max(1, serviceMilliseconds));
+    return unknownCrowding + stillHolds * (crowding - unknownCrowding);
+  }
+
   /** Predicts how long work takes there that starts now, in milliseconds. */
   expectedDuration(work: number, speed: HostSpeed, now: number): number {
     return speed.expectedDuration(work, this.#report?.workFactor, now - this.#reportedAt);
--- a/packages/routing/src/HostSelector.ts
+++ b/packages/routing/src/HostSelector.ts
@@ -37,6 +37,11 @@
 const lateCost = 0.75;
 /** Prefers the sooner of two hosts that are both in time. */
 const waitCost = 0.15;
+/**
+ * Prefers the emptier of two hosts that are both free: what comes next finds room there, and a
+ * backend server that is nearly full may be slower.
+ */
+const crowdingCost = 0.12;
 /** Hosts whose costs differ by less are chosen at random, so that nodes do not all follow one report. */
 const indifference = 0.03;
 /** Bounds what the slowness of a host counts, in both directions. */
@@ -51,17 +56,18 @@
   }
 
   select(candidates: readonly HostCandidate[], request: HostRequest): HostCandidate | undefined {
-    let best: HostCandidate | undefined;
-    let bestCost = Infinity;
-    for (const candidate of candidates) {
-      const jitter = this.#random.next() * indifference;
-      const cost = costOf(candidate, request) + jitter;
-      if (cost < bestCost) {
-        best = candidate;
-        bestCost = cost;
-      }
-    }
-    return best;
+    return this.rank(candidates, request)[0];
+  }
+
+  /** Orders hosts by what a request costs there, the best first. */
+  rank(candidates: readonly HostCandidate[], request: HostRequest): HostCandidate[] {
+    return candidates
+      .map((candidate) => ({
+        candidate,
+        cost: costOf(candidate, request) + this.#random.next() * indifference,
+      }))
+      .sort((first, second) => first.cost - second.cost)
+      .map(({ candidate }) => candidate);
   }
 }
 
@@ -76,6 +82,7 @@
     distanceCosts[distance] +
     lateCost * (1 - probabilityWithin(needed, allowed)) +
     (waitCost * needed) / allowed +
+    crowdingCost * load.crowdingAt(now) +
     load.errorShare(now)
   );
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -9,6 +9,7 @@
 export * from './RouteTimes.js';
 export * from './SelectorOptions.js';
 export * from './WeightedSplit.js';
+export * from './chooseAsked.js';
 export * from './createRetryBudget.js';
 export * from './createSelector.js';
 export * from './retryDecision.js';
