A host that was slow because it was full is not passed over once it is empty

Cause: the slowness of a host was learnt from all of its requests, also from those that ran while it was nearly full, and it changed only with further requests. A host that had been full was passed over until it had served dozens of requests, which it did not get. Class of fault: what was known of a host outlives its cause.

--- a/packages/admission/src/SlotAdmission.ts
+++ b/packages/admission/src/SlotAdmission.ts
@@ -48,6 +48,8 @@
 const stuckPriorSamples = 4;
 /** A cold backend server reports this share of its speed. */
 const coldShare = 0.5;
+/** Share of the slots up to which a request's time tells how quick the backend server itself is. */
+const uncrowdedShare = 0.6;
 /** Calls that run at the same time on average; below this no slot is kept free for them. */
 const minimumCallsForReserve = 0.25;
 /** Share of the slots that is kept free for calls at most. */
@@ -279,11 +281,13 @@
     const work = Math.max(0, this.#settings.speed.workAt(now) - startWork);
     this.#serviceTimes.record(request.kind, work, now, false);
     const { expectedWorkMilliseconds } = request;
-    if (expectedWorkMilliseconds !== undefined) {
-      this.#slowness.record(work, expectedWorkMilliseconds);
+    const highestLevel = Math.max(level, this.#running.size + 1);
+    // A backend server that is slow because it is nearly full is quick again once it is not.
+    const isCrowded = highestLevel > this.#settings.slots * uncrowdedShare;
+    if (expectedWorkMilliseconds !== undefined && !isCrowded) {
+      this.#slowness.record(work, expectedWorkMilliseconds, now);
     }
-    const levelAtEnd = this.#running.size + 1;
-    this.#knee.record(request.kind, work, Math.max(level, levelAtEnd), now);
+    this.#knee.record(request.kind, work, highestLevel, now);
   }
 
   /**
@@ -301,12 +305,13 @@
   }
 
   #slownessNow(): number {
-    const workNow = this.#settings.speed.workAt(this.#clock.now());
+    const now = this.#clock.now();
+    const workNow = this.#settings.speed.workAt(now);
     const running = [...this.#running.values()].map(({ request, startWork }) => ({
       work: workNow - startWork,
       expectedWork: request.expectedWorkMilliseconds ?? Infinity,
     }));
-    return this.#slowness.with(running);
+    return this.#slowness.with(running, now);
   }
 
   #isCold(): boolean {
--- a/packages/admission/src/__tests__/SlotAdmission.test.ts
+++ b/packages/admission/src/__tests__/SlotAdmission.test.ts
@@ -53,6 +53,20 @@
     assert.deepEqual(order, ['call']);
   });
 
+  it('stale slowness: guards against a host that is passed over because it was full', async () => {
+    const { admission, clock, request } = makeAdmission(4);
+    const expectedWorkMilliseconds = 50;
+    for (let round = 0; round < 10; round += 1) {
+      const permits: Permit[] = [];
+      for (let index = 0; index < 4; index += 1) {
+        permits.push(permitOf(await admission.admit(request({ expectedWorkMilliseconds }))));
+      }
+      await clock.advance(150);
+      for (const permit of permits) permit.release(150);
+    }
+    assert.ok((admission.report().slowness ?? 1) < 1.2);
+  });
+
   it('overload: guards against timely requests that wait behind late ones', async () => {
     const { admission, clock, enqueue, order, request, teach } = makeAdmission(1);
     await teach('read', 100);
