Revert "Hosts of a service share what they learn of the limit of requests in flight"

Conclusion: reverted. A lower limit matters less now that requests are spread by loads that were asked for.

--- a/packages/admission/src/KneeEstimate.ts
+++ b/packages/admission/src/KneeEstimate.ts
@@ -10,8 +10,6 @@
 const minimumGain = 1.12;
 /** A single very late answer counts as this at most. */
 const maxRatio = 4;
-/** How many standard errors the gain has to be above none: hosts judge often, and seldom by chance. */
-const minimumDeviations = 3;
 /** A limit is tried again without a knee after this time, in milliseconds. */
 const validMilliseconds = 60_000;
 /** Share of a new sample in a kind's usual work. */
@@ -24,20 +22,9 @@
   readonly ratio: number;
 }
 
-/** What a backend server showed with a number of requests in flight. */
-export interface LevelEvidence {
-  readonly level: number;
-  readonly count: number;
-  /** Sum of the work of the requests, each against the usual work of its kind. */
-  readonly sum: number;
-  readonly sumOfSquares: number;
-}
-
 /**
  * Finds out whether a backend server becomes so much slower when it is nearly full that it serves
- * more with some slots left empty, and gives the number of requests that it serves best with. The
- * backend servers of a service are alike, so that what others have shown counts, too: in a large
- * fleet each serves too few requests to find out alone before a burst is over.
+ * more with some slots left empty, and gives the number of requests that it serves best with.
  */
 export class KneeEstimate {
   readonly #slots: number;
@@ -48,8 +35,6 @@
 
   #next = 0;
 
-  readonly #evidenceOfPeers = new Map<string, readonly LevelEvidence[]>();
-
   #limit: number;
 
   #limitedAt = 0;
@@ -65,38 +50,10 @@
       this.#limit = this.#slots;
       this.#samples.length = 0;
       this.#next = 0;
-      this.#evidenceOfPeers.clear();
     }
     return this.#limit;
   }
 
-  /** Whether a limit below the slots was found. */
-  get isFound(): boolean {
-    return this.#limit < this.#slots;
-  }
-
-  /** What this backend server has shown, by level. */
-  evidence(): LevelEvidence[] {
-    const byLevel = new Map<number, LevelEvidence>();
-    for (const { level, ratio } of this.#samples) {
-      const known = byLevel.get(level) ?? { level, count: 0, sum: 0, sumOfSquares: 0 };
-      byLevel.set(level, {
-        level,
-        count: known.count + 1,
-        sum: known.sum + ratio,
-        sumOfSquares: known.sumOfSquares + ratio * ratio,
-      });
-    }
-    return [...byLevel.values()];
-  }
-
-  /** Takes in what another backend server of the service has shown, in place of its last evidence. */
-  learn(peer: string, evidence: readonly LevelEvidence[], now: number): void {
-    this.#evidenceOfPeers.set(peer, evidence);
-    // More evidence places a knee more exactly that was found with little.
-    this.#judge(now);
-  }
-
   /** Takes in the work of a finished request, in milliseconds at the usual speed of its host. */
   record(kind: string, work: number, level: number, now: number): void {
     const usual = this.#usualWork.get(kind);
@@ -114,11 +71,10 @@
   }
 
   #judge(now: number): void {
-    const evidence = [...this.#evidenceOfPeers.values(), this.evidence()].flat();
     let bestGain = minimumGain;
     const lowest = Math.max(1, Math.ceil(this.#slots * lowestShare));
     for (let level = lowest; level < this.#slots; level += 1) {
-      const gain = this.#gainOf(level, evidence);
+      const gain = this.#gainOf(level);
       if (gain > bestGain) {
         bestGain = gain;
         this.#limit = level;
@@ -127,36 +83,23 @@
     }
   }
 
-  /**
-   * How much more is served with `level` requests in flight than with all slots in use; 0 when the
-   * evidence is too thin to tell.
-   */
-  #gainOf(level: number, evidence: readonly LevelEvidence[]): number {
-    const above = summarize(evidence.filter((each) => each.level > level));
-    const below = summarize(
-      evidence.filter((each) => each.level <= level && each.level > level - comparedLevels),
-    );
-    if (above.count < minimumSamples || below.count < minimumSamples) return 0;
-    const share = level / this.#slots;
-    const difference = above.mean * share - below.mean;
-    const error = Math.sqrt(
-      (above.variance * share * share) / above.count + below.variance / below.count,
-    );
-    if (difference < minimumDeviations * error) return 0;
-    return (above.mean / below.mean) * share;
+  /** How much more is served with `level` requests in flight than with all slots in use. */
+  #gainOf(level: number): number {
+    const above = this.#meanRatio((each) => each > level);
+    const below = this.#meanRatio((each) => each <= level && each > level - comparedLevels);
+    if (above === undefined || below === undefined) return 0;
+    return (above / below) * (level / this.#slots);
   }
-}
 
-function summarize(evidence: readonly LevelEvidence[]) {
-  let count = 0;
-  let sum = 0;
-  let sumOfSquares = 0;
-  for (const each of evidence) {
-    count += each.count;
-    sum += each.sum;
-    sumOfSquares += each.sumOfSquares;
+  #meanRatio(includes: (level: number) => boolean): number | undefined {
+    let sum = 0;
+    let count = 0;
+    for (const { level, ratio } of this.#samples) {
+      if (includes(level)) {
+        sum += ratio;
+        count += 1;
+      }
+    }
+    return count < minimumSamples ? undefined : sum / count;
   }
-  const mean = count === 0 ? 0 : sum / count;
-  const variance = count < 2 ? 0 : Math.max(0, (sumOfSquares - sum * mean) / (count - 1));
-  return { count, mean, variance };
 }
--- a/packages/admission/src/SlotAdmission.ts
+++ b/packages/admission/src/SlotAdmission.ts
@@ -7,7 +7,7 @@
   AdmissionRequest,
   Permit,
 } from './AdmissionController.js';
-import { KneeEstimate, type LevelEvidence } from './KneeEstimate.js';
+import { KneeEstimate } from './KneeEstimate.js';
 import { Occupancy, type OccupancySummary } from './Occupancy.js';
 import { ServiceTimes } from './ServiceTimes.js';
 import { Slowness } from './Slowness.js';
@@ -153,21 +153,6 @@
     };
   }
 
-  /** Whether a limit below the slots was found. */
-  get isKneeFound(): boolean {
-    return this.#knee.isFound;
-  }
-
-  /** How work slows down with the number of requests in flight, as far as it was seen. */
-  kneeEvidence(): LevelEvidence[] {
-    return this.#knee.evidence();
-  }
-
-  /** Takes in the evidence of a backend server of the same service. */
-  learnKnee(peer: string, evidence: readonly LevelEvidence[]): void {
-    this.#knee.learn(peer, evidence, this.#clock.now());
-  }
-
   /** How the backend server was used since the last call. */
   takeOccupancy(): OccupancySummary {
     return this.#occupancy.take(this.#clock.now());
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -2,5 +2,4 @@
 export * from './createAdmissionController.js';
 export type { AdmissionSettings } from './LimitedAdmission.js';
 export type { OccupancySummary } from './Occupancy.js';
-export type { LevelEvidence } from './KneeEstimate.js';
 export * from './SlotAdmission.js';
--- a/packages/host-node/src/backend/LocalBackendServer.ts
+++ b/packages/host-node/src/backend/LocalBackendServer.ts
@@ -1,9 +1,4 @@
-import {
-  SlotAdmission,
-  type LevelEvidence,
-  type OccupancySummary,
-  type Permit,
-} from '@hickorybridge/admission';
+import { SlotAdmission, type OccupancySummary, type Permit } from '@hickorybridge/admission';
 import type { Logger } from '@hickorybridge/logger';
 import {
   LossCause,
@@ -103,31 +98,6 @@
     return this.#admission.takeOccupancy();
   }
 
-  /** Whether it was found to serve more with some slots left empty. */
-  get isKneeFound(): boolean {
-    return this.#admission.isKneeFound;
-  }
-
-  /** How it slows down with the number of requests in flight, as far as it was seen. */
-  kneeEvidence(): LevelEvidence[] {
-    return this.#admission.kneeEvidence();
-  }
-
-  /** Takes in how another backend server of the service slows down. */
-  learnKnee(peer: string, evidence: readonly LevelEvidence[]): void {
-    const before = this.load().limit;
-    this.#admission.learnKnee(peer, evidence);
-    const { limit } = this.load();
-    if (limit === before) return;
-    this.#options.logger.info('limit-learned', 'the limit of requests in flight has changed', {
-      backendServer: this.report.backendServerId,
-      slots: this.report.slots,
-      before,
-      limit,
-      peer,
-    });
-  }
-
   /** Refuses new requests from now on; those queued may start for some time, those in flight go on. */
   leave(): void {
     if (this.#leaving) return;
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -21,7 +21,6 @@
 import { CallersListener } from './callers/CallersListener.js';
 import { ConfigurationFollower, ConfigurationSource } from './control/ConfigurationFollower.js';
 import { ConfigurationPeers } from './control/ConfigurationPeers.js';
-import { KneeExchange } from './control/KneeExchange.js';
 import { LoadPublisher } from './control/LoadPublisher.js';
 import { OccupancyLog } from './control/OccupancyLog.js';
 import { PeerKeeper } from './control/PeerKeeper.js';
@@ -209,14 +208,6 @@
         detail,
       }),
   });
-  const kneeExchange = new KneeExchange({
-    channel: pool,
-    connectedPeers: () => pool.connectedPeers(),
-    directory,
-    backendServer: () => backendServers.current,
-    clock,
-    random: random.fork(),
-  });
   const registration = new HostRegistration({
     nodeId,
     store,
@@ -269,7 +260,6 @@
   supervisor.start('configuration', (signal) => configurationFollower.run(signal));
   supervisor.start('configuration-check', (signal) => configurationCheck.run(signal));
   supervisor.start('configuration-exchange', (signal) => exchange.run(signal));
-  supervisor.start('knee-exchange', (signal) => kneeExchange.run(signal));
   supervisor.start('hosts', (signal) => hostsFollower.run(signal));
   supervisor.start('registration', (signal) => registration.run(signal));
   supervisor.start('peers', (signal) => keeper.run(signal));
