--- a/packages/host-node/src/__tests__/SimulatedFleet.ts
+++ b/packages/host-node/src/__tests__/SimulatedFleet.ts
@@ -23,8 +23,6 @@
 
 const service = 'desk';
 const oneWayMilliseconds = 1;
-const publishMilliseconds = 100;
-const audienceMilliseconds = 3000;
 
 /** A node that sends requests. */
 export interface SimulatedNode {
@@ -84,12 +82,7 @@
       const gap = -Math.log(1 - this.#random.next()) / perMillisecond;
       if (this.clock.now() + gap < end) this.clock.after(gap, arrive);
     };
-    const publish = () => {
-      for (const host of this.#hosts.values()) this.#publish(host);
-      if (this.clock.now() < end) this.clock.after(publishMilliseconds, publish);
-    };
     this.clock.after(0, arrive);
-    this.clock.after(0, publish);
     await this.clock.advance(milliseconds);
     return this.waitedBesideFreeSlots / this.sent;
   }
@@ -158,7 +151,6 @@
 
   #arrive(node: SimulatedNode, host: SimulatedHost): void {
     this.sent += 1;
-    host.lastRequests.set(node, this.clock.now());
     if (host.isFull && [...this.#hosts.values()].some(({ isFull }) => !isFull)) {
       this.waitedBesideFreeSlots += 1;
     }
@@ -172,18 +164,6 @@
     });
   }
 
-  #publish(host: SimulatedHost): void {
-    const now = this.clock.now();
-    const users = [...host.lastRequests]
-      .filter(([, at]) => now - at < audienceMilliseconds)
-      .map(([node]) => node);
-    const { report } = host;
-    if (!host.updates.take(report, users.length, now)) return;
-    for (const node of users) {
-      this.clock.after(oneWayMilliseconds, () => node.told(host, report));
-    }
-  }
-
   #hostOf(nodeId: string): SimulatedHost {
     return this.#hosts.get(nodeId) as SimulatedHost;
   }
--- a/packages/host-node/src/__tests__/SimulatedHost.ts
+++ b/packages/host-node/src/__tests__/SimulatedHost.ts
@@ -1,19 +1,11 @@
-import { LoadUpdates } from '@hickorybridge/routing';
 import type { HostEntry, LoadReport } from '@hickorybridge/types';
 
-import type { SimulatedNode } from './SimulatedFleet.js';
-
 /** A backend server with its queue, and what it tells of its load. */
 export class SimulatedHost {
   inFlight = 0;
 
   readonly waiting: (() => void)[] = [];
 
-  readonly updates = new LoadUpdates();
-
-  /** When each node sent its last request here. */
-  readonly lastRequests = new Map<SimulatedNode, number>();
-
   readonly entry: HostEntry;
 
   readonly #workMilliseconds: number;
--- a/packages/host-node/src/backend/BackendServerRegistry.ts
+++ b/packages/host-node/src/backend/BackendServerRegistry.ts
@@ -14,8 +14,6 @@
   readonly drainMilliseconds: number;
   /** Is told when another backend server is in use, or it leaves. */
   readonly onChange: () => void;
-  /** Is told when the host has become slower or faster. */
-  readonly onLoadChanged: () => void;
   readonly speed: HostSpeed;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -141,7 +139,6 @@
       clock: this.#options.clock,
       logger,
       onReplaced: () => this.#replaced(next),
-      onLoadChanged: this.#options.onLoadChanged,
     });
     if (report.draining) next.leave();
     this.#current = next;
--- a/packages/host-node/src/backend/LocalBackendServer.ts
+++ b/packages/host-node/src/backend/LocalBackendServer.ts
@@ -27,8 +27,6 @@
   readonly logger: Logger;
   /** Is told when another backend server answers at the address. */
   readonly onReplaced: () => void;
-  /** Is told when the host has become slower or faster. */
-  readonly onLoadChanged: () => void;
 }
 
 /** The calls of one request that have ended. */
@@ -181,11 +179,8 @@
   }
 
   #observeFactor(workFactor: number): void {
-    const { clock, onLoadChanged, speed } = this.#options;
-    const now = clock.now();
-    const before = speed.factorAt(now);
-    speed.observe(workFactor, now);
-    if (workFactor !== before) onLoadChanged();
+    const { clock, speed } = this.#options;
+    speed.observe(workFactor, clock.now());
   }
 
   #callsOfCaller(requestId: string): FinishedCalls | undefined {
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -21,7 +21,6 @@
 import { CallersListener } from './callers/CallersListener.js';
 import { ConfigurationFollower, ConfigurationSource } from './control/ConfigurationFollower.js';
 import { ConfigurationPeers } from './control/ConfigurationPeers.js';
-import { LoadPublisher } from './control/LoadPublisher.js';
 import { OccupancyLog } from './control/OccupancyLog.js';
 import { PeerKeeper } from './control/PeerKeeper.js';
 import { ReportsListener } from './control/ReportsListener.js';
@@ -83,7 +82,6 @@
   let router: RequestRouter;
   let choice: HostChoice;
   let inquiry: LoadInquiry;
-  let publisher: LoadPublisher;
   let exchange: DocumentExchange;
   let configurationFollower: StoreFollower;
   let configurationCheck: StoreFollower;
@@ -100,7 +98,6 @@
       router.configuration?.services.get(service)?.maxConnections ?? Infinity,
     drainMilliseconds: bounds.drainMilliseconds,
     onChange: () => node.register(),
-    onLoadChanged: () => publisher.publish(),
     speed,
     clock,
     logger,
@@ -263,7 +260,6 @@
   supervisor.start('hosts', (signal) => hostsFollower.run(signal));
   supervisor.start('registration', (signal) => registration.run(signal));
   supervisor.start('peers', (signal) => keeper.run(signal));
-  publisher = new LoadPublisher(pool, () => backendServers.load(), clock);
   const occupancyLog = new OccupancyLog({
     takeOccupancy: () => backendServers.takeOccupancy(),
     onSummary: (summary) => observer.backendServerUsed(summary),
@@ -290,7 +286,6 @@
     supervisor,
     closeables: [
       callers,
-      publisher,
       occupancyLog,
       pool,
       backendServers,
--- a/packages/peer-protocol/src/PeerConnection.ts
+++ b/packages/peer-protocol/src/PeerConnection.ts
@@ -17,7 +17,6 @@
 import {
   BodyMode,
   FrameType,
-  loadFrameVersion,
   loadRequestFrameVersion,
   type Frame,
   type OpenFrame,
@@ -89,9 +88,6 @@
   /** Frames for streams that are finished or were never opened. */
   droppedFrames = 0;
 
-  /** When the peer sent its last request, in monotonic milliseconds. */
-  lastRequestAt = -Infinity;
-
   readonly #options: PeerConnectionOptions;
 
   readonly #outgoing = new Map<number, OutgoingStream>();
@@ -204,13 +200,6 @@
     if (trafficClass === TrafficClass.control) budget.spend(distance, bytes);
   }
 
-  /** Tells the peer a load, if its version of the protocol takes it. */
-  sendLoad(report: LoadReport): void {
-    if (this.#options.introduction.version < loadFrameVersion) return;
-    // A peer that does not read gets the next report instead.
-    if (!this.#options.socket.congested) this.send({ type: FrameType.load, report });
-  }
-
   /** Asks the peer for its load. Returns false when it would not answer. */
   requestLoad(): boolean {
     if (this.closed || this.#options.introduction.version < loadRequestFrameVersion) return false;
@@ -350,7 +339,6 @@
     const ownParity = this.#nextStream % 2;
     if (frame.stream % 2 === ownParity) return `stream ${frame.stream} belongs to this side`;
     this.#highestIncomingStream = frame.stream;
-    this.lastRequestAt = this.#options.clock.now();
     const { clockOffset } = this.#options.introduction;
     const deadline = clockOffset.toOwnClock(frame.head.deadline);
     const { usefulUntil: peerTime } = frame.head;
@@ -391,7 +379,9 @@
 
   #tellLoad(): void {
     const report = this.#options.ownLoad();
-    if (report !== undefined) this.sendLoad(report);
+    // A peer that does not read would get the answer when it is outdated.
+    if (report === undefined || this.#options.socket.congested) return;
+    this.send({ type: FrameType.load, report });
   }
 
   #replyToHeartbeat(echoedClock: number): void {
--- a/packages/peer-protocol/src/PeerPool.ts
+++ b/packages/peer-protocol/src/PeerPool.ts
@@ -69,13 +69,6 @@
   readonly detail: string;
 }
 
-/** The peers that are told a load. */
-export interface LoadAudience {
-  readonly farthest: Distance;
-  /** Only those that have sent a request here since then, in monotonic milliseconds. */
-  readonly usedSince: number;
-}
-
 /** A node that a connection is open with. */
 export interface ConnectedPeer {
   readonly nodeId: string;
@@ -177,16 +170,6 @@
     return connection.ok ? succeed(undefined) : connection;
   }
 
-  /** Counts the connected peers that have sent a request here lately. */
-  countUsers(audience: LoadAudience): number {
-    return this.#usersOf(audience).length;
-  }
-
-  /** Tells a load to the connected peers that have sent a request here lately. */
-  sendLoad(report: LoadReport, audience: LoadAudience): void {
-    for (const connection of this.#usersOf(audience)) connection.sendLoad(report);
-  }
-
   /** Asks a connected node for its load, which `onLoad` gets. Returns false when it would not answer. */
   requestLoad(nodeId: string): boolean {
     return this.#openConnection(nodeId)?.requestLoad() ?? false;
@@ -227,15 +210,6 @@
     });
   }
 
-  #usersOf({ farthest, usedSince }: LoadAudience): PeerConnection[] {
-    return [...this.#connections.values()].filter(
-      (connection) =>
-        !connection.closed &&
-        connection.distance <= farthest &&
-        connection.lastRequestAt >= usedSince,
-    );
-  }
-
   #openConnection(nodeId: string): PeerConnection | undefined {
     const connection = this.#connections.get(nodeId);
     return connection === undefined || connection.closed ? undefined : connection;
--- a/packages/peer-protocol/src/frame.ts
+++ b/packages/peer-protocol/src/frame.ts
@@ -37,9 +37,6 @@
   loadRequest: 16,
 } as const;
 
-/** First version of the protocol whose peers take load frames. */
-export const loadFrameVersion = 3;
-
 /** First version of the protocol whose peers answer a request for their load. */
 export const loadRequestFrameVersion = 4;
 
@@ -155,7 +152,7 @@
   readonly body: unknown;
 }
 
-/** Tells a peer the load of the sender's backend server. It has no reply. */
+/** Answers a request for the load of the sender's backend server. */
 export interface LoadFrame {
   readonly type: typeof FrameType.load;
   readonly report: LoadReport;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,7 +4,6 @@
 export * from './HostLoad.js';
 export * from './HostSelector.js';
 export * from './HostSubset.js';
-export * from './LoadUpdates.js';
 export * from './RouteTable.js';
 export * from './RouteTimes.js';
 export * from './SelectorOptions.js';
