A hedged request goes to a host whose load was asked for, too

Change: chooseFree asks as choose does, and gives the host only if a request would not wait there. No second request is sent, and its permission is given back, when the first one has ended while hosts were asked.

Test: RequestRun.test, 'a hedged request after the answer'; it fails without the check (the request is sent to a second host after its answer).

--- a/packages/host-node/src/__tests__/RequestRun.test.ts
+++ b/packages/host-node/src/__tests__/RequestRun.test.ts
@@ -42,15 +42,37 @@
   };
 }
 
+const answerOf = (): ExecutionOutcome => ({
+  type: 'answered',
+  head: { status: 200, headers: [] },
+  report: { limit: 4, inFlight: 0, queued: 0, serviceMilliseconds: 5, rampShare: 1 },
+  body: { type: 'whole', data: Buffer.alloc(0) },
+});
+
+interface RunChanges {
+  /** When each host answers, in milliseconds; never by default. */
+  readonly answersAfter: number;
+  /** How long it takes to find a free host for a hedged request, in milliseconds. */
+  readonly freeHostAfter: number;
+  readonly idempotent: boolean;
+}
+
 /** Three hosts, each of which holds a request in its queue until it is cancelled. */
-function startRun(timeoutMilliseconds: number) {
+function startRun(timeoutMilliseconds: number, changes: Partial<RunChanges> = {}) {
+  const { answersAfter, freeHostAfter = 0, idempotent = false } = changes;
   const asked: string[] = [];
   const first = (_request: CallerRequest, excluded: ReadonlySet<string>) =>
     ['one', 'two', 'three']
       .filter((nodeId) => !excluded.has(nodeId))
       .map(candidate)
       .at(0);
-  const hosts = { choose: first, selectFree: first, shortestWait: () => 0 };
+  const chooseFree = async (request: CallerRequest, excluded: ReadonlySet<string>) => {
+    await sleep(freeHostAfter);
+    return first(request, excluded);
+  };
+  const hosts = { choose: first, chooseFree, shortestWait: () => 0 };
+  const routeTimes = new RouteTimes();
+  routeTimes.record(route.name, 5);
   const leaving = new AbortController();
   const arrivedAt = systemClock.now();
   const run = new RequestRun(
@@ -58,19 +80,29 @@
       hosts: hosts as unknown as HostChoice,
       send: async (nodeId, _head, _body, signal): Promise<ExecutionOutcome> => {
         asked.push(nodeId);
+        if (answersAfter !== undefined) {
+          await sleep(answersAfter);
+          return answerOf();
+        }
         if (!signal.aborted) await once(signal, 'abort');
         return { type: 'refused', reason: 'cancelled', report: undefined };
       },
       budgetOf: () =>
-        new RetryBudget({ share: 0, minimumPerSecond: 0, burst: 1, clock: systemClock }),
-      routeTimes: new RouteTimes(),
+        new RetryBudget({
+          share: 0,
+          minimumPerSecond: 0,
+          burst: 1,
+          initial: 1,
+          clock: systemClock,
+        }),
+      routeTimes,
       clock: systemClock,
       random: new RandomSource(2026),
       logger: silentLogger,
     },
     {
       requestId: 'r',
-      route,
+      route: { ...route, idempotent },
       service: 'desk',
       method: 'POST',
       target: '/',
@@ -104,4 +136,14 @@
     assert.equal(told.type, 'failed');
     assert.deepEqual(asked, ['one']);
   });
+
+  it('guards against a hedged request after the answer, which came while hosts were asked', async () => {
+    // A request with 5 ms of work is hedged after 30 ms.
+    const late = { idempotent: true, answersAfter: 60, freeHostAfter: 60 };
+    const { asked, outcome } = startRun(2000, late);
+    const told = await outcome;
+    await sleep(100);
+    assert.equal(told.type, 'answered');
+    assert.deepEqual(asked, ['one']);
+  });
 });
--- a/packages/host-node/src/routing/HostChoice.ts
+++ b/packages/host-node/src/routing/HostChoice.ts
@@ -122,14 +122,15 @@
     );
   }
 
-  /** Chooses among the hosts where a request would not have to wait. */
-  selectFree(request: CallerRequest, excluded: ReadonlySet<string>): HostCandidate | undefined {
-    const { selector, speed } = this.#options;
-    const hostRequest = this.#hostRequest(request);
-    const free = this.#usable(request, excluded).filter(
-      ({ load }) => load.expectedWait(speed, hostRequest.now, request.depth) === 0,
-    );
-    return selector.select(free, hostRequest);
+  /** Chooses a host in the same way, if a request would not have to wait there. */
+  async chooseFree(
+    request: CallerRequest,
+    excluded: ReadonlySet<string>,
+  ): Promise<HostCandidate | undefined> {
+    const { clock, speed } = this.#options;
+    const candidate = await this.choose(request, excluded);
+    const wait = candidate?.load.expectedWait(speed, clock.now(), request.depth);
+    return wait === 0 ? candidate : undefined;
   }
 
   #hostRequest({ depth, route, usefulUntil }: CallerRequest): HostRequest {
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -152,11 +152,13 @@
   }
 
   /** Sends the request to a second host, if one has room for it and the budget allows. */
-  #startHedge(): HostTry | undefined {
+  async #startHedge(): Promise<HostTry | undefined> {
     const { budgetOf, hosts } = this.#options;
     if (this.#cancellation.signal.aborted || !this.#mayRepeat()) return undefined;
-    const candidate = hosts.selectFree(this.#request, this.#excluded);
-    if (candidate === undefined) {
+    const candidate = await hosts.chooseFree(this.#request, this.#excluded);
+    // The first try may have ended while the hosts were asked.
+    const isWanted = this.#running.size > 0 && !this.#cancellation.signal.aborted;
+    if (candidate === undefined || !isWanted) {
       budgetOf(this.#request.service).giveBack();
       return undefined;
     }
--- a/packages/peer-protocol/src/runHedged.ts
+++ b/packages/peer-protocol/src/runHedged.ts
@@ -26,7 +26,7 @@
   /** Time after which the hedged request is due, in milliseconds; `undefined` for none. */
   readonly delayMilliseconds: number | undefined;
   /** Starts the hedged request, or gives `undefined` when the budget or the servers forbid it. */
-  readonly startHedge: () => Try | undefined;
+  readonly startHedge: () => Try | undefined | Promise<Try | undefined>;
 }
 
 const firstServerError = 500;
@@ -39,7 +39,7 @@
   if (delayMilliseconds === undefined) return alone(first, await first.outcome);
   const late = await outcomeWithin(first, delayMilliseconds);
   if (late !== undefined) return alone(first, late);
-  const second = startHedge();
+  const second = await startHedge();
   if (second === undefined) return alone(first, await first.outcome);
   return race(first, second);
 }
