All near hosts that a node uses are asked for their load

Cause: asked were the three hosts that looked best by old loads, so that old loads still decided among which the choice was.

Change: all hosts of the region that the node uses for the service are asked, at most six; the second round and the order of hosts by cost are gone. When no near host answers in time, old loads decide among all, so that a stall of the own node sends nothing to another region.

--- a/packages/host-node/src/routing/HostChoice.ts
+++ b/packages/host-node/src/routing/HostChoice.ts
@@ -42,9 +42,6 @@
   readonly clock: Clock;
 }
 
-/** How often hosts are asked for one request; each time takes a round trip. */
-const maxInquiries = 2;
-
 // Assumed until the first heartbeat has come back; far ones are left to hosts that are known.
 const assumedRoundTrips: Readonly<Record<Distance, number>> = {
   [Distance.sameFailureDomain]: 1,
@@ -77,49 +74,24 @@
     }
   }
 
-  /**
-   * Chooses a host by loads that were asked for just now. When those that promise most have no free
-   * slot, others are asked once more.
-   */
+  /** Chooses a host by loads that were asked for just now. */
   async choose(
     request: CallerRequest,
     excluded: ReadonlySet<string>,
   ): Promise<HostCandidate | undefined> {
     const { clock, inquiry, selector } = this.#options;
     const startedAt = clock.now();
-    const asked = new Set<string>();
-    for (let round = 0; round < maxInquiries; round += 1) {
-      const hostRequest = this.#hostRequest(request);
-      const unasked = this.#usable(request, excluded).filter(
-        ({ entry }) => !asked.has(entry.nodeId),
-      );
-      const wanted = chooseAsked(selector.rank(unasked, hostRequest), hostRequest);
-      if (wanted.length === 0) break;
-      const nodeIds = wanted.map(({ entry }) => entry.nodeId);
-      await inquiry.ask(nodeIds);
-      for (const nodeId of nodeIds) asked.add(nodeId);
-      if (this.#hasFreeHost(request, excluded, startedAt)) break;
-    }
+    const asked = chooseAsked(this.#usable(request, excluded), this.#hostRequest(request));
+    if (asked.length > 0) await inquiry.ask(asked.map(({ entry }) => entry.nodeId));
     const hostRequest = this.#hostRequest(request);
     const usable = this.#usable(request, excluded);
-    // A host of unknown load is the last choice, since its load would look like an average one.
+    const hasAnswered = (candidate: HostCandidate) => isFresh(candidate, hostRequest, startedAt);
+    if (!usable.some(hasAnswered)) return selector.select(usable, hostRequest);
+    // A near host of unknown load is passed over, since its load would look like an average one.
     const known = usable.filter(
-      (candidate) =>
-        !isAskable(candidate, hostRequest) || isFresh(candidate, hostRequest, startedAt),
-    );
-    return selector.select(known.length > 0 ? known : usable, hostRequest);
-  }
-
-  /** Whether a host whose load is known has a free slot. */
-  #hasFreeHost(request: CallerRequest, excluded: ReadonlySet<string>, startedAt: number): boolean {
-    const { speed } = this.#options;
-    const hostRequest = this.#hostRequest(request);
-    return this.#usable(request, excluded).some(
-      (candidate) =>
-        candidate.distance !== Distance.otherRegion &&
-        isFresh(candidate, hostRequest, startedAt) &&
-        candidate.load.expectedWait(speed, hostRequest.now, request.depth) === 0,
+      (candidate) => hasAnswered(candidate) || !isAskable(candidate, hostRequest),
     );
+    return selector.select(known, hostRequest);
   }
 
   /** Chooses a host in the same way, if a request would not have to wait there. */
--- a/packages/routing/src/HostSelector.ts
+++ b/packages/routing/src/HostSelector.ts
@@ -56,18 +56,17 @@
   }
 
   select(candidates: readonly HostCandidate[], request: HostRequest): HostCandidate | undefined {
-    return this.rank(candidates, request)[0];
-  }
-
-  /** Orders hosts by what a request costs there, the best first. */
-  rank(candidates: readonly HostCandidate[], request: HostRequest): HostCandidate[] {
-    return candidates
-      .map((candidate) => ({
-        candidate,
-        cost: costOf(candidate, request) + this.#random.next() * indifference,
-      }))
-      .sort((first, second) => first.cost - second.cost)
-      .map(({ candidate }) => candidate);
+    let best: HostCandidate | undefined;
+    let bestCost = Infinity;
+    for (const candidate of candidates) {
+      const jitter = this.#random.next() * indifference;
+      const cost = costOf(candidate, request) + jitter;
+      if (cost < bestCost) {
+        best = candidate;
+        bestCost = cost;
+      }
+    }
+    return best;
   }
 }
 
