A host that cannot be asked for its load is not passed over

Cause: while nodes are upgraded, those that speak version 3 of the peer protocol do not answer questions for loads. As long as one newer host of the service answered, the older ones counted as silent and got no requests.

Change: only hosts that were asked and did not answer are passed over.

Test: HostChoice.test, 'upgrade'; it failed before.

--- a/packages/host-node/src/__tests__/HostChoice.test.ts
+++ b/packages/host-node/src/__tests__/HostChoice.test.ts
@@ -34,41 +34,74 @@
   };
 }
 
+/** Chooses for one request; `answerTo` is called with each host that is asked. */
+async function chooseAmong(
+  entries: readonly HostEntry[],
+  answerTo: (nodeId: string, choice: HostChoice) => boolean,
+): Promise<string | undefined> {
+  const parts: { choice?: HostChoice } = {};
+  const inquiry = new LoadInquiry({
+    request: (nodeId) => parts.choice !== undefined && answerTo(nodeId, parts.choice),
+    clock: systemClock,
+  });
+  const choice = new HostChoice({
+    nodeId: 'own',
+    location,
+    directory: { ofService: () => entries } as unknown as HostDirectory,
+    subset: new HostSubset('own', location, () => entries),
+    selector: new HostSelector(new RandomSource(2026)),
+    inquiry,
+    routeTimes: new RouteTimes(),
+    speed: new HostSpeed(),
+    isReachable: () => true,
+    ownLoad: () => undefined,
+    roundTripTo: () => 1,
+    clock: systemClock,
+  });
+  parts.choice = choice;
+  const now = systemClock.now();
+  const request = {
+    requestId: 'r',
+    route,
+    service,
+    method: 'GET',
+    target: '/',
+    headers: [],
+    body: { type: 'none' },
+    arrivedAt: now,
+    usefulUntil: now + 800,
+    deadline: now + 1200,
+    callerDeadline: now + 2000,
+    depth: 0,
+    signal: new AbortController().signal,
+  } as const;
+  return (await choice.choose(request, new Set()))?.entry.nodeId;
+}
+
+const full = { limit: 9, inFlight: 9, queued: 9, serviceMilliseconds: 300, rampShare: 1 };
+
 describe('choice of a host by loads that are asked for', () => {
   it('guards against requests that cross regions because no near host has answered', async () => {
     const entries = [entryOf('near', 'r'), entryOf('far', 's')];
-    const choice = new HostChoice({
-      nodeId: 'own',
-      location,
-      directory: { ofService: () => entries } as unknown as HostDirectory,
-      subset: new HostSubset('own', location, () => entries),
-      selector: new HostSelector(new RandomSource(2026)),
-      // It was sent, and nothing comes back.
-      inquiry: new LoadInquiry({ request: () => true, clock: systemClock }),
-      routeTimes: new RouteTimes(),
-      speed: new HostSpeed(),
-      isReachable: () => true,
-      ownLoad: () => undefined,
-      roundTripTo: () => 1,
-      clock: systemClock,
+    // The question was sent, and nothing comes back.
+    assert.equal(await chooseAmong(entries, () => true), 'near');
+  });
+
+  it('guards against a silent host that is chosen because its load is not known', async () => {
+    const entries = [entryOf('busy', 'r'), entryOf('silent', 'r')];
+    const chosen = await chooseAmong(entries, (nodeId, choice) => {
+      if (nodeId === 'busy') choice.loadOf('busy').reported(full, systemClock.now());
+      return true;
+    });
+    assert.equal(chosen, 'busy');
+  });
+
+  it('upgrade: guards against hosts of an older version that get no requests', async () => {
+    const entries = [entryOf('busy', 'r'), entryOf('older', 'r')];
+    const chosen = await chooseAmong(entries, (nodeId, choice) => {
+      if (nodeId === 'busy') choice.loadOf('busy').reported(full, systemClock.now());
+      return nodeId === 'busy';
     });
-    const now = systemClock.now();
-    const request = {
-      requestId: 'r',
-      route,
-      service,
-      method: 'GET',
-      target: '/',
-      headers: [],
-      body: { type: 'none' },
-      arrivedAt: now,
-      usefulUntil: now + 800,
-      deadline: now + 1200,
-      callerDeadline: now + 2000,
-      depth: 0,
-      signal: new AbortController().signal,
-    } as const;
-    const chosen = await choice.choose(request, new Set());
-    assert.equal(chosen?.entry.nodeId, 'near');
+    assert.equal(chosen, 'older');
   });
 });
--- a/packages/host-node/src/routing/HostChoice.ts
+++ b/packages/host-node/src/routing/HostChoice.ts
@@ -3,7 +3,6 @@
   choiceSizes,
   chooseAsked,
   HostLoad,
-  isAskable,
   isFresh,
   type HostCandidate,
   type HostRequest,
@@ -81,15 +80,15 @@
   ): Promise<HostCandidate | undefined> {
     const { clock, inquiry, selector } = this.#options;
     const startedAt = clock.now();
-    const asked = chooseAsked(this.#usable(request, excluded), this.#hostRequest(request));
-    if (asked.length > 0) await inquiry.ask(asked.map(({ entry }) => entry.nodeId));
+    const outdated = chooseAsked(this.#usable(request, excluded), this.#hostRequest(request));
+    const asked = await inquiry.ask(outdated.map(({ entry }) => entry.nodeId));
     const hostRequest = this.#hostRequest(request);
     const usable = this.#usable(request, excluded);
     const hasAnswered = (candidate: HostCandidate) => isFresh(candidate, hostRequest, startedAt);
     if (!usable.some(hasAnswered)) return selector.select(usable, hostRequest);
-    // A near host of unknown load is passed over, since its load would look like an average one.
+    // A host that did not answer is passed over, since its load would look like an average one.
     const known = usable.filter(
-      (candidate) => hasAnswered(candidate) || !isAskable(candidate, hostRequest),
+      (candidate) => hasAnswered(candidate) || !asked.has(candidate.entry.nodeId),
     );
     return selector.select(known, hostRequest);
   }
--- a/packages/host-node/src/routing/LoadInquiry.ts
+++ b/packages/host-node/src/routing/LoadInquiry.ts
@@ -29,14 +29,23 @@
     this.#options = options;
   }
 
-  /** Waits until all these hosts have told their load, but not for long. */
-  async ask(nodeIds: readonly string[]): Promise<void> {
-    const answers = nodeIds.map((nodeId) => this.#ask(nodeId)).filter((each) => each !== undefined);
-    if (answers.length === 0) return;
+  /**
+   * Waits until all these hosts have told their load, but not for long. Gives those that were asked;
+   * others speak an older version of the protocol.
+   */
+  async ask(nodeIds: readonly string[]): Promise<ReadonlySet<string>> {
+    const answers = new Map<string, Promise<void>>();
+    for (const nodeId of nodeIds) {
+      const answer = this.#ask(nodeId);
+      if (answer !== undefined) answers.set(nodeId, answer);
+    }
+    const asked = new Set(answers.keys());
+    if (asked.size === 0) return asked;
     const done = new AbortController();
     const timeout = this.#options.clock.sleep(longestWaitMilliseconds, done.signal);
-    await Promise.race([Promise.all(answers), timeout]);
+    await Promise.race([Promise.all(answers.values()), timeout]);
     done.abort();
+    return asked;
   }
 
   /** A host has told its load. */
--- a/packages/routing/src/chooseAsked.ts
+++ b/packages/routing/src/chooseAsked.ts
@@ -22,7 +22,7 @@
 }
 
 /** Whether the host's answer would come soon enough to be worth waiting for. */
-export function isAskable(
+function isAskable(
   { distance, roundTripMilliseconds }: HostCandidate,
   { workMilliseconds }: HostRequest,
 ): boolean {
