Odd entries of another writer are left out instead of stopping the list of hosts

An entry with a port out of range was used; connecting to it rejected a promise that nobody handled, which ends the process. An entry overwritten by another writer was never restored by its host. Entries are checked for ranges and names; an odd one is logged once for its version, the last good entry of its host stays in use, and the host restores it. Opening a socket and running a request give failures as values; an unexpected rejection is logged and becomes an outcome for its request only.

--- a/packages/host-node/src/__tests__/RequestRun.test.ts
+++ b/packages/host-node/src/__tests__/RequestRun.test.ts
@@ -55,6 +55,8 @@
   /** Time that it takes to find a free host for a hedged request. */
   readonly freeHostDelayMilliseconds: number;
   readonly idempotent: boolean;
+  /** Error that sending fails with. */
+  readonly sendError: Error;
 }
 
 /**
@@ -83,6 +85,7 @@
       hosts: hosts as unknown as HostChoice,
       send: async (nodeId, _head, _body, signal): Promise<ExecutionOutcome> => {
         askedHosts.push(nodeId);
+        if (overrides.sendError !== undefined) throw overrides.sendError;
         if (answerDelayMilliseconds !== undefined) {
           await sleep(answerDelayMilliseconds);
           return createAnswer();
@@ -153,4 +156,11 @@
     assert.equal(result.type, 'answered');
     assert.deepEqual(askedHosts, ['one']);
   });
+
+  it('guards against a fault of this process that keeps the caller waiting', async () => {
+    const startedAt = systemClock.now();
+    const result = await startRun(2000, { sendError: new Error('a fault here') }).outcome;
+    assert.ok(systemClock.now() - startedAt < 1000, 'the outcome came at the deadline only');
+    assert.equal(result.type === 'failed' && result.mayHaveRun, true);
+  });
 });
--- a/packages/host-node/src/bin.ts
+++ b/packages/host-node/src/bin.ts
@@ -7,6 +7,7 @@
 import { StandardOutput } from './StandardOutput.js';
 
 const invalidSettingsExitCode = 2;
+const startFailedExitCode = 1;
 
 // Bounds the log of one node to about 100 KB a second when every request fails.
 const logRateLimit = { burst: 200, linesPerSecond: 50 };
@@ -36,12 +37,24 @@
     random: new RandomSource(seed),
     logger,
   });
+  // The faults of single requests are handled where they occur. This keeps one that was missed from
+  // ending the process, and with it every other request.
+  process.on('unhandledRejection', (error) =>
+    logger.error('unhandled-rejection', 'a background operation failed unexpectedly', {
+      detail: error instanceof Error ? (error.stack ?? error.message) : String(error),
+    }),
+  );
   process.on('SIGHUP', () => file.reload());
   process.on('SIGTERM', async () => {
     await node.stop();
     process.exit(0);
   });
-  await node.start();
+  try {
+    await node.start();
+  } catch (error) {
+    logger.error('start-failed', 'the node cannot open its listeners', { detail: String(error) });
+    process.exit(startFailedExitCode);
+  }
 }
 
 main();
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -42,6 +42,8 @@
 // Suggested retry delay: a node reads its configuration, or restarts, within about this time.
 const startupRetryMilliseconds = 700;
 const defaultRemainingMilliseconds = 30_000;
+// Timers of Node.js fire at once when their delay exceeds 24 days.
+const maxRemainingMilliseconds = 3_600_000;
 
 /** Accepts HTTP requests from callers on this host, including its backend server. */
 export class CallersListener implements AsyncDisposable {
@@ -235,5 +237,6 @@
 
 function remainingMillisecondsOf(request: IncomingMessage): number {
   const value = Number(singleHeader(request, HeaderNames.remainingMilliseconds) ?? Number.NaN);
-  return Number.isFinite(value) && value >= 0 ? value : defaultRemainingMilliseconds;
+  if (!Number.isFinite(value) || value < 0) return defaultRemainingMilliseconds;
+  return Math.min(value, maxRemainingMilliseconds);
 }
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -215,7 +215,8 @@
   });
   directory.onChange(() => {
     choice.removeUnlistedHosts();
-    registration.seen(directory.entry(nodeId), directory.versionOf(nodeId));
+    const { entry, version } = directory.stored(nodeId);
+    registration.seen(entry, version);
   });
   const maxExchangeAgeMilliseconds =
     bounds.configurationMilliseconds *
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -106,10 +106,14 @@
       const onTimeout = () =>
         stop(this.#errorAnswer ?? this.#fail(FailureReason.timeout, this.#describeWait()));
       const timer = setTimeout(onTimeout, deadline - clock.now());
-      this.#route().then((outcome) => {
+      const finish = (outcome: CallerOutcome) => {
         clearTimeout(timer);
         signal.removeEventListener('abort', onLeft);
         resolve(outcome);
+      };
+      this.#route().then(finish, (error: unknown) => {
+        this.#logFault(error);
+        finish(this.#fail(FailureReason.connectionLost, 'a fault of this node'));
       });
     });
   }
@@ -181,7 +185,8 @@
     this.#backendAttempts += 1;
     const attempt = new HostAttempt(candidate, (signal) => this.#send(candidate, signal));
     this.#runningAttempts.add(attempt);
-    attempt.outcome.then(() => this.#runningAttempts.delete(attempt));
+    const remove = () => this.#runningAttempts.delete(attempt);
+    attempt.outcome.then(remove, remove);
     return attempt;
   }
 
@@ -330,6 +335,15 @@
     });
   }
 
+  #logFault(error: unknown): void {
+    const { requestId, route } = this.#request;
+    this.#options.logger.error('request-fault', 'routing a request failed unexpectedly', {
+      requestId,
+      route: route.name,
+      detail: error instanceof Error ? (error.stack ?? error.message) : String(error),
+    });
+  }
+
   #describeWait(): string {
     if (this.#lastHost === undefined) return 'no host was found for it in time';
     return `no answer in time from host "${this.#lastHost}"`;
--- a/packages/membership/src/HostDirectory.ts
+++ b/packages/membership/src/HostDirectory.ts
@@ -18,6 +18,9 @@
 
   readonly #known = new Map<string, KnownEntry>();
 
+  /** Versions of objects that do not describe a host, by key. */
+  readonly #unreadable = new Map<string, number>();
+
   readonly #listeners: (() => void)[] = [];
 
   #byService = new Map<string, readonly HostEntry[]>();
@@ -39,7 +42,9 @@
   apply(result: WatchResult): void {
     const listed = new Set(result.changed.map(({ key }) => key));
     if (result.complete === true) {
-      for (const key of this.#known.keys()) if (!listed.has(key)) this.#remove(key);
+      for (const key of [...this.#known.keys(), ...this.#unreadable.keys()]) {
+        if (!listed.has(key)) this.#remove(key);
+      }
     }
     for (const key of result.removed ?? []) this.#remove(key);
     for (const object of result.changed) this.#update(object);
@@ -51,9 +56,13 @@
     return this.#known.get(hostKey(nodeId))?.entry;
   }
 
-  /** Version of a host's entry in the store; 0 when there is none. */
-  versionOf(nodeId: string): number {
-    return this.#known.get(hostKey(nodeId))?.version ?? 0;
+  /** What the store holds for a host: no entry if another writer left something unreadable. */
+  stored(nodeId: string): { readonly entry: HostEntry | undefined; readonly version: number } {
+    const key = hostKey(nodeId);
+    const known = this.#known.get(key);
+    const unreadableVersion = this.#unreadable.get(key);
+    if (unreadableVersion !== undefined) return { entry: undefined, version: unreadableVersion };
+    return { entry: known?.entry, version: known?.version ?? 0 };
   }
 
   list(): HostEntry[] {
@@ -74,13 +83,18 @@
     const known = this.#known.get(object.key);
     // A copy that lags may list an older version than was read before.
     if (known !== undefined && known.version >= object.version) return;
+    if ((this.#unreadable.get(object.key) ?? 0) >= object.version) return;
     const entry = decodeHostEntry(object.value);
     if (entry === undefined || hostKey(entry.nodeId) !== object.key) {
+      // A good earlier entry stays in use until its host has restored it.
+      this.#unreadable.set(object.key, object.version);
       this.#logger.warn('host-entry-ignored', 'an entry in the store describes no host', {
         key: object.key,
+        version: object.version,
       });
       return;
     }
+    this.#unreadable.delete(object.key);
     this.#known.set(object.key, { entry, version: object.version });
     this.#logger.info('host-listed', 'a host was added or has changed', {
       host: entry.nodeId,
@@ -92,6 +106,7 @@
   }
 
   #remove(key: string): void {
+    this.#unreadable.delete(key);
     const known = this.#known.get(key);
     if (known === undefined) return;
     this.#known.delete(key);
--- a/packages/membership/src/HostRegistration.ts
+++ b/packages/membership/src/HostRegistration.ts
@@ -43,10 +43,13 @@
     this.#wake.abort();
   }
 
-  /** Takes in what the store was seen to hold; an entry that another node removed is restored. */
+  /**
+   * Takes in what the store was seen to hold, with version 0 if that is nothing. An entry that
+   * another node has removed or overwritten is restored.
+   */
   seen(entry: HostEntry | undefined, version: number): void {
     const known = this.#written;
-    if (known !== undefined && entry !== undefined && version < known.version) return;
+    if (known !== undefined && version > 0 && version < known.version) return;
     const text = entry === undefined ? undefined : encodeHostEntry(entry);
     this.#written = { text, version };
     if (text !== this.#wantedText()) this.#wake.abort();
--- a/packages/membership/src/hostEntryCodec.ts
+++ b/packages/membership/src/hostEntryCodec.ts
@@ -1,4 +1,5 @@
 import type { HostEntry } from '@hickorybridge/types';
+import { isIP } from 'node:net';
 
 /** Keys of the hosts' entries in the store. */
 export const hostPrefix = 'hickorybridge-hosts/';
@@ -23,6 +24,11 @@
   });
 }
 
+const maxNameCharacters = 512;
+const maxPort = 65_535;
+/** Bounds what one entry can make the other nodes expect of its host. */
+const maxSlots = 100_000;
+
 /** Decodes an entry; `undefined` when another writer has left something else there. */
 export function decodeHostEntry(text: string): HostEntry | undefined {
   let value: unknown;
@@ -35,10 +41,10 @@
   const fields = value as Readonly<Record<string, unknown>>;
   const { nodeId, host, region, failureDomain, service, backendServerId } = fields;
   const { port, slots, leaving } = fields;
-  if (typeof nodeId !== 'string' || typeof host !== 'string') return undefined;
-  if (typeof region !== 'string' || typeof failureDomain !== 'string') return undefined;
-  if (typeof service !== 'string' || typeof backendServerId !== 'string') return undefined;
-  if (typeof port !== 'number' || typeof slots !== 'number') return undefined;
+  if (!isName(nodeId) || !isName(region) || !isName(failureDomain)) return undefined;
+  if (!isName(service) || !isName(backendServerId)) return undefined;
+  if (typeof host !== 'string' || isIP(host) === 0) return undefined;
+  if (!isWholeNumber(port, maxPort) || !isWholeNumber(slots, maxSlots)) return undefined;
   if (typeof leaving !== 'boolean') return undefined;
   return {
     nodeId,
@@ -50,3 +56,12 @@
     leaving,
   };
 }
+
+function isName(value: unknown): value is string {
+  return typeof value === 'string' && value !== '' && value.length <= maxNameCharacters;
+}
+
+/** Whether a value is a whole number from 1 to `max`. */
+function isWholeNumber(value: unknown, max: number): value is number {
+  return Number.isInteger(value) && (value as number) >= 1 && (value as number) <= max;
+}
--- a/packages/peer-protocol/src/IncomingStream.ts
+++ b/packages/peer-protocol/src/IncomingStream.ts
@@ -33,13 +33,21 @@
 
   /** Runs the request and sends its outcome, straight down. */
   async run(executor: RequestExecutor): Promise<void> {
-    const { head } = this.#frame;
-    const outcome = await executor.execute(head, this.#createBody(), this.#cancellation.signal);
-    await this.#sendOutcome(outcome);
+    await this.#sendOutcome(await this.#execute(executor));
     this.#connection.forget(this.#frame.stream);
     this.#requestBody?.destroy();
   }
 
+  async #execute(executor: RequestExecutor): Promise<ExecutionOutcome> {
+    const { head } = this.#frame;
+    try {
+      return await executor.execute(head, this.#createBody(), this.#cancellation.signal);
+    } catch (error) {
+      // The request may have been sent before the fault, so the peer must not take it for refused.
+      return { type: 'lost', cause: LossCause.connection, detail: String(error) };
+    }
+  }
+
   addCredit(bytes: number): void {
     this.#answerCredit.add(bytes);
   }
--- a/packages/peer-protocol/src/__tests__/PeerPool.test.ts
+++ b/packages/peer-protocol/src/__tests__/PeerPool.test.ts
@@ -200,3 +200,35 @@
   const reply = await second.call('first', 'ping', {}, 500);
   assert.deepEqual(reply, { ok: true, value: 'pong' });
 });
+
+test('guards against an address out of range that rejects instead of failing as a value', async () => {
+  for (const port of [70_000, -1, 1.5, 1e308]) {
+    const addresses = new Map<string, SocketAddress>([['odd', { host: '127.0.0.1', port }]]);
+    await using first = await createPool({ nodeId: 'first', executor: echoing, addresses });
+    for (let attempt = 0; attempt < 2; attempt += 1) {
+      const outcome = await first.execute(
+        'odd',
+        createHead(),
+        { type: 'none' },
+        new AbortController().signal,
+      );
+      assert.deepEqual(outcome, { type: 'refused', reason: 'not-sent', report: undefined });
+    }
+  }
+});
+
+test('guards against an executor that throws and leaves the peer waiting', async () => {
+  const addresses = new Map<string, SocketAddress>();
+  const throwing: RequestExecutor = { execute: () => Promise.reject(new Error('a fault here')) };
+  await using first = await createPool({ nodeId: 'first', executor: echoing, addresses });
+  await using second = await createPool({ nodeId: 'second', executor: throwing, addresses });
+  second.handle('ping', () => 'pong');
+  const outcome = await first.execute(
+    'second',
+    createHead(),
+    { type: 'none' },
+    new AbortController().signal,
+  );
+  assert.equal(outcome.type, 'lost');
+  assert.deepEqual(await first.call('second', 'ping', {}, 500), { ok: true, value: 'pong' });
+});
--- a/packages/peer-protocol/src/openSocket.ts
+++ b/packages/peer-protocol/src/openSocket.ts
@@ -13,7 +13,14 @@
   timeoutMilliseconds: number,
 ): Promise<Result<Socket, ControlCallError>> {
   return new Promise((resolve) => {
-    const socket = createConnection({ host: address.host, port: address.port });
+    let socket: Socket;
+    try {
+      socket = createConnection({ host: address.host, port: address.port });
+    } catch (error) {
+      // Node.js throws when the port is out of range.
+      resolve(fail({ type: 'unreachable', detail: String(error) }));
+      return;
+    }
     const timer = setTimeout(
       () => socket.destroy(new Error(`no connection within ${timeoutMilliseconds} ms`)),
       timeoutMilliseconds,
