A rejection counts only with the id of the request that waits for it

Cause: 421 and answers that state Not-Executed were taken as rejections before their Request-Id was compared. A backend server that wrote an earlier rejection again on a kept connection made the node promise "not run" for a request that ran, or send it to a second host. Change: an answer or rejection with another id, or with a status that is not final, is rejected and its connection closed; the request is reported as possibly run. A request that the HTTP client cannot send gives its slot back.

--- a/packages/host-node/src/backend/BackendServerExchange.ts
+++ b/packages/host-node/src/backend/BackendServerExchange.ts
@@ -27,6 +27,7 @@
   shed: 'backend-server-shed',
   otherBackendServer: 'no-such-backend-server',
   cancelled: 'cancelled',
+  notSendable: 'not-sent',
 } as const;
 
 export type NotRunReason = (typeof NotRunReason)[keyof typeof NotRunReason];
@@ -49,6 +50,8 @@
 /** 421 Misdirected Request: another backend server answers at this address. */
 const misdirectedStatus = 421;
 const minServerErrorStatus = 500;
+const minFinalStatus = 200;
+const maxFinalStatus = 599;
 /** With a larger body than this, closing the connection is cheaper than reading the rejection. */
 const maxRejectionBytes = 64 * 1024;
 const bodilessStatuses: readonly number[] = [204, 304];
@@ -150,12 +153,15 @@
     // A different request id marks a stale answer to an earlier request on this connection.
     const answersThisRequest = firstValue(headers[HeaderNames.requestId]) === head.requestId;
     const status = answer.statusCode ?? 0;
-    if (status === misdirectedStatus) {
+    if (!answersThisRequest) {
+      // Holds for rejections, too: one that is sent again must not vouch for this request.
+      this.#reject(answer, 'the answer belongs to another request');
+    } else if (status < minFinalStatus || status > maxFinalStatus) {
+      this.#reject(answer, `the answer has the status ${status}`);
+    } else if (status === misdirectedStatus) {
       this.#settleNotRun(answer, NotRunReason.otherBackendServer);
     } else if (headers[HeaderNames.notRun] !== undefined) {
       this.#settleNotRun(answer, NotRunReason.shed);
-    } else if (!answersThisRequest) {
-      this.#reject(answer, 'the answer belongs to another request');
     } else if (headers['content-encoding'] !== undefined) {
       this.#reject(answer, 'the answer has an encoding that was not asked for');
     } else if (status < 300 && headers[HeaderNames.signature] === undefined) {
--- a/packages/host-node/src/backend/LocalBackendServer.ts
+++ b/packages/host-node/src/backend/LocalBackendServer.ts
@@ -15,6 +15,7 @@
 
 import {
   BackendServerExchange,
+  type ExchangeOptions,
   type ExchangeOutcome,
   NotRunReason,
 } from './BackendServerExchange.js';
@@ -204,22 +205,27 @@
     }
     this.#running.set(head.requestId, calls);
     let timer: NodeJS.Timeout | undefined;
-    const exchange = new BackendServerExchange({
+    const onEnd = (served: boolean) => {
+      clearTimeout(timer);
+      this.#running.delete(head.requestId);
+      const now = clock.now();
+      // Durations cut off at the deadline count too: without them slow work would look faster.
+      const cutAtDeadline = now > head.deadline - deadlineToleranceMilliseconds;
+      permit.release(served || cutAtDeadline ? now - startedAt : undefined);
+    };
+    const exchange = this.#startExchange({
       agent: this.#agent,
       ...report.address,
       head,
       body,
       clock,
       onLoad: ({ workFactor }) => this.#recordWorkFactor(workFactor),
-      onEnd: (served) => {
-        clearTimeout(timer);
-        this.#running.delete(head.requestId);
-        const now = clock.now();
-        // Durations cut off at the deadline count too: without them slow work would look faster.
-        const cutAtDeadline = now > head.deadline - deadlineToleranceMilliseconds;
-        permit.release(served || cutAtDeadline ? now - startedAt : undefined);
-      },
+      onEnd,
     });
+    if (exchange === undefined) {
+      onEnd(false);
+      return { type: 'not-run', reason: NotRunReason.notSendable };
+    }
     // Covers the whole exchange and not only the wait for the answer: a body may be endless.
     timer = setTimeout(() => exchange.cancel(LossCause.deadline), head.deadline - startedAt);
     const cancel = () => exchange.cancel(LossCause.connection);
@@ -229,6 +235,19 @@
     return outcome;
   }
 
+  /** Sends a request; `undefined` if the HTTP client cannot send it, because of a header or path. */
+  #startExchange(options: ExchangeOptions): BackendServerExchange | undefined {
+    try {
+      return new BackendServerExchange(options);
+    } catch (error) {
+      this.#options.logger.warn('request-not-sendable', 'a request cannot be sent as HTTP', {
+        requestId: options.head.requestId,
+        detail: String(error),
+      });
+      return undefined;
+    }
+  }
+
   #toExecutionOutcome(outcome: ExchangeOutcome, work: number): ExecutionOutcome {
     switch (outcome.type) {
       case 'answered':
--- a/packages/stand-ins/src/platformBackend/StandInPlatformBackend.ts
+++ b/packages/stand-ins/src/platformBackend/StandInPlatformBackend.ts
@@ -10,6 +10,10 @@
   none: 'none',
   /** 503 with the proof that the request did not run. */
   shed: 'shed',
+  /** Rejects the first request of each connection, and writes that rejection again for the next. */
+  repeatedRefusal: 'repeated-refusal',
+  /** The same with the rejection of a backend server that is not the expected one. */
+  repeatedMisdirection: 'repeated-misdirection',
   /** Runs the request and closes the connection without an answer. */
   loseAnswer: 'lose-answer',
   /** Answers with the id of another request. */
@@ -41,6 +45,10 @@
 
 export type BackendFault = (typeof BackendFault)[keyof typeof BackendFault];
 
+const repeatedRejectionStatuses: Partial<Readonly<Record<BackendFault, string>>> = {
+  [BackendFault.repeatedRefusal]: '503 Service Unavailable',
+  [BackendFault.repeatedMisdirection]: '421 Misdirected Request',
+};
 const linesInOneWrite = 500;
 /** More than is held back until an answer is complete. */
 const stalledBodyBytes = 256 * 1024;
@@ -66,6 +74,9 @@
   /** Bytes that were sent under the faults without end. */
   endlessBytes = 0;
 
+  /** The rejection that was written on a connection, for the faults that repeat it. */
+  readonly #rejections = new WeakMap<Socket, string>();
+
   #running = 0;
 
   #server: Server | undefined;
@@ -99,9 +110,10 @@
     this.headers.push(request.headers);
     const body = await buffer(request);
     if (request.headers['target-instance'] !== this.id) {
-      response.writeHead(421, { 'instance-id': this.id }).end();
+      response.writeHead(421, { 'instance-id': this.id, 'request-id': requestId }).end();
       return;
     }
+    if (this.#repeatsRejection(request.socket, requestId)) return;
     if (this.fault === BackendFault.shed) {
       response.writeHead(503, { 'not-executed': '1', 'request-id': requestId }).end();
       return;
@@ -113,6 +125,19 @@
     this.#answer(requestId, body, response);
   }
 
+  /** Rejects the first request of a connection; for later ones only writes that rejection again. */
+  #repeatsRejection(socket: Socket, requestId: string): boolean {
+    const status = repeatedRejectionStatuses[this.fault];
+    if (status === undefined) return false;
+    const earlier = this.#rejections.get(socket);
+    const rejection =
+      earlier ??
+      `HTTP/1.1 ${status}\r\nRequest-Id: ${requestId}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n`;
+    this.#rejections.set(socket, rejection);
+    socket.write(rejection);
+    return earlier === undefined;
+  }
+
   #answer(requestId: string, body: Buffer, response: ServerResponse): void {
     const text = `answer to ${requestId} ${body.toString('utf8')}`;
     const headers: Record<string, string> = {
