A planned stop refuses new requests before it waits for the open ones

Cause: with a moment without requests between 2.2 s and 45% of the grace time the stop ended its background tasks, for up to a second, while callers were still accepted as usual; the exit then cut these requests off. Answers that were still on their way to a peer were not waited for. Change: the node stops accepting first, then waits until no request of a caller or a peer is open, and closing a peer connection waits until what was sent has been taken, for 500 ms at most. Result: "guards against requests that are accepted while the process ends" fails on the former sources (the other two cases of plannedStop.test do not end there) and passes now.

--- a/packages/host-node/src/HostNode.ts
+++ b/packages/host-node/src/HostNode.ts
@@ -133,13 +133,18 @@
     logger.info('node-stopping', 'the node stops when its open requests are answered', {
       open: callers.open,
     });
-    while (clock.now() - startedAt < limit) {
-      const elapsed = clock.now() - startedAt;
-      const haveCallersLeft = elapsed > readinessPropagationMilliseconds;
-      if (elapsed > limit * acceptingShare) callers.stopAccepting();
-      if (haveCallersLeft && callers.open === 0 && this.#isBackendServerIdle()) break;
-      await clock.sleep(shutdownPollMilliseconds);
-    }
+    const waitUntil = async (isReached: (elapsed: number) => boolean) => {
+      do await clock.sleep(shutdownPollMilliseconds);
+      while (!isReached(clock.now() - startedAt));
+    };
+    await waitUntil(
+      (elapsed) =>
+        elapsed > limit * acceptingShare ||
+        (elapsed > readinessPropagationMilliseconds && this.#isIdle()),
+    );
+    // From here on a request is refused at once, and none starts that the exit would cut off.
+    callers.stopAccepting();
+    await waitUntil((elapsed) => elapsed > limit || this.#isIdle());
     logger.info('node-stopped', 'the node has stopped', {
       open: callers.open,
       milliseconds: Math.round(clock.now() - startedAt),
@@ -148,8 +153,11 @@
     for (const disposable of this.#components.disposables) await disposable[Symbol.asyncDispose]();
   }
 
-  #isBackendServerIdle(): boolean {
-    const load = this.#components.backendServers.load();
-    return load === undefined || load.inFlight + load.queued === 0;
+  /** Whether no request of a caller or a peer is open, and the backend server runs none. */
+  #isIdle(): boolean {
+    const { backendServers, callers, pool } = this.#components;
+    const load = backendServers.load();
+    const isBackendServerIdle = load === undefined || load.inFlight + load.queued === 0;
+    return callers.open === 0 && pool.runningRequests === 0 && isBackendServerIdle;
   }
 }
--- /dev/null
+++ b/packages/host-node/src/__tests__/plannedStop.test.ts
@@ -0,0 +1,69 @@
+import { silentLogger } from '@hickorybridge/logger';
+import { systemClock } from '@hickorybridge/utils';
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import { HostNode, type HostNodeComponents } from '../HostNode.js';
+
+/** Starts the shutdown of a node with stub components and a clock that runs 100 times faster. */
+function stopNode() {
+  const events: string[] = [];
+  const state = { openRequests: 0, peerRequests: 0 };
+  const speed = 100;
+  const disposable = (name: string, milliseconds = 0) => ({
+    [Symbol.asyncDispose]: async () => {
+      events.push(`${name} disposed`);
+      await systemClock.sleep(milliseconds / speed);
+    },
+  });
+  const callers = {
+    ...disposable('callers'),
+    get open() {
+      return state.openRequests;
+    },
+    stopAccepting: () => events.push('stopped accepting'),
+  };
+  const pool = {
+    ...disposable('pool'),
+    get runningRequests() {
+      return state.peerRequests;
+    },
+  };
+  const components = {
+    settings: { current: { bounds: { graceMilliseconds: 10_000 } } },
+    backendServers: { current: undefined, load: () => undefined },
+    callers,
+    pool,
+    supervisor: disposable('supervisor', 1000),
+    disposables: [callers, pool],
+    clock: {
+      ...systemClock,
+      now: () => systemClock.now() * speed,
+      sleep: (milliseconds: number) => systemClock.sleep(milliseconds / speed),
+    },
+    logger: silentLogger,
+  } as unknown as HostNodeComponents;
+  return { events, state, stopped: new HostNode(components).stop() };
+}
+
+describe('a planned stop', () => {
+  it('guards against requests that are accepted while the process ends', async () => {
+    const { events, stopped } = stopNode();
+    await stopped;
+    assert.equal(events[0], 'stopped accepting');
+    assert.equal(events[1], 'supervisor disposed');
+  });
+
+  for (const kind of ['openRequests', 'peerRequests'] as const) {
+    it(`guards against ending with ${kind} that came in the last moment`, async () => {
+      const { events, state, stopped } = stopNode();
+      while (!events.includes('stopped accepting')) await systemClock.sleep(1);
+      state[kind] = 1;
+      await systemClock.sleep(20);
+      assert.deepEqual(events, ['stopped accepting']);
+      state[kind] = 0;
+      await stopped;
+      assert.equal(events.includes('supervisor disposed'), true);
+    });
+  }
+});
--- a/packages/peer-protocol/src/FrameSocket.ts
+++ b/packages/peer-protocol/src/FrameSocket.ts
@@ -9,6 +9,9 @@
 export type FrameSocketError =
   MalformedFrame | { readonly type: 'closed'; readonly detail: string };
 
+/** A peer that reads nothing does not hold up the end of this process for longer. */
+const closeTimeoutMilliseconds = 500;
+
 /** Sends and receives frames on one socket. */
 export class FrameSocket {
   readonly #socket: Socket;
@@ -115,10 +118,18 @@
     this.#draining = undefined;
   }
 
-  /** Sends what was written and closes. */
-  end(): void {
-    this.#socket.end();
-    this.#socket.destroySoon();
+  /** Sends what was written and closes; resolves when the socket is closed or time has run out. */
+  async end(): Promise<void> {
+    if (this.closed) return;
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, closeTimeoutMilliseconds);
+      this.#socket.once('close', () => {
+        clearTimeout(timer);
+        resolve();
+      });
+      this.#socket.end();
+      this.#socket.destroySoon();
+    });
   }
 
   destroy(): void {
--- a/packages/peer-protocol/src/PeerConnection.ts
+++ b/packages/peer-protocol/src/PeerConnection.ts
@@ -137,6 +137,11 @@
     return this.#outgoing.size + this.#incoming.size + this.#calls.size;
   }
 
+  /** Requests of the peer whose answers are not sent completely yet. */
+  get runningRequests(): number {
+    return this.#incoming.size;
+  }
+
   /** Reads frames until the connection ends, then ends everything that depended on it. */
   async run(): Promise<string> {
     // The handshake may have been slow, and deadlines would be translated too early.
@@ -251,8 +256,9 @@
     this.send({ type: FrameType.heartbeat, clock: now });
   }
 
+  /** Closes the connection, and waits until the peer has taken what was sent, up to a limit. */
   async [Symbol.asyncDispose](): Promise<void> {
-    this.#options.socket.end();
+    await this.#options.socket.end();
   }
 
   #closeSilent(): void {
--- a/packages/peer-protocol/src/PeerPool.ts
+++ b/packages/peer-protocol/src/PeerPool.ts
@@ -116,6 +116,11 @@
     return [...this.#all].reduce((sum, connection) => sum + connection.droppedFrames, 0);
   }
 
+  /** Requests of peers whose answers are not sent completely yet. */
+  get runningRequests(): number {
+    return [...this.#all].reduce((sum, connection) => sum + connection.runningRequests, 0);
+  }
+
   /** Opens the listener for peers. */
   async listen(address: SocketAddress): Promise<Result<SocketAddress, ListenError>> {
     const server = createServer((socket) => this.#accept(socket));
@@ -226,9 +231,11 @@
     }
     const dialling = this.#dialNode(nodeId, address);
     this.#dialling.set(nodeId, dialling);
-    const result = await dialling;
-    this.#dialling.delete(nodeId);
-    return result;
+    try {
+      return await dialling;
+    } finally {
+      this.#dialling.delete(nodeId);
+    }
   }
 
   /** Dials the address of a node and checks that this very node answers there. */
