Fewer messages and wake-ups for each request and at rest

Profiles of 24 and 48 real nodes: about a third of a request's time is asking six hosts for their load, each connection read through an async iterator, each finished request aborted its signal, and a node at rest checked its connections and its need of the store five times a second each. Change: three hosts are probed, the most promising by what is known; probes use a timer in place of an abort; frames are read by a listener; connections with 7 and 2 hosts of a service in place of 9 and 4, with others in the place of unreachable ones; idle heartbeats each 10 s; checks only when a connection is lost or the hosts change, otherwise each 2 s; a node that does not follow the store sleeps until it may have to.

--- a/packages/coordination/src/simulation/SimulatedClock.ts
+++ b/packages/coordination/src/simulation/SimulatedClock.ts
@@ -1,5 +1,5 @@
 import { setImmediate as nextEventLoopTurn } from 'node:timers/promises';
-import type { Clock } from '@hickorybridge/utils';
+import type { TimerClock } from '@hickorybridge/utils';
 
 interface Timer {
   readonly dueAt: number;
@@ -11,7 +11,7 @@
 const initialWallTimeMilliseconds = 1_767_225_600_000;
 
 /** A clock that advances only on request, so that a test of hours takes seconds. */
-export class SimulatedClock implements Clock {
+export class SimulatedClock implements TimerClock {
   /** Binary min-heap, ordered by due time and then by creation. */
   readonly #heap: Timer[] = [];
 
@@ -39,7 +39,6 @@
     });
   }
 
-  /** Schedules a callback and returns a function that cancels it. */
   schedule(milliseconds: number, callback: () => void): () => void {
     const dueAt = this.#now + Math.max(0, milliseconds);
     const timer: Timer = { dueAt, order: this.#order, callback };
--- a/packages/host-node/src/__tests__/HostChoice.test.ts
+++ b/packages/host-node/src/__tests__/HostChoice.test.ts
@@ -107,4 +107,17 @@
     });
     assert.equal(chosen, 'older');
   });
+
+  it('large subset: guards against probes of more hosts than improve the choice', async () => {
+    const entries = ['a', 'b', 'c', 'd', 'e', 'f'].map((name) => createEntry(name, 'r'));
+    const probed: string[] = [];
+    const chosen = await chooseAmong(entries, (nodeId, choice) => {
+      probed.push(nodeId);
+      const inFlight = nodeId === probed[2] ? 0 : 9;
+      choice.loadOf(nodeId).recordReport({ ...fullLoad, inFlight, queued: 0 }, systemClock.now());
+      return true;
+    });
+    assert.equal(probed.length, 3);
+    assert.equal(chosen, probed[2]);
+  });
 });
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -118,7 +118,10 @@
       return;
     }
     const cancellation = new AbortController();
-    response.once('close', () => cancellation.abort());
+    response.once('close', () => {
+      // Most responses are complete, and an abort is expensive.
+      if (!response.writableFinished) cancellation.abort();
+    });
     const body = await readBody(request, {
       maxBytes: found.limits.maxBodyBytes,
       maxBufferedBytes: maxWholeBodyBytes,
--- a/packages/host-node/src/callers/sendOutcome.ts
+++ b/packages/host-node/src/callers/sendOutcome.ts
@@ -72,6 +72,10 @@
   }
   response.writeHead(head.status, [...head.headers]);
   // An answer whose body stream failed must not look complete to the caller.
+  if (body.stream.errored !== null) {
+    abortAnswer(response);
+    return;
+  }
   body.stream.once('error', () => abortAnswer(response));
   response.once('close', () => discardBody(body));
   body.stream.pipe(response);
--- a/packages/host-node/src/control/PeerConnectionManager.ts
+++ b/packages/host-node/src/control/PeerConnectionManager.ts
@@ -17,13 +17,20 @@
   readonly logger: Logger;
 }
 
-/** Mean interval between two checks for missing connections. */
+/** Shortest mean interval between two checks. */
 const checkIntervalMilliseconds = 200;
+/** Longest one; a lost connection and a change of the hosts end it. */
+const restIntervalMilliseconds = 2000;
+const maxWakeDelayMilliseconds = 200;
 const initialRetryDelayMilliseconds = 300;
 /** Retry interval for a host that is lost for good, until its entry is removed. */
 const maxRetryDelayMilliseconds = 4000;
+/** After this many failed attempts, another host takes the place of an unreachable one. */
+const replacedAfterFailures = 2;
 
 interface RetryState {
+  failures: number;
+  isOpening: boolean;
   delayMilliseconds: number;
   retryAt: number;
 }
@@ -37,28 +44,69 @@
 
   readonly #retries = new Map<string, RetryState>();
 
+  #wake = new AbortController();
+
   constructor(options: PeerConnectionManagerOptions) {
     this.#options = options;
   }
 
+  /** Checks the connections soon, because one was lost or the hosts have changed. */
+  wake(): void {
+    this.#wake.abort();
+  }
+
   async run(signal: AbortSignal): Promise<void> {
     const { clock, random } = this.#options;
+    signal.addEventListener('abort', () => this.wake(), { once: true });
     while (!signal.aborted) {
-      for (const entry of this.#selectPeers()) this.#ensureConnected(entry);
-      await clock.sleep(checkIntervalMilliseconds * (0.5 + random.next()), signal);
+      const peers = this.#selectPeers();
+      for (const entry of peers) this.#ensureConnected(entry);
+      this.#forgetUnlisted();
+      await clock.sleep(this.#untilNextCheck(peers), this.#wake.signal);
+      if (!this.#wake.signal.aborted) continue;
+      this.#wake = new AbortController();
+      // Nodes that lose the same peer do not connect to its substitute all at once.
+      await clock.sleep(maxWakeDelayMilliseconds * random.next(), signal);
     }
   }
 
+  /** Time until a missing connection is tried again, or until all are checked again. */
+  #untilNextCheck(peers: readonly HostEntry[]): number {
+    const { clock, pool, random } = this.#options;
+    const missing = peers.filter(({ nodeId }) => !pool.isConnected(nodeId));
+    const retryTimes = missing.map(({ nodeId }) => this.#retries.get(nodeId)?.retryAt ?? 0);
+    const untilRetry = Math.min(...retryTimes, Infinity) - clock.now();
+    const interval = Math.min(restIntervalMilliseconds, untilRetry);
+    return Math.max(checkIntervalMilliseconds, interval) * (0.5 + random.next());
+  }
+
+  #forgetUnlisted(): void {
+    for (const nodeId of this.#retries.keys()) {
+      if (this.#options.directory.entry(nodeId) === undefined) this.#retries.delete(nodeId);
+    }
+  }
+
+  /** Selects the hosts of the subset, with others in the place of those that are unreachable. */
   #selectPeers(): HostEntry[] {
     const { directory, nodeId, subset, watchers } = this.#options;
     const isUsable = (entry: HostEntry) => entry.nodeId !== nodeId && !entry.leaving;
-    const hosts = directory
-      .services()
-      .flatMap((service) =>
-        subset.select(service, directory.ofService(service), connectionSubsetSizes, isUsable),
-      );
+    const isPromising = (entry: HostEntry) =>
+      isUsable(entry) && (this.#retries.get(entry.nodeId)?.failures ?? 0) < replacedAfterFailures;
+    const selectEach = (isEligible: (entry: HostEntry) => boolean) =>
+      directory
+        .services()
+        .flatMap((service) =>
+          subset.select(service, directory.ofService(service), connectionSubsetSizes, isEligible),
+        );
     const watcherEntries = watchers.others().map((watcher) => directory.entry(watcher));
-    return [...new Set([...hosts, ...watcherEntries.filter((entry) => entry !== undefined)])];
+    return [
+      ...new Set([
+        ...selectEach(isPromising),
+        // These are still tried now and then, because they may come back.
+        ...selectEach(isUsable),
+        ...watcherEntries.filter((entry) => entry !== undefined),
+      ]),
+    ];
   }
 
   async #ensureConnected({ nodeId }: HostEntry): Promise<void> {
@@ -68,20 +116,23 @@
       return;
     }
     const retry = this.#retries.get(nodeId) ?? {
+      failures: 0,
+      isOpening: false,
       delayMilliseconds: initialRetryDelayMilliseconds,
       retryAt: 0,
     };
-    if (clock.now() < retry.retryAt) return;
-    this.#retries.set(nodeId, {
-      delayMilliseconds: Math.min(maxRetryDelayMilliseconds, retry.delayMilliseconds * 2),
-      retryAt: clock.now() + retry.delayMilliseconds,
-    });
+    if (retry.isOpening || clock.now() < retry.retryAt) return;
+    retry.isOpening = true;
+    retry.retryAt = clock.now() + retry.delayMilliseconds;
+    retry.delayMilliseconds = Math.min(maxRetryDelayMilliseconds, retry.delayMilliseconds * 2);
+    this.#retries.set(nodeId, retry);
     const opened = await pool.open(nodeId);
-    if (!opened.ok) {
-      logger.warn('peer-unreachable', 'cannot connect to the node of a host; retrying', {
-        host: nodeId,
-        detail: opened.error.type === 'timeout' ? 'timeout' : opened.error.detail,
-      });
-    }
+    retry.isOpening = false;
+    if (opened.ok) return;
+    retry.failures += 1;
+    logger.warn('peer-unreachable', 'cannot connect to the node of a host; retrying', {
+      host: nodeId,
+      detail: opened.error.type === 'timeout' ? 'timeout' : opened.error.detail,
+    });
   }
 }
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -15,7 +15,12 @@
 } from '@hickorybridge/peer-protocol';
 import { configurationPrefix, ObjectStore, readinessPath } from '@hickorybridge/platform';
 import { HostSelector, HostSubset, RouteWorkEstimator } from '@hickorybridge/routing';
-import { HostSpeedModel, Supervisor, type Clock, type RandomSource } from '@hickorybridge/utils';
+import {
+  HostSpeedModel,
+  Supervisor,
+  type RandomSource,
+  type TimerClock,
+} from '@hickorybridge/utils';
 
 import { BackendServerRegistry } from './backend/BackendServerRegistry.js';
 import { CallersListener } from './callers/CallersListener.js';
@@ -36,7 +41,7 @@
 /** The settings and the environment of a node. */
 export interface CreateHostNodeOptions {
   readonly settings: SettingsSource;
-  readonly clock: Clock;
+  readonly clock: TimerClock;
   readonly random: RandomSource;
   readonly logger: Logger;
 }
@@ -63,7 +68,7 @@
 // A request to a host that has become unreachable must be retried within its target latency.
 const liveness: PeerLiveness = {
   heartbeatWhenWaitingMilliseconds: 250,
-  heartbeatWhenIdleMilliseconds: 5000,
+  heartbeatWhenIdleMilliseconds: 10_000,
   silenceLimitMilliseconds: 700,
   tickMilliseconds: 100,
 };
@@ -86,6 +91,7 @@
   let exchange: DocumentExchange;
   let configurationFollower: StoreFollower;
   let configurationCheck: StoreFollower;
+  let connectionManager: PeerConnectionManager;
   const backendServers = new BackendServerRegistry({
     isLocalReport: ({ address, service }) => {
       const { backendServerAddress, service: ownService } = settings.current;
@@ -123,6 +129,7 @@
       choice.loadOf(peer).recordReport(report, clock.now());
       loadProber.handleReport(peer);
     },
+    onLost: () => connectionManager.wake(),
     clock,
     logger,
   });
@@ -215,6 +222,7 @@
   });
   directory.onChange(() => {
     choice.removeUnlistedHosts();
+    connectionManager.wake();
     const { entry, version } = directory.stored(nodeId);
     registration.seen(entry, version);
   });
@@ -223,6 +231,7 @@
     (maxExchangeAgeShare + maxExchangeAgeJitterShare * random.next());
   const mustFollowStore = () =>
     watchers.includesSelf || exchange.ageMilliseconds > maxExchangeAgeMilliseconds;
+  const untilMustFollowStore = () => maxExchangeAgeMilliseconds - exchange.ageMilliseconds;
   const createFollower = (prefix: string, follower: StoreFollowerVariant) =>
     new StoreFollower({ store, prefix, ...follower, clock, random: random.fork(), logger });
   configurationFollower = createFollower(configurationPrefix, {
@@ -230,6 +239,7 @@
     waitMilliseconds: configurationWaitMilliseconds,
     pauseMilliseconds: configurationPauseMilliseconds,
     isNeeded: mustFollowStore,
+    untilNeededMilliseconds: untilMustFollowStore,
     onChange: (result, silentMilliseconds) =>
       configurationReceiver.receiveFromStore(result, {
         source: ConfigurationSource.watch,
@@ -241,6 +251,7 @@
     waitMilliseconds: configurationCheckWaitMilliseconds,
     pauseMilliseconds: configurationPauseMilliseconds,
     isNeeded: () => mustFollowStore() && configurationFollower.isFollowing,
+    untilNeededMilliseconds: untilMustFollowStore,
     onChange: (result, silentMilliseconds) =>
       configurationReceiver.receiveFromStore(result, {
         source: ConfigurationSource.check,
@@ -253,7 +264,7 @@
     pauseMilliseconds: hostsPauseMilliseconds,
     onChange: (result) => directory.apply(result),
   });
-  const connectionManager = new PeerConnectionManager({
+  connectionManager = new PeerConnectionManager({
     nodeId,
     directory,
     subset,
@@ -313,7 +324,12 @@
 
 type StoreFollowerVariant = Pick<
   ConstructorParameters<typeof StoreFollower>[0],
-  'isNeeded' | 'mayBeStale' | 'waitMilliseconds' | 'pauseMilliseconds' | 'onChange'
+  | 'isNeeded'
+  | 'untilNeededMilliseconds'
+  | 'mayBeStale'
+  | 'waitMilliseconds'
+  | 'pauseMilliseconds'
+  | 'onChange'
 >;
 
 async function refuseAsLeaving(): Promise<ExecutionOutcome> {
--- a/packages/host-node/src/routing/HostChoice.ts
+++ b/packages/host-node/src/routing/HostChoice.ts
@@ -48,6 +48,12 @@
   [Distance.otherRegion]: 80,
 };
 
+/**
+ * Hosts whose load is probed for one request. The best of three is nearly as good as the best of
+ * all, and each probe wakes two processes.
+ */
+const maxProbedHosts = 3;
+
 /** Chooses hosts for requests and tracks the known load of each host. */
 export class HostChoice {
   readonly #options: HostChoiceOptions;
@@ -80,10 +86,7 @@
   ): Promise<HostCandidate | undefined> {
     const { clock, loadProber, selector } = this.#options;
     const startedAt = clock.now();
-    const candidatesToProbe = selectHostsToProbe(
-      this.#usableCandidates(request, excluded),
-      this.#hostRequest(request),
-    );
+    const candidatesToProbe = this.#selectHostsToProbe(request, excluded);
     const probed = await loadProber.probe(candidatesToProbe.map(({ entry }) => entry.nodeId));
     const hostRequest = this.#hostRequest(request);
     const usable = this.#usableCandidates(request, excluded);
@@ -108,6 +111,14 @@
     return wait === 0 ? candidate : undefined;
   }
 
+  /** Selects the most promising of the hosts whose load is worth a probe. */
+  #selectHostsToProbe(request: CallerRequest, excluded: ReadonlySet<string>): HostCandidate[] {
+    const hostRequest = this.#hostRequest(request);
+    const worthProbing = selectHostsToProbe(this.#usableCandidates(request, excluded), hostRequest);
+    if (worthProbing.length <= maxProbedHosts) return worthProbing;
+    return this.#options.selector.rank(worthProbing, hostRequest).slice(0, maxProbedHosts);
+  }
+
   #hostRequest({ depth, route, usefulUntil }: CallerRequest): HostRequest {
     const { clock, routeWorkEstimator, speed } = this.#options;
     const workMilliseconds = routeWorkEstimator.expectedWork(route.name, route.targetMilliseconds);
--- a/packages/host-node/src/routing/LoadProber.ts
+++ b/packages/host-node/src/routing/LoadProber.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@hickorybridge/utils';
+import type { TimerClock } from '@hickorybridge/utils';
 
 export interface LoadProberOptions {
   /**
@@ -6,7 +6,7 @@
    * the node would not answer.
    */
   readonly requestLoad: (nodeId: string) => boolean;
-  readonly clock: Clock;
+  readonly clock: TimerClock;
 }
 
 /**
@@ -17,8 +17,8 @@
 
 interface PendingProbe {
   readonly sentAt: number;
-  readonly answered: Promise<void>;
-  readonly settle: () => void;
+  /** Called when the host answers. */
+  readonly listeners: (() => void)[];
 }
 
 /** Asks hosts for their load just before a request is routed. */
@@ -36,18 +36,13 @@
    * that were asked; the others use an older version of the protocol.
    */
   async probe(nodeIds: readonly string[]): Promise<ReadonlySet<string>> {
-    const answers = new Map<string, Promise<void>>();
+    const probes = new Map<string, PendingProbe>();
     for (const nodeId of nodeIds) {
-      const answer = this.#probeHost(nodeId);
-      if (answer !== undefined) answers.set(nodeId, answer);
+      const probe = this.#probeHost(nodeId);
+      if (probe !== undefined) probes.set(nodeId, probe);
     }
-    const probed = new Set(answers.keys());
-    if (probed.size === 0) return probed;
-    const done = new AbortController();
-    const timeout = this.#options.clock.sleep(probeTimeoutMilliseconds, done.signal);
-    await Promise.race([Promise.all(answers.values()), timeout]);
-    done.abort();
-    return probed;
+    if (probes.size > 0) await this.#waitFor([...probes.values()]);
+    return new Set(probes.keys());
   }
 
   /** Completes the pending probe of a host that has reported its load. */
@@ -55,22 +50,33 @@
     const pending = this.#pending.get(nodeId);
     if (pending === undefined) return;
     this.#pending.delete(nodeId);
-    pending.settle();
+    for (const listener of pending.listeners) listener();
+  }
+
+  #waitFor(probes: readonly PendingProbe[]): Promise<void> {
+    return new Promise((resolve) => {
+      let missing = probes.length;
+      const cancelTimeout = this.#options.clock.schedule(probeTimeoutMilliseconds, resolve);
+      const onAnswer = () => {
+        missing -= 1;
+        if (missing > 0) return;
+        cancelTimeout();
+        resolve();
+      };
+      for (const { listeners } of probes) listeners.push(onAnswer);
+    });
   }
 
   /** Probes one host, or joins a probe that has not timed out yet. */
-  #probeHost(nodeId: string): Promise<void> | undefined {
+  #probeHost(nodeId: string): PendingProbe | undefined {
     const { clock, requestLoad } = this.#options;
     const now = clock.now();
     const known = this.#pending.get(nodeId);
-    if (known !== undefined && now - known.sentAt < probeTimeoutMilliseconds) return known.answered;
-    if (!requestLoad(nodeId)) return undefined;
-    let settle = known?.settle ?? (() => {});
-    let answered = known?.answered;
-    answered ??= new Promise<void>((resolve) => {
-      settle = resolve;
-    });
-    this.#pending.set(nodeId, { sentAt: now, answered, settle });
-    return answered;
+    if (known !== undefined && now - known.sentAt < probeTimeoutMilliseconds) return known;
+    const probe: PendingProbe = { sentAt: now, listeners: [] };
+    this.#pending.set(nodeId, probe);
+    if (requestLoad(nodeId)) return probe;
+    this.#pending.delete(nodeId);
+    return undefined;
   }
 }
--- a/packages/membership/src/StoreFollower.ts
+++ b/packages/membership/src/StoreFollower.ts
@@ -20,14 +20,17 @@
   readonly onChange: (result: WatchResult, silentMilliseconds: number | undefined) => void;
   /** Whether the store has to be followed at this moment; always by default. */
   readonly isNeeded?: () => boolean;
+  /** How long the store surely has not to be followed yet, in milliseconds; 0 by default. */
+  readonly untilNeededMilliseconds?: () => number;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
 }
 
 const firstRetryMilliseconds = 100;
-/** How often a follower that is not needed looks whether it is needed again. */
+/** How often a follower looks whether it is needed, and at least how often one that rests does. */
 const restMilliseconds = 200;
+const longestRestMilliseconds = 1000;
 /** Shortest wait of a watch: after a failure its answer shows that the store is back. */
 const probeWaitMilliseconds = 1;
 // Bounds how long a node learns nothing after the store has come back. Calls that fail are paid
@@ -66,7 +69,7 @@
     while (!signal.aborted) {
       this.#isWatching = this.#options.isNeeded?.() ?? true;
       if (!this.#isWatching) {
-        await clock.sleep(restMilliseconds, signal);
+        await clock.sleep(this.#restMilliseconds(), signal);
         continue;
       }
       const wait = this.#failures > 0 ? probeWaitMilliseconds : this.#options.waitMilliseconds;
@@ -88,6 +91,11 @@
     }
   }
 
+  #restMilliseconds(): number {
+    const untilNeeded = this.#options.untilNeededMilliseconds?.() ?? 0;
+    return Math.min(longestRestMilliseconds, Math.max(restMilliseconds, untilNeeded));
+  }
+
   /** Starts a call that is cancelled when the store has not to be followed any more. */
   #startCall(signal: AbortSignal): { readonly signal: AbortSignal; readonly end: () => void } {
     const { isNeeded } = this.#options;
--- a/packages/peer-protocol/src/BodyReceiver.ts
+++ b/packages/peer-protocol/src/BodyReceiver.ts
@@ -34,6 +34,8 @@
     this.#options = options;
     this.#window = options.creditOnFirstRead ? 0 : streamWindowBytes;
     this.#creditPending = options.creditOnFirstRead;
+    // A body that fails before it has a reader must not end the process.
+    this.on('error', () => {});
   }
 
   /** Takes in data from the peer. Returns false when the peer sent more than it was allowed. */
--- a/packages/peer-protocol/src/FrameSocket.ts
+++ b/packages/peer-protocol/src/FrameSocket.ts
@@ -18,7 +18,11 @@
 
   readonly #reader = new FrameReader(maxHandshakeFrameBytes);
 
-  readonly #chunks: AsyncIterator<Buffer>;
+  /** Why no more bytes come; `undefined` while the socket is open. */
+  #closeReason: string | undefined;
+
+  /** Called after bytes have arrived and after the end of the socket. */
+  #onReceive: (() => void) | undefined;
 
   #corked = false;
 
@@ -27,9 +31,14 @@
   constructor(socket: Socket) {
     this.#socket = socket;
     socket.setNoDelay(true);
-    // Errors reach the reading task through the iterator; this keeps a late one from being thrown.
-    socket.on('error', () => {});
-    this.#chunks = socket[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+    // Listeners instead of an iterator, which costs several promises for each chunk.
+    socket.on('data', (chunk: Buffer) => {
+      this.#reader.push(chunk);
+      this.#onReceive?.();
+    });
+    socket.on('error', (error) => this.#handleClose(error.message));
+    socket.once('end', () => this.#handleClose('the peer closed the connection'));
+    socket.once('close', () => this.#handleClose('the connection was closed'));
   }
 
   get remoteAddress(): string {
@@ -73,7 +82,17 @@
     await this.#draining;
   }
 
-  /** Gives the frames that are complete already, without waiting. */
+  /** Why no further bytes come; `undefined` while the socket is open. */
+  get closeReason(): string | undefined {
+    return this.#closeReason;
+  }
+
+  /** Calls the listener after bytes have arrived and after the end of the socket. */
+  onReceive(listener: () => void): void {
+    this.#onReceive = listener;
+  }
+
+  /** Gives the next frame if it is complete already, without waiting. */
   takeBuffered(): Result<Frame | undefined, FrameSocketError> {
     const payload = this.#reader.next();
     if (!payload.ok) return payload;
@@ -87,22 +106,18 @@
       const frame = this.takeBuffered();
       if (!frame.ok) return frame;
       if (frame.value !== undefined) return succeed(frame.value);
-      const more = await this.receive();
-      if (!more.ok) return more;
+      if (this.#closeReason !== undefined)
+        return fail({ type: 'closed', detail: this.#closeReason });
+      await new Promise<void>((resolve) => {
+        this.onReceive(resolve);
+      });
     }
   }
 
-  /** Waits for more bytes of the socket. */
-  async receive(): Promise<Result<undefined, FrameSocketError>> {
-    try {
-      const { done, value } = await this.#chunks.next();
-      if (done === true) return fail({ type: 'closed', detail: 'the peer closed the connection' });
-      this.#reader.push(value);
-      return succeed(undefined);
-    } catch (error) {
-      const detail = error instanceof Error ? error.message : String(error);
-      return fail({ type: 'closed', detail });
-    }
+  #handleClose(reason: string): void {
+    if (this.#closeReason !== undefined) return;
+    this.#closeReason = reason;
+    this.#onReceive?.();
   }
 
   async #waitForDrain(): Promise<void> {
--- a/packages/peer-protocol/src/PeerConnection.ts
+++ b/packages/peer-protocol/src/PeerConnection.ts
@@ -268,17 +268,32 @@
     this.#options.socket.destroy();
   }
 
-  async #readFrames(): Promise<string> {
+  /** Handles frames as they arrive. Resolves with the reason why the connection cannot go on. */
+  #readFrames(): Promise<string> {
+    const { clock, socket } = this.#options;
+    return new Promise((resolve) => {
+      let isEnded = false;
+      const readBuffered = () => {
+        this.#lastReceivedAt = clock.now();
+        if (isEnded) return;
+        const reason = this.#handleBuffered() ?? socket.closeReason;
+        if (reason === undefined) return;
+        isEnded = true;
+        resolve(reason);
+      };
+      // In a microtask, whoever waits for an answer attaches to its stream before that can fail.
+      socket.onReceive(() => queueMicrotask(readBuffered));
+      readBuffered();
+    });
+  }
+
+  /** Handles the complete frames. Returns the reason if the connection cannot go on. */
+  #handleBuffered(): string | undefined {
     const { socket } = this.#options;
     for (;;) {
       const frame = socket.takeBuffered();
       if (!frame.ok) return this.#describeMalformed(frame.error.detail);
-      if (frame.value === undefined) {
-        const more = await socket.receive();
-        if (!more.ok) return more.error.detail;
-        this.#lastReceivedAt = this.#options.clock.now();
-        continue;
-      }
+      if (frame.value === undefined) return undefined;
       const violation = this.#handle(frame.value);
       if (violation !== undefined) return this.#describeMalformed(violation);
     }
--- a/packages/routing/src/HostSelector.ts
+++ b/packages/routing/src/HostSelector.ts
@@ -59,8 +59,7 @@
     let best: HostCandidate | undefined;
     let bestCost = Infinity;
     for (const candidate of candidates) {
-      const jitter = this.#random.next() * maxJitter;
-      const cost = costOf(candidate, request) + jitter;
+      const cost = this.#jitteredCost(candidate, request);
       if (cost < bestCost) {
         best = candidate;
         bestCost = cost;
@@ -68,6 +67,18 @@
     }
     return best;
   }
+
+  /** Returns the candidates ordered by cost, the lowest first. */
+  rank(candidates: readonly HostCandidate[], request: HostRequest): HostCandidate[] {
+    return candidates
+      .map((candidate) => ({ candidate, cost: this.#jitteredCost(candidate, request) }))
+      .sort((first, second) => first.cost - second.cost)
+      .map(({ candidate }) => candidate);
+  }
+
+  #jitteredCost(candidate: HostCandidate, request: HostRequest): number {
+    return costOf(candidate, request) + this.#random.next() * maxJitter;
+  }
 }
 
 function costOf(candidate: HostCandidate, request: HostRequest): number {
--- a/packages/routing/src/HostSubset.ts
+++ b/packages/routing/src/HostSubset.ts
@@ -14,13 +14,13 @@
 export const requestSubsetSizes: SubsetSizes = {
   ownFailureDomain: 3,
   ownRegion: 6,
-  otherRegions: 3,
+  otherRegions: 2,
 };
 /** Hosts that connections are kept to: more than the candidates, as spares for lost hosts. */
 export const connectionSubsetSizes: SubsetSizes = {
-  ownFailureDomain: 4,
-  ownRegion: 9,
-  otherRegions: 4,
+  ownFailureDomain: 3,
+  ownRegion: 7,
+  otherRegions: 2,
 };
 
 interface HostTiers {
--- a/packages/utils/src/clock.ts
+++ b/packages/utils/src/clock.ts
@@ -11,10 +11,20 @@
   sleep(milliseconds: number, signal?: AbortSignal): Promise<void>;
 }
 
+/** A clock with timers that cost less than a sleep that is cancelled. */
+export interface TimerClock extends Clock {
+  /** Schedules a callback and returns a function that cancels it. */
+  schedule(milliseconds: number, callback: () => void): () => void;
+}
+
 /** Clock backed by the timers of Node.js. */
-export const systemClock: Clock = {
+export const systemClock: TimerClock = {
   now: () => performance.now(),
   wallTime: () => Date.now(),
+  schedule: (milliseconds, callback) => {
+    const timer = setTimeout(callback, milliseconds);
+    return () => clearTimeout(timer);
+  },
   sleep: async (milliseconds, signal) => {
     try {
       await sleep(milliseconds, undefined, signal === undefined ? {} : { signal });
