A change of a host costs each node less, and frames of one turn are one write

Change: the subset stops at the hosts it needs and keeps hashes; changes of hosts are read together for 1 s; the whole list is one log line; settings are parsed only when their text differs; frames of one turn of the event loop are joined before they are written.

--- a/packages/host-node/src/control/SettingsFile.ts
+++ b/packages/host-node/src/control/SettingsFile.ts
@@ -1,5 +1,5 @@
 import type { Logger } from '@hickorybridge/logger';
-import { loadSettings } from '@hickorybridge/platform';
+import { parseSettings, readSettings } from '@hickorybridge/platform';
 import type { HostSettings } from '@hickorybridge/types';
 import { isDeepStrictEqual } from 'node:util';
 
@@ -21,6 +21,9 @@
 
   #settings: HostSettings;
 
+  /** Text of the file when it was last parsed; parsing it each time would cost more than reading. */
+  #text: string | undefined;
+
   constructor(path: string, settings: HostSettings, logger: Logger) {
     this.#path = path;
     this.#settings = settings;
@@ -34,7 +37,10 @@
 
   /** Reads the file again. If it is invalid, the current settings stay in use. */
   reload(): void {
-    const loaded = loadSettings(this.#path);
+    const text = readSettings(this.#path);
+    if (text.ok && text.value === this.#text) return;
+    const loaded = text.ok ? parseSettings(text.value, this.#path) : text;
+    this.#text = text.ok ? text.value : undefined;
     if (!loaded.ok) {
       this.#logger.error('settings-invalid', loaded.error.detail);
       return;
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -60,10 +60,12 @@
 const maxExchangeAgeShare = 0.55;
 // Spreads the store calls of nodes in a region that lose all their watchers at the same time.
 const maxExchangeAgeJitterShare = 0.1;
-// The list of hosts may be stale: a new host merely gets its first requests a little later.
+// The list of hosts may be stale: a new host merely gets its first requests a little later, and one
+// that leaves refuses requests itself.
 const hostsWaitMilliseconds = 15_000;
 const configurationPauseMilliseconds = 100;
-const hostsPauseMilliseconds = 250;
+// In a large fleet, a release changes several entries a second, each of which wakes every node.
+const hostsPauseMilliseconds = 1000;
 
 // A request to a host that has become unreachable must be retried within its target latency.
 const liveness: PeerLiveness = {
--- a/packages/membership/src/HostDirectory.ts
+++ b/packages/membership/src/HostDirectory.ts
@@ -47,7 +47,14 @@
       }
     }
     for (const key of result.removed ?? []) this.#remove(key);
-    for (const object of result.changed) this.#update(object);
+    for (const object of result.changed) this.#update(object, result.complete !== true);
+    if (result.complete === true) {
+      this.#logger.info('hosts-read', 'the whole list of hosts was read', {
+        hosts: this.#known.size,
+        unreadable: this.#unreadable.size,
+        revision: result.revision,
+      });
+    }
     this.#byService = groupByService([...this.#known.values()].map(({ entry }) => entry));
     for (const listener of this.#listeners) listener();
   }
@@ -79,7 +86,7 @@
     return this.#byService.get(service) ?? noEntries;
   }
 
-  #update(object: StoredObject): void {
+  #update(object: StoredObject, logsChange: boolean): void {
     const known = this.#known.get(object.key);
     // A copy that lags may list an older version than was read before.
     if (known !== undefined && known.version >= object.version) return;
@@ -96,6 +103,7 @@
     }
     this.#unreadable.delete(object.key);
     this.#known.set(object.key, { entry, version: object.version });
+    if (!logsChange) return;
     this.#logger.info('host-listed', 'a host was added or has changed', {
       host: entry.nodeId,
       service: entry.service,
--- a/packages/peer-protocol/src/FrameSocket.ts
+++ b/packages/peer-protocol/src/FrameSocket.ts
@@ -24,7 +24,8 @@
   /** Called after bytes have arrived and after the end of the socket. */
   #onReceive: (() => void) | undefined;
 
-  #corked = false;
+  /** Frames that were written in this turn of the event loop. */
+  #unsent: Buffer[] = [];
 
   #draining: Promise<void> | undefined;
 
@@ -62,18 +63,20 @@
   /** Writes a frame; frames of one turn of the event loop leave together. Returns its bytes. */
   write(frame: Frame): number {
     const buffer = encodeFrame(frame);
-    if (!this.#corked) {
-      this.#corked = true;
-      this.#socket.cork();
-      process.nextTick(() => {
-        this.#corked = false;
-        this.#socket.uncork();
-      });
-    }
-    this.#socket.write(buffer);
+    this.#unsent.push(buffer);
+    if (this.#unsent.length === 1) process.nextTick(() => this.#flush());
     return buffer.length;
   }
 
+  /** Writes the collected frames at once, which costs less than corking the socket. */
+  #flush(): void {
+    const [first] = this.#unsent;
+    if (first === undefined) return;
+    const data = this.#unsent.length === 1 ? first : Buffer.concat(this.#unsent);
+    this.#unsent = [];
+    if (this.#socket.writable) this.#socket.write(data);
+  }
+
   /** Waits until the socket takes more; returns at once when it is not congested or is closed. */
   async drained(): Promise<void> {
     if (!this.congested || this.closed) return;
@@ -136,6 +139,7 @@
   /** Sends what was written and closes; resolves when the socket is closed or time has run out. */
   async end(): Promise<void> {
     if (this.closed) return;
+    this.#flush();
     await new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, closeTimeoutMilliseconds);
       this.#socket.once('close', () => {
--- a/packages/peer-protocol/src/PeerConnection.ts
+++ b/packages/peer-protocol/src/PeerConnection.ts
@@ -282,7 +282,10 @@
         resolve(reason);
       };
       // In a microtask, whoever waits for an answer attaches to its stream before that can fail.
-      socket.onReceive(() => queueMicrotask(readBuffered));
+      const started = Promise.resolve();
+      socket.onReceive(() => {
+        started.then(readBuffered);
+      });
       readBuffered();
     });
   }
--- a/packages/peer-protocol/src/frameCodec.ts
+++ b/packages/peer-protocol/src/frameCodec.ts
@@ -31,8 +31,17 @@
   readonly detail: string;
 }
 
-/** Encodes a frame with its length prefix. */
+let loadRequest: Buffer | undefined;
+
+/** Encodes a frame with its length prefix. The buffer must not be changed. */
 export function encodeFrame(frame: Frame): Buffer {
+  if (frame.type !== FrameType.loadRequest) return encode(frame);
+  // This frame has no fields and is sent more often than any other.
+  loadRequest ??= encode(frame);
+  return loadRequest;
+}
+
+function encode(frame: Frame): Buffer {
   const payload = encoder.encode(toWire(frame));
   const buffer = Buffer.allocUnsafe(lengthPrefixBytes + payload.length);
   buffer.writeUInt32BE(payload.length, 0);
--- a/packages/routing/src/HostSubset.ts
+++ b/packages/routing/src/HostSubset.ts
@@ -23,6 +23,8 @@
   otherRegions: 2,
 };
 
+const maxCachedHashes = 10_000;
+
 interface HostTiers {
   readonly entries: readonly HostEntry[];
   readonly tiers: Readonly<Record<Distance, readonly HostEntry[]>>;
@@ -43,6 +45,8 @@
 
   readonly #tiersByService = new Map<string, HostTiers>();
 
+  readonly #hashes = new Map<string, number>();
+
   /** `hosts` returns the hosts of all services, which the node's rank is computed from. */
   constructor(nodeId: string, location: Location, hosts: () => readonly HostEntry[]) {
     this.#nodeId = nodeId;
@@ -58,31 +62,21 @@
     isEligible: (entry: HostEntry) => boolean,
   ): HostEntry[] {
     const tiers = this.#tiersOf(service, entries);
-    const own = tiers[Distance.sameFailureDomain].filter(isEligible);
-    const region = tiers[Distance.sameRegion].filter(isEligible);
-    const ownCount = Math.max(sizes.ownFailureDomain, sizes.ownRegion - region.length);
-    const chosen = own.slice(0, ownCount);
-    chosen.push(...region.slice(0, sizes.ownRegion - chosen.length));
-    for (const entry of tiers[Distance.otherRegion]) {
-      if (chosen.length >= sizes.ownRegion + sizes.otherRegions) break;
-      if (isEligible(entry)) chosen.push(entry);
-    }
-    return chosen;
+    const { ownFailureDomain, ownRegion, otherRegions } = sizes;
+    const region = firstEligible(tiers[Distance.sameRegion], ownRegion, isEligible);
+    const ownCount = Math.max(ownFailureDomain, ownRegion - region.length);
+    const own = firstEligible(tiers[Distance.sameFailureDomain], ownCount, isEligible);
+    const near = [...own, ...region.slice(0, Math.max(0, ownRegion - own.length))];
+    const farCount = ownRegion + otherRegions - near.length;
+    return [...near, ...firstEligible(tiers[Distance.otherRegion], farCount, isEligible)];
   }
 
   #tiersOf(service: string, entries: readonly HostEntry[]): HostTiers['tiers'] {
     const known = this.#tiersByService.get(service);
     if (known?.entries === entries) return known.tiers;
-    const nearHosts = this.#hosts().filter(
-      ({ location }) => distanceBetween(this.#location, location) !== Distance.otherRegion,
-    );
-    const position = this.#ringPosition(nearHosts);
-    const positionInDomain = this.#ringPosition(
-      nearHosts.filter(
-        ({ location }) => distanceBetween(this.#location, location) === Distance.sameFailureDomain,
-      ),
-    );
-    const ring = inRingOrder(entries);
+    const position = this.#ringPosition(Distance.sameRegion);
+    const positionInDomain = this.#ringPosition(Distance.sameFailureDomain);
+    const ring = this.#inRingOrder(entries);
     const atDistance = (distance: Distance) =>
       ring.filter(({ location }) => distanceBetween(this.#location, location) === distance);
     const tiers: HostTiers['tiers'] = {
@@ -97,19 +91,51 @@
     return tiers;
   }
 
-  /** Returns this node's position on the ring of the given hosts, from 0 to below 1. */
-  #ringPosition(hosts: readonly HostEntry[]): number {
-    const rank = inRingOrder(hosts).findIndex(({ nodeId }) => nodeId === this.#nodeId);
+  /**
+   * Returns this node's position on the ring of the hosts within a distance, from 0 to below 1: the
+   * share of them whose hash is lower.
+   */
+  #ringPosition(distance: typeof Distance.sameFailureDomain | typeof Distance.sameRegion): number {
+    const hosts = this.#hosts().filter(({ location }) => {
+      const other = distanceBetween(this.#location, location);
+      return other === Distance.sameFailureDomain || other === distance;
+    });
+    const ownHash = this.#hashOf(this.#nodeId);
     // A node that is not listed yet uses the hash of its ID.
-    return rank === -1 ? hashString(this.#nodeId) / 2 ** 32 : rank / hosts.length;
+    if (!hosts.some(({ nodeId }) => nodeId === this.#nodeId)) return ownHash / 2 ** 32;
+    const rank = hosts.filter(({ nodeId }) => this.#hashOf(nodeId) < ownHash).length;
+    return rank / hosts.length;
+  }
+
+  #inRingOrder(hosts: readonly HostEntry[]): HostEntry[] {
+    return hosts.toSorted(
+      (first, second) => this.#hashOf(first.nodeId) - this.#hashOf(second.nodeId),
+    );
+  }
+
+  #hashOf(nodeId: string): number {
+    const known = this.#hashes.get(nodeId);
+    if (known !== undefined) return known;
+    const hash = hashString(nodeId);
+    // Hosts come and go for as long as the process runs.
+    if (this.#hashes.size >= maxCachedHashes) this.#hashes.clear();
+    this.#hashes.set(nodeId, hash);
+    return hash;
   }
 }
 
-function inRingOrder(hosts: readonly HostEntry[]): HostEntry[] {
-  return hosts
-    .map((host) => ({ host, hash: hashString(host.nodeId) }))
-    .sort((first, second) => first.hash - second.hash)
-    .map(({ host }) => host);
+/** Takes the first eligible hosts; it stops there, so that its cost does not grow with the fleet. */
+function firstEligible(
+  hosts: readonly HostEntry[],
+  count: number,
+  isEligible: (entry: HostEntry) => boolean,
+): HostEntry[] {
+  const eligible: HostEntry[] = [];
+  for (const host of hosts) {
+    if (eligible.length >= count) break;
+    if (isEligible(host)) eligible.push(host);
+  }
+  return eligible;
 }
 
 function rotateRing(ring: readonly HostEntry[], position: number): HostEntry[] {
