The end of a planned stop is bounded by the grace time

Change: releasing the components is given what is left of the grace time, less 100 ms. Result: plannedStop.test has a case for it.

--- a/packages/host-node/src/HostNode.ts
+++ b/packages/host-node/src/HostNode.ts
@@ -34,6 +34,7 @@
 const readinessPropagationMilliseconds = 2200;
 // Part of the grace period that is reserved for sending responses before the process is killed.
 const shutdownMarginMilliseconds = 300;
+const exitMarginMilliseconds = 100;
 // Share of the grace period in which new requests are accepted. The rest is for running requests.
 const acceptingShare = 0.45;
 const shutdownPollMilliseconds = 20;
@@ -129,7 +130,8 @@
     // The backend server was shut down before the node, so the host leaves the directory at once.
     if (backendServers.current?.leaving === true) registration.set(undefined);
     const startedAt = clock.now();
-    const limit = settings.current.bounds.graceMilliseconds - shutdownMarginMilliseconds;
+    const { graceMilliseconds } = settings.current.bounds;
+    const limit = graceMilliseconds - shutdownMarginMilliseconds;
     logger.info('node-stopping', 'the node stops when its open requests are answered', {
       open: callers.open,
     });
@@ -149,8 +151,15 @@
       open: callers.open,
       milliseconds: Math.round(clock.now() - startedAt),
     });
-    await supervisor[Symbol.asyncDispose]();
-    for (const disposable of this.#components.disposables) await disposable[Symbol.asyncDispose]();
+    const release = async () => {
+      await supervisor[Symbol.asyncDispose]();
+      for (const disposable of this.#components.disposables) {
+        await disposable[Symbol.asyncDispose]();
+      }
+    };
+    // A task or a peer that does not react must not delay the exit until the process is killed.
+    const remaining = graceMilliseconds - exitMarginMilliseconds - (clock.now() - startedAt);
+    await Promise.race([release(), clock.sleep(remaining)]);
   }
 
   /** Whether no request of a caller or a peer is open, and the backend server runs none. */
--- a/packages/host-node/src/__tests__/plannedStop.test.ts
+++ b/packages/host-node/src/__tests__/plannedStop.test.ts
@@ -5,11 +5,14 @@
 
 import { HostNode, type HostNodeComponents } from '../HostNode.js';
 
+const speed = 100;
+/** One tenth of a second of real time, for the delays of timers. */
+const toleranceMilliseconds = 10_000;
+
 /** Starts the shutdown of a node with stub components and a clock that runs 100 times faster. */
-function stopNode() {
+function stopNode({ supervisorMilliseconds = 1000 } = {}) {
   const events: string[] = [];
   const state = { openRequests: 0, peerRequests: 0 };
-  const speed = 100;
   const disposable = (name: string, milliseconds = 0) => ({
     [Symbol.asyncDispose]: async () => {
       events.push(`${name} disposed`);
@@ -34,7 +37,7 @@
     backendServers: { current: undefined, load: () => undefined },
     callers,
     pool,
-    supervisor: disposable('supervisor', 1000),
+    supervisor: disposable('supervisor', supervisorMilliseconds),
     disposables: [callers, pool],
     clock: {
       ...systemClock,
@@ -66,4 +69,12 @@
       assert.equal(events.includes('supervisor disposed'), true);
     });
   }
+
+  it('guards against a task that does not end and delays the exit beyond the grace time', async () => {
+    const startedAt = systemClock.now();
+    const { state, stopped } = stopNode({ supervisorMilliseconds: 60_000 });
+    state.openRequests = 1;
+    await stopped;
+    assert.ok((systemClock.now() - startedAt) * speed < 10_000 + toleranceMilliseconds);
+  });
 });
