--- a/packages/coordination/src/DocumentExchange.ts
+++ b/packages/coordination/src/DocumentExchange.ts
@@ -69,7 +69,7 @@
 
   #compressed: { readonly version: number; readonly data: Buffer } | undefined;
 
-  /** Latest time at which a peer confirmed that the local version is the newest. */
+  /** Latest time at which a peer or the source confirmed that the local version is the newest. */
   #confirmedAt = -Infinity;
 
   /** Newest version that `onDocument` rejected; it is not fetched again. */
@@ -90,8 +90,8 @@
   }
 
   /**
-   * Time since a peer last confirmed that the local version is the newest; infinite before the
-   * first confirmation. Updates received directly from the source do not count.
+   * Time since a peer or the source last confirmed that the local version is the newest; infinite
+   * before the first confirmation.
    */
   get ageMilliseconds(): number {
     return this.#options.clock.now() - this.#confirmedAt;
@@ -104,6 +104,11 @@
     this.#announce();
   }
 
+  /** Records that the local version was the newest one in the source at the given time. */
+  confirm(at: number): void {
+    this.#confirmedAt = Math.max(this.#confirmedAt, at);
+  }
+
   /** Polls peers until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { pollIntervalMilliseconds, choosePollPeers, clock } = this.#options;
@@ -130,7 +135,7 @@
     if (!reply.ok) return;
     const { ageMilliseconds, version } = parseDocumentState(reply.value);
     if (version === this.version && version > 0 && ageMilliseconds !== undefined) {
-      this.#confirmedAt = Math.max(this.#confirmedAt, polledAt - ageMilliseconds);
+      this.confirm(polledAt - ageMilliseconds);
     }
     await this.#fetchIfNewer(peer, version);
   }
--- a/packages/host-node/src/__tests__/configuration.test.ts
+++ b/packages/host-node/src/__tests__/configuration.test.ts
@@ -56,4 +56,15 @@
     );
     assert.equal(lowest.at(-1), 6);
   });
+
+  it('growing fleet: guards against a store call of each node that only few nodes need to make', async (t) => {
+    const names = ['one', 'two', 'three', 'four', 'five', 'six', 'seven', 'eight'];
+    const { members, store } = await startFleet(t, names);
+    await sleep(1500);
+    const before = store.currentWatches;
+    await sleep(3000);
+    // Three nodes follow the store; their watches wait for longer than this test.
+    assert.ok(before <= 5, `${before} watches after the start of ${members.length} nodes`);
+    assert.equal(store.currentWatches, before);
+  });
 });
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -242,11 +242,14 @@
     pauseMilliseconds: configurationPauseMilliseconds,
     isNeeded: mustFollowStore,
     untilNeededMilliseconds: untilMustFollowStore,
-    onChange: (result, silentMilliseconds) =>
+    onChange: (result, { calledAt, silentMilliseconds }) => {
       configurationReceiver.receiveFromStore(result, {
         source: ConfigurationSource.watch,
         silentMilliseconds,
-      }),
+      });
+      // A node that has read the store needs no watch until peers should have confirmed its copy.
+      if (router.configuration !== undefined) exchange.confirm(calledAt);
+    },
   });
   configurationCheck = createFollower(configurationPrefix, {
     mayBeStale: true,
@@ -254,7 +257,7 @@
     pauseMilliseconds: configurationPauseMilliseconds,
     isNeeded: () => mustFollowStore() && configurationFollower.isFollowing,
     untilNeededMilliseconds: untilMustFollowStore,
-    onChange: (result, silentMilliseconds) =>
+    onChange: (result, { silentMilliseconds }) =>
       configurationReceiver.receiveFromStore(result, {
         source: ConfigurationSource.check,
         silentMilliseconds,
--- a/packages/membership/src/StoreFollower.ts
+++ b/packages/membership/src/StoreFollower.ts
@@ -2,6 +2,14 @@
 import type { RemovingStore, WatchResult } from '@hickorybridge/store';
 import type { Clock, RandomSource } from '@hickorybridge/utils';
 
+/** When an answer of the store was read. */
+export interface StoreAnswer {
+  /** Time since the answer before, in milliseconds; `undefined` for the first. */
+  readonly silentMilliseconds: number | undefined;
+  /** When the call was sent, in monotonic milliseconds. The answer is at least as recent. */
+  readonly calledAt: number;
+}
+
 /** What following a part of the store needs. */
 export interface StoreFollowerOptions {
   readonly store: RemovingStore;
@@ -13,11 +21,8 @@
   readonly waitMilliseconds: number;
   /** Pause after a change, so that changes that come together are read together. */
   readonly pauseMilliseconds: number;
-  /**
-   * Is told of each answer, and of the time since the one before, in milliseconds; `undefined` for
-   * the first.
-   */
-  readonly onChange: (result: WatchResult, silentMilliseconds: number | undefined) => void;
+  /** Called with each answer of the store. */
+  readonly onChange: (result: WatchResult, answer: StoreAnswer) => void;
   /** Whether the store has to be followed at this moment; always by default. */
   readonly isNeeded?: () => boolean;
   /** How long the store surely has not to be followed yet, in milliseconds; 0 by default. */
@@ -74,6 +79,7 @@
       }
       const wait = this.#failures > 0 ? probeWaitMilliseconds : this.#options.waitMilliseconds;
       const call = this.#startCall(signal);
+      const calledAt = clock.now();
       const result = await store.watch(prefix, revision, wait, call.signal, mayBeStale);
       call.end();
       if (signal.aborted) return;
@@ -86,7 +92,7 @@
       this.#succeeded();
       // A store that was restored from a copy may count from a lower revision again.
       revision = result.value.revision < revision ? 0 : result.value.revision;
-      this.#options.onChange(result.value, silentMilliseconds);
+      this.#options.onChange(result.value, { silentMilliseconds, calledAt });
       if (result.value.changed.length > 0) await clock.sleep(pauseMilliseconds, signal);
     }
   }
--- a/packages/stand-ins/src/objectStore/StandInObjectStore.ts
+++ b/packages/stand-ins/src/objectStore/StandInObjectStore.ts
@@ -41,6 +41,9 @@
 
   calls = 0;
 
+  /** Watches that needed current data, which cost ten times as much as those that may be stale. */
+  currentWatches = 0;
+
   readonly #objects = new Map<string, PlatformObject>();
 
   #events: Event[] = [];
@@ -143,6 +146,7 @@
     parameters: URLSearchParams,
     response: ServerResponse,
   ): Promise<void> {
+    if (!parameters.has('allow_stale')) this.currentWatches += 1;
     const since = () => this.#events.filter((each) => each.kind === kind && each.rev > revision);
     if (since().length === 0 && revision >= this.#historyFrom) {
       await this.#sleep(Number(parameters.get('wait_ms')));
