Orders wait for a peer that is silent for a moment

Cause: a peer without a reply to a heartbeat for 0.7 s had its connection closed. Non-idempotent requests on it were answered with 502, and the peer cancelled them at its backend server, although it had only been paused or cut off for a moment. Change: a silent connection takes no new requests, and idempotent ones are given up and run elsewhere as before; non-idempotent ones wait until the peer answers again, the deadline, or 10 s. Result: three cases over a relay that is cut; "given up because its peer was silent" fails when connections are closed at the silence limit, as before.

--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -72,6 +72,7 @@
   heartbeatWhenWaitingMilliseconds: 250,
   heartbeatWhenIdleMilliseconds: 10_000,
   silenceLimitMilliseconds: 700,
+  closeAfterMilliseconds: 10_000,
   tickMilliseconds: 100,
 };
 
--- a/packages/peer-protocol/src/OutgoingStream.ts
+++ b/packages/peer-protocol/src/OutgoingStream.ts
@@ -24,6 +24,9 @@
 export class OutgoingStream {
   readonly outcome: Promise<ExecutionOutcome>;
 
+  /** Whether the request may run once more elsewhere. */
+  readonly idempotent: boolean;
+
   readonly #connection: StreamConnection;
 
   readonly #stream: number;
@@ -36,7 +39,8 @@
 
   #body: BodyReceiver | undefined;
 
-  constructor(connection: StreamConnection, stream: number) {
+  constructor(connection: StreamConnection, stream: number, idempotent: boolean) {
+    this.idempotent = idempotent;
     this.#connection = connection;
     this.#stream = stream;
     this.outcome = new Promise((resolve) => {
--- a/packages/peer-protocol/src/PeerConnection.ts
+++ b/packages/peer-protocol/src/PeerConnection.ts
@@ -38,8 +38,16 @@
   /** Silence after which a heartbeat is sent while something waits for the peer. */
   readonly heartbeatWhenWaitingMilliseconds: number;
   readonly heartbeatWhenIdleMilliseconds: number;
-  /** Time without a reply to a heartbeat after which the connection is closed. */
+  /**
+   * Time without a reply to a heartbeat after which the peer counts as silent: the connection takes
+   * no new requests, and idempotent ones are given up, so that they can run elsewhere.
+   */
   readonly silenceLimitMilliseconds: number;
+  /**
+   * Time without a reply after which the connection is closed. Until then non-idempotent requests
+   * wait, because their answers still come if the peer was only paused or cut off for a moment.
+   */
+  readonly closeAfterMilliseconds: number;
   /** How often the connection is looked at. */
   readonly tickMilliseconds: number;
 }
@@ -49,6 +57,7 @@
   heartbeatWhenWaitingMilliseconds: 1000,
   heartbeatWhenIdleMilliseconds: 20_000,
   silenceLimitMilliseconds: 4000,
+  closeAfterMilliseconds: 4000,
   tickMilliseconds: 500,
 };
 
@@ -70,6 +79,8 @@
   readonly localLoad: () => LoadReport | undefined;
   /** Takes the load that the peer reports. */
   readonly onLoad: (report: LoadReport) => void;
+  /** Called when the peer becomes silent. */
+  readonly onSilent: () => void;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -109,6 +120,8 @@
   /** When the oldest heartbeat without a reply was sent. */
   #heartbeatSentAt: number | undefined;
 
+  #silent = false;
+
   constructor(options: PeerConnectionOptions) {
     this.#options = options;
     this.identity = options.introduction.identity;
@@ -132,6 +145,11 @@
     return this.#options.socket.closed;
   }
 
+  /** Whether the peer has not answered for so long that no new request should be sent to it. */
+  get silent(): boolean {
+    return this.#silent;
+  }
+
   /** Streams and calls that wait for the peer, and requests of the peer that run here. */
   get outstanding(): number {
     return this.#outgoing.size + this.#incoming.size + this.#calls.size;
@@ -163,7 +181,7 @@
     }
     const number = this.#nextStream;
     this.#nextStream += 2;
-    const stream = new OutgoingStream(this, number);
+    const stream = new OutgoingStream(this, number, head.idempotent);
     this.#outgoing.set(number, stream);
     this.send(createOpenFrame(number, head, body));
     if (body.type === 'stream') stream.sendRequestBody(body.stream);
@@ -239,7 +257,8 @@
     this.#lastTickAt = now;
     if (ownPause) this.#heartbeatSentAt = undefined;
     if (this.#heartbeatSentAt !== undefined) {
-      if (now - this.#heartbeatSentAt > liveness.silenceLimitMilliseconds) this.#closeSilent();
+      const silence = now - this.#heartbeatSentAt;
+      if (silence > liveness.silenceLimitMilliseconds) this.#handleSilence(silence);
       return;
     }
     const silence = now - this.#lastReceivedAt;
@@ -261,11 +280,39 @@
     await this.#options.socket.end();
   }
 
-  #closeSilent(): void {
-    this.#options.logger.warn('peer-silent', 'peer does not answer heartbeats; closing', {
+  /** Gives up what can run elsewhere; closes the connection when nothing else waits for it. */
+  #handleSilence(silenceMilliseconds: number): void {
+    const { liveness, logger, onSilent, socket } = this.#options;
+    if (!this.#silent) {
+      this.#silent = true;
+      logger.warn('peer-silent', 'peer does not answer heartbeats; using others', {
+        peer: this.identity.nodeId,
+        waiting: this.#outgoing.size,
+        running: this.#incoming.size,
+      });
+      onSilent();
+    }
+    const detail = `node "${this.identity.nodeId}" does not answer heartbeats`;
+    for (const stream of [...this.#outgoing.values()]) if (stream.idempotent) stream.lost(detail);
+    for (const stream of [...this.#incoming.values()]) {
+      if (stream.idempotent) stream.requestAborted(detail);
+    }
+    for (const call of [...this.#calls.keys()]) {
+      this.#settleCall(call, fail({ type: 'unreachable', detail }));
+    }
+    const isNeeded = this.outstanding > 0;
+    if (!isNeeded || silenceMilliseconds > liveness.closeAfterMilliseconds) socket.destroy();
+  }
+
+  /** Any bytes show that the peer is there, even if its reply to the heartbeat is still on its way. */
+  #handleSignOfLife(): void {
+    if (!this.#silent) return;
+    this.#silent = false;
+    this.#heartbeatSentAt = undefined;
+    this.#options.logger.info('peer-regained', 'peer answers again', {
       peer: this.identity.nodeId,
+      waiting: this.#outgoing.size,
     });
-    this.#options.socket.destroy();
   }
 
   /** Handles frames as they arrive. Resolves with the reason why the connection cannot go on. */
@@ -275,6 +322,7 @@
       let isEnded = false;
       const readBuffered = () => {
         this.#lastReceivedAt = clock.now();
+        if (socket.closeReason === undefined) this.#handleSignOfLife();
         if (isEnded) return;
         const reason = this.#handleBuffered() ?? socket.closeReason;
         if (reason === undefined) return;
--- a/packages/peer-protocol/src/PeerPool.ts
+++ b/packages/peer-protocol/src/PeerPool.ts
@@ -57,7 +57,7 @@
   readonly localLoad?: () => LoadReport | undefined;
   /** Is told of the load that a peer reports. */
   readonly onLoad?: (nodeId: string, report: LoadReport) => void;
-  /** Is told when the last connection with a peer has ended. */
+  /** Is told when the last connection with a peer has ended, or is silent. */
   readonly onLost?: (nodeId: string, reason: string) => void;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -165,7 +165,7 @@
   /** Lists the connected nodes. */
   connectedPeers(): ConnectedPeer[] {
     return [...this.#connections]
-      .filter(([, connection]) => !connection.closed)
+      .filter(([, connection]) => !connection.closed && !connection.silent)
       .map(([nodeId, { distance }]) => ({ nodeId, distance }));
   }
 
@@ -217,7 +217,8 @@
 
   #openConnection(nodeId: string): PeerConnection | undefined {
     const connection = this.#connections.get(nodeId);
-    return connection === undefined || connection.closed ? undefined : connection;
+    if (connection === undefined || connection.closed || connection.silent) return undefined;
+    return connection;
   }
 
   async #connectionTo(nodeId: string): Promise<Result<PeerConnection, ControlCallError>> {
@@ -301,6 +302,7 @@
       liveness: this.#liveness,
       localLoad: () => this.#options.localLoad?.(),
       onLoad: (report) => this.#options.onLoad?.(introduction.identity.nodeId, report),
+      onSilent: () => this.#options.onLost?.(introduction.identity.nodeId, 'silent'),
       clock,
       logger,
     });
--- a/packages/peer-protocol/src/__tests__/PeerPool.test.ts
+++ b/packages/peer-protocol/src/__tests__/PeerPool.test.ts
@@ -1,13 +1,20 @@
 import { silentLogger } from '@hickorybridge/logger';
+import { LinkRelay } from '@hickorybridge/stand-ins';
 import type { LoadReport, RequestHead, SocketAddress } from '@hickorybridge/types';
 import { systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
 import { createConnection } from 'node:net';
 import { buffer } from 'node:stream/consumers';
 import { Readable } from 'node:stream';
-import { test } from 'node:test';
+import { test, type TestContext } from 'node:test';
 
-import { PeerPool, toStream, type AnswerBody, type RequestExecutor } from '../index.js';
+import {
+  PeerPool,
+  toStream,
+  type AnswerBody,
+  type PeerLiveness,
+  type RequestExecutor,
+} from '../index.js';
 
 const report: LoadReport = {
   limit: 4,
@@ -41,6 +48,7 @@
   readonly executor: RequestExecutor;
   readonly addresses: Map<string, SocketAddress>;
   readonly sharedKey?: string;
+  readonly liveness?: PeerLiveness;
 }
 
 async function createPool(options: PoolOptions): Promise<PeerPool> {
@@ -53,6 +61,7 @@
     },
     addressOf: (nodeId) => options.addresses.get(nodeId),
     executor: options.executor,
+    ...(options.liveness === undefined ? {} : { liveness: options.liveness }),
     clock: systemClock,
     logger: silentLogger,
   });
@@ -232,3 +241,69 @@
   assert.equal(outcome.type, 'lost');
   assert.deepEqual(await first.call('second', 'ping', {}, 500), { ok: true, value: 'pong' });
 });
+
+/** Cuts the connection of two nodes for a moment while the second one runs a request. */
+async function requestOverCutLink(t: TestContext, idempotent: boolean, cutMilliseconds: number) {
+  const relay = new LinkRelay({
+    regions: ['south', 'apart'],
+    settings: { delayMilliseconds: 0, megabitsPerSecond: 0 },
+  });
+  const liveness: PeerLiveness = {
+    heartbeatWhenWaitingMilliseconds: 50,
+    heartbeatWhenIdleMilliseconds: 1000,
+    silenceLimitMilliseconds: 100,
+    closeAfterMilliseconds: 2000,
+    tickMilliseconds: 20,
+  };
+  const runs: AbortSignal[] = [];
+  const slow: RequestExecutor = {
+    execute: async (head, body, signal) => {
+      runs.push(signal);
+      await systemClock.sleep(300);
+      return echoing.execute(head, body, signal);
+    },
+  };
+  const addresses = new Map<string, SocketAddress>();
+  const first = await createPool({ nodeId: 'first', executor: echoing, addresses, liveness });
+  const second = await createPool({ nodeId: 'second', executor: slow, addresses, liveness });
+  const target = addresses.get('second') as SocketAddress;
+  addresses.set('second', await relay.addRoute({ target, region: 'south', from: 'apart' }));
+  t.after(async () => {
+    await relay[Symbol.asyncDispose]();
+    await first[Symbol.asyncDispose]();
+    await second[Symbol.asyncDispose]();
+  });
+  await first.open('second');
+  const head = createHead({ idempotent, deadline: systemClock.now() + 5000 });
+  const startedAt = systemClock.now();
+  const pending = first.execute('second', head, { type: 'none' }, new AbortController().signal);
+  await systemClock.sleep(50);
+  relay.setCut(true);
+  await systemClock.sleep(250);
+  const wasUsable = first.isConnected('second');
+  await systemClock.sleep(cutMilliseconds - 250);
+  relay.setCut(false);
+  const outcome = await pending;
+  return { milliseconds: systemClock.now() - startedAt, outcome, runs, wasUsable };
+}
+
+test('guards against a non-idempotent request that is given up because its peer was silent for a while', async (t) => {
+  const { outcome, runs, wasUsable } = await requestOverCutLink(t, false, 700);
+  assert.equal(outcome.type, 'answered');
+  assert.deepEqual(
+    runs.map(({ aborted }) => aborted),
+    [false],
+  );
+  assert.equal(wasUsable, false, 'a silent peer still gets requests');
+});
+
+test('guards against an idempotent request that waits for a silent peer', async (t) => {
+  const { outcome } = await requestOverCutLink(t, true, 700);
+  assert.equal(outcome.type, 'lost');
+});
+
+test('guards against a request that waits for ever for a peer that stays silent', async (t) => {
+  const { milliseconds, outcome } = await requestOverCutLink(t, false, 3000);
+  assert.equal(outcome.type, 'lost');
+  assert.ok(milliseconds > 2000 && milliseconds < 3500, `${milliseconds} ms`);
+});
