A restarted node does not bring back a backend server that had left

Cause: a node keeps the leaving of its backend server in memory only. After a restart, a report from before the leave notice that arrives late made the backend server current again; a leave notice that came before the first report was acknowledged and forgotten. Change: the entry of a host carries the start of its backend server, and an incarnation that the store lists as leaving is not used again; a leave notice for an unknown incarnation is remembered.

--- a/packages/host-node/src/HostNode.ts
+++ b/packages/host-node/src/HostNode.ts
@@ -98,7 +98,7 @@
     const { current } = backendServers;
     const { listeners, location, nodeId } = settings.current;
     if (current === undefined) return;
-    const { backendServerId, service, slots } = current.report;
+    const { backendServerId, service, slots, startedAt } = current.report;
     const entry: HostEntry = {
       nodeId,
       peerAddress: listeners.peers,
@@ -106,6 +106,7 @@
       service,
       backendServerId,
       slots,
+      startedAt,
       leaving: current.leaving,
     };
     registration.set(entry);
--- /dev/null
+++ b/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
@@ -0,0 +1,60 @@
+import { silentLogger } from '@hickorybridge/logger';
+import type { BackendServerReport } from '@hickorybridge/types';
+import { HostSpeedModel, systemClock } from '@hickorybridge/utils';
+import assert from 'node:assert/strict';
+import { describe, it, type TestContext } from 'node:test';
+
+import { BackendServerRegistry } from '../backend/BackendServerRegistry.js';
+
+const report: BackendServerReport = {
+  backendServerId: 'b1',
+  service: 'desk',
+  address: { host: '127.0.0.1', port: 1 },
+  failureDomain: 'd',
+  slots: 4,
+  draining: false,
+  sequence: 7,
+  coldMilliseconds: 0,
+  startedAt: 1000,
+};
+
+/** A registry of a node that has just been started. */
+function startRegistry(t: TestContext, hasLeft = false): BackendServerRegistry {
+  const registry = new BackendServerRegistry({
+    isLocalReport: () => true,
+    hasLeft: () => hasLeft,
+    maxConnectionsOf: () => 10,
+    drainMilliseconds: 500,
+    onCurrentChanged: () => {},
+    speed: new HostSpeedModel(),
+    clock: systemClock,
+    logger: silentLogger,
+  });
+  t.after(() => registry[Symbol.asyncDispose]());
+  return registry;
+}
+
+const isUsed = ({ current }: BackendServerRegistry) => current !== undefined && !current.leaving;
+
+// A report may be seconds late. These tests guard against one that a restarted node takes for news.
+describe('late reports after a restart of the node', () => {
+  it('guards against using a backend server that left before the restart', (t) => {
+    const registry = startRegistry(t, true);
+    registry.handleReport(report);
+    assert.equal(isUsed(registry), false);
+  });
+
+  it('guards against using a backend server whose leave notice came first', (t) => {
+    const registry = startRegistry(t);
+    registry.handleLeave('b1', 1000);
+    registry.handleReport(report);
+    assert.equal(isUsed(registry), false);
+  });
+
+  it('guards against ignoring a new incarnation with the same id', (t) => {
+    const registry = startRegistry(t);
+    registry.handleLeave('b1', 1000);
+    registry.handleReport({ ...report, startedAt: 2000, sequence: 1 });
+    assert.equal(isUsed(registry), true);
+  });
+});
--- a/packages/host-node/src/backend/BackendServerRegistry.ts
+++ b/packages/host-node/src/backend/BackendServerRegistry.ts
@@ -9,6 +9,11 @@
 export interface BackendServerRegistryOptions {
   /** Whether a report describes a backend server of this host. */
   readonly isLocalReport: (report: BackendServerReport) => boolean;
+  /**
+   * Whether this incarnation is known to have left, as the store says. A restarted node may get a
+   * late report from before that.
+   */
+  readonly hasLeft: (report: BackendServerReport) => boolean;
   readonly maxConnectionsOf: (service: string) => number;
   readonly drainMilliseconds: number;
   /** Called when the current backend server is replaced, removed or starts to leave. */
@@ -62,8 +67,9 @@
     const incarnation = this.#incarnations.get(report.backendServerId);
     if (incarnation !== undefined && incarnation.startedAt > report.startedAt) return;
     if (incarnation === undefined || incarnation.startedAt < report.startedAt) {
-      this.#trackIncarnation(report);
-      this.#replaceCurrent(report);
+      const draining = report.draining || this.#options.hasLeft(report);
+      this.#trackIncarnation({ ...report, draining });
+      this.#replaceCurrent({ ...report, draining });
       return;
     }
     if (report.sequence <= incarnation.sequence) return;
@@ -74,7 +80,12 @@
   /** Handles a leave notice; `startedAt` is 0 when the notice names no incarnation. */
   handleLeave(backendServerId: string, startedAt: number): void {
     const incarnation = this.#incarnations.get(backendServerId);
-    if (incarnation === undefined || (startedAt !== 0 && startedAt < incarnation.startedAt)) return;
+    if (incarnation === undefined) {
+      // A late report of this incarnation must not bring it back.
+      this.#addIncarnation(backendServerId, { startedAt, sequence: Infinity, leaving: true });
+      return;
+    }
+    if (startedAt !== 0 && startedAt < incarnation.startedAt) return;
     this.#markLeaving(backendServerId);
   }
 
@@ -115,8 +126,12 @@
   }
 
   #trackIncarnation({ backendServerId, draining, sequence, startedAt }: BackendServerReport): void {
+    this.#addIncarnation(backendServerId, { startedAt, sequence, leaving: draining });
+  }
+
+  #addIncarnation(backendServerId: string, state: IncarnationState): void {
     this.#incarnations.delete(backendServerId);
-    this.#incarnations.set(backendServerId, { startedAt, sequence, leaving: draining });
+    this.#incarnations.set(backendServerId, state);
     const [oldest] = this.#incarnations.keys();
     if (this.#incarnations.size > maxIncarnations && oldest !== undefined)
       this.#incarnations.delete(oldest);
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -106,6 +106,11 @@
     },
     maxConnectionsOf: (service) =>
       router.configuration?.services.get(service)?.maxConnections ?? Infinity,
+    hasLeft: ({ backendServerId, startedAt }) => {
+      const { entry } = directory.stored(nodeId);
+      const isSame = entry?.backendServerId === backendServerId;
+      return isSame && entry.leaving && (entry.startedAt ?? -1) >= startedAt;
+    },
     drainMilliseconds: bounds.drainMilliseconds,
     onCurrentChanged: () => node.register(),
     speed,
--- a/packages/membership/src/hostEntryCodec.ts
+++ b/packages/membership/src/hostEntryCodec.ts
@@ -10,7 +10,8 @@
 
 /** Encodes an entry as the text that the store keeps. */
 export function encodeHostEntry(entry: HostEntry): string {
-  const { nodeId, peerAddress, location, service, backendServerId, slots, leaving } = entry;
+  const { nodeId, peerAddress, location, service, backendServerId, slots, startedAt, leaving } =
+    entry;
   return JSON.stringify({
     nodeId,
     host: peerAddress.host,
@@ -20,6 +21,7 @@
     service,
     backendServerId,
     slots,
+    startedAt,
     leaving,
   });
 }
@@ -40,7 +42,7 @@
   if (typeof value !== 'object' || value === null) return undefined;
   const fields = value as Readonly<Record<string, unknown>>;
   const { nodeId, host, region, failureDomain, service, backendServerId } = fields;
-  const { port, slots, leaving } = fields;
+  const { port, slots, startedAt, leaving } = fields;
   if (!isName(nodeId) || !isName(region) || !isName(failureDomain)) return undefined;
   if (!isName(service) || !isName(backendServerId)) return undefined;
   if (typeof host !== 'string' || isIP(host) === 0) return undefined;
@@ -53,6 +55,8 @@
     service,
     backendServerId,
     slots,
+    // Absent in entries of older versions.
+    ...(Number.isSafeInteger(startedAt) ? { startedAt: startedAt as number } : {}),
     leaving,
   };
 }
--- a/packages/types/src/hostSettings.ts
+++ b/packages/types/src/hostSettings.ts
@@ -67,6 +67,8 @@
   readonly service: string;
   readonly backendServerId: string;
   readonly slots: number;
+  /** Start of the backend server, in milliseconds since the Unix epoch; absent if not known. */
+  readonly startedAt?: number;
   /** True once the backend server accepts no new requests. */
   readonly leaving: boolean;
 }
