The candidates of a request are made once

Change: the candidates are kept; after the probes only those that cannot be used any more are left out, and without probes the choice follows at once.

--- a/packages/host-node/src/routing/HostChoice.ts
+++ b/packages/host-node/src/routing/HostChoice.ts
@@ -86,10 +86,14 @@
   ): Promise<HostCandidate | undefined> {
     const { clock, loadProber, selector } = this.#options;
     const startedAt = clock.now();
-    const candidatesToProbe = this.#selectHostsToProbe(request, excluded);
+    const candidates = this.#usableCandidates(request, excluded);
+    const candidatesToProbe = this.#selectHostsToProbe(request, candidates);
+    if (candidatesToProbe.length === 0) {
+      return selector.select(candidates, this.#hostRequest(request));
+    }
     const probed = await loadProber.probe(candidatesToProbe.map(({ entry }) => entry.nodeId));
     const hostRequest = this.#hostRequest(request);
-    const usable = this.#usableCandidates(request, excluded);
+    const usable = candidates.filter(({ entry }) => this.#isUsable(entry));
     const hasAnswered = (candidate: HostCandidate) =>
       hasFreshReport(candidate, hostRequest, startedAt);
     if (!usable.some(hasAnswered)) return selector.select(usable, hostRequest);
@@ -112,9 +116,12 @@
   }
 
   /** Selects the most promising of the hosts whose load is worth a probe. */
-  #selectHostsToProbe(request: CallerRequest, excluded: ReadonlySet<string>): HostCandidate[] {
+  #selectHostsToProbe(
+    request: CallerRequest,
+    candidates: readonly HostCandidate[],
+  ): HostCandidate[] {
     const hostRequest = this.#hostRequest(request);
-    const worthProbing = selectHostsToProbe(this.#usableCandidates(request, excluded), hostRequest);
+    const worthProbing = selectHostsToProbe(candidates, hostRequest);
     if (worthProbing.length <= maxProbedHosts) return worthProbing;
     return this.#options.selector.rank(worthProbing, hostRequest).slice(0, maxProbedHosts);
   }
@@ -126,33 +133,33 @@
   }
 
   #usableCandidates({ service }: CallerRequest, excluded: ReadonlySet<string>): HostCandidate[] {
-    const now = this.#options.clock.now();
     return this.#candidates(
       service,
-      ({ nodeId }) => !excluded.has(nodeId) && !this.loadOf(nodeId).isAvoided(now),
+      (entry) => !excluded.has(entry.nodeId) && this.#isUsable(entry),
     );
   }
 
+  #isUsable({ leaving, nodeId }: HostEntry): boolean {
+    const { clock, isReachable } = this.#options;
+    return !leaving && isReachable(nodeId) && !this.loadOf(nodeId).isAvoided(clock.now());
+  }
+
   /** Predicts the shortest queueing time among the hosts of a service, in milliseconds. */
   shortestWait(service: string): number {
     const { clock, speed } = this.#options;
     const now = clock.now();
-    const waits = this.#candidates(service, () => true).map(({ load }) =>
+    const isReachable = (entry: HostEntry) =>
+      !entry.leaving && this.#options.isReachable(entry.nodeId);
+    const waits = this.#candidates(service, isReachable).map(({ load }) =>
       load.expectedWait(speed, now),
     );
     return waits.length === 0 ? 0 : Math.min(...waits);
   }
 
   #candidates(service: string, isUsable: (entry: HostEntry) => boolean): HostCandidate[] {
-    const { directory, isReachable, subset } = this.#options;
-    const entries = directory.ofService(service);
+    const { directory, subset } = this.#options;
     return subset
-      .select(
-        service,
-        entries,
-        requestSubsetSizes,
-        (entry) => !entry.leaving && isReachable(entry.nodeId) && isUsable(entry),
-      )
+      .select(service, directory.ofService(service), requestSubsetSizes, isUsable)
       .map((entry) => this.#candidate(entry));
   }
 
