Requests are sent without probes while most slots are free

Change: the reports of the last 2 s give the mean use of a service's slots. While at most 3 in 100 requests would wait at a host chosen blindly (Erlang C for its slots), no host is probed.

--- a/packages/host-node/src/__tests__/SimulatedFleet.ts
+++ b/packages/host-node/src/__tests__/SimulatedFleet.ts
@@ -36,6 +36,9 @@
   /** Number of requests that were delivered to a host. */
   delivered = 0;
 
+  /** Number of probes that nodes sent. */
+  probes = 0;
+
   /** Number of requests that were queued while another host had a free slot. */
   queuedDespiteFreeSlots = 0;
 
@@ -111,6 +114,7 @@
     };
     const loadProber = new LoadProber({
       requestLoad: (peer) => {
+        this.probes += 1;
         this.#answerInquiry(this.#hostOf(peer), onReport);
         return true;
       },
--- a/packages/host-node/src/__tests__/spread.test.ts
+++ b/packages/host-node/src/__tests__/spread.test.ts
@@ -21,4 +21,17 @@
     const [few, many] = [await small.run(5000), await large.run(5000)];
     assert.ok(many < few + maxQueuedShare, `${many} with 300 nodes, ${few} with 30`);
   });
+
+  it('quiet fleet: guards against probes while nearly every host has a free slot', async () => {
+    const quiet = new SimulatedFleet({ ...fleet, nodes: 88, utilisation: 0.3 });
+    const share = await quiet.run(10_000);
+    assert.ok(quiet.probes < quiet.delivered, `${quiet.probes} for ${quiet.delivered} requests`);
+    assert.ok(share < maxQueuedShare, `${share} of the requests were queued despite a free slot`);
+  });
+
+  it('rising load: guards against overloaded hosts when probes were left out before', async () => {
+    const busy = new SimulatedFleet({ ...fleet, nodes: 88, utilisation: 0.5 });
+    const share = await busy.run(10_000);
+    assert.ok(share < maxQueuedShare, `${share} of the requests were queued despite a free slot`);
+  });
 });
--- a/packages/routing/src/HostLoad.ts
+++ b/packages/routing/src/HostLoad.ts
@@ -86,6 +86,11 @@
     return unknownUtilization + reportWeight * (utilization - unknownUtilization);
   }
 
+  /** The last report, if it is not older than the given age. */
+  recentReport(now: number, maxAgeMilliseconds: number): LoadReport | undefined {
+    return this.reportAgeAt(now) <= maxAgeMilliseconds ? this.#report : undefined;
+  }
+
   /** Predicts how long work that starts now takes at this host, in milliseconds. */
   expectedDuration(work: number, speed: HostSpeedModel, now: number): number {
     return speed.expectedDuration(work, this.#report?.workFactor, now - this.#reportedAt);
--- a/packages/routing/src/selectHostsToProbe.ts
+++ b/packages/routing/src/selectHostsToProbe.ts
@@ -1,6 +1,7 @@
 import { Distance } from '@hickorybridge/types';
 
 import type { HostCandidate, HostRequest } from './HostSelector.js';
+import { waitProbability } from './waitProbability.js';
 
 /** Requests whose work is shorter than this many round trips are sent without probing. */
 const minimumWorkRoundTrips = 10;
@@ -16,11 +17,35 @@
   candidates: readonly HostCandidate[],
   request: HostRequest,
 ): HostCandidate[] {
+  if (!needsProbes(candidates, request.now)) return [];
   return candidates.filter(
     (candidate) => isWorthProbing(candidate, request) && !hasFreshReport(candidate, request),
   );
 }
 
+/** Reports of the last seconds show how busy the hosts of a service are on average. */
+const maxReportAgeForMeanMilliseconds = 2000;
+/** Fewer recent reports tell too little about the other hosts. */
+const minimumRecentReports = 3;
+/** Requests are sent without probes while at most this share of them would have to wait. */
+const maxWaitProbability = 0.03;
+
+/**
+ * Whether probes can change the choice: while most slots of the hosts are free, nearly every host
+ * can take a request at once, and a probe only costs time.
+ */
+export function needsProbes(candidates: readonly HostCandidate[], now: number): boolean {
+  const reports = candidates
+    .map(({ load }) => load.recentReport(now, maxReportAgeForMeanMilliseconds))
+    .filter((report) => report !== undefined);
+  if (reports.length < Math.min(minimumRecentReports, candidates.length)) return true;
+  const slots = reports.reduce((sum, { limit }) => sum + limit, 0);
+  const busy = reports.reduce((sum, { inFlight, queued }) => sum + inFlight + queued, 0);
+  if (slots === 0) return true;
+  const slotsOfHost = Math.max(1, Math.round(slots / reports.length));
+  return waitProbability(slotsOfHost, busy / slots) > maxWaitProbability;
+}
+
 /** Whether a probe's round trip is short enough compared with the work of the request. */
 function isWorthProbing(
   { distance, roundTripMilliseconds }: HostCandidate,
