The test of endless bytes waits until the stand-in has seen the close

The node does close it; the check was wrong about when the other side knows. Change: the stand-in counts its open endless connections; the test requires that none is open 500 ms after the slot was released, and as before that no byte comes after that.

--- a/packages/host-node/src/__tests__/endlessBytes.test.ts
+++ b/packages/host-node/src/__tests__/endlessBytes.test.ts
@@ -6,6 +6,8 @@
 
 /** Twice the timeout of the route; the caller has no use for a later response. */
 const maxMilliseconds = 2000;
+/** The node closes a faulty connection when it releases the slot. */
+const maxCloseMilliseconds = 500;
 /** Upper bound of the bytes buffered between the backend server and a caller that does not read. */
 const maxBytes = 64 * 1024 * 1024;
 
@@ -27,6 +29,10 @@
 async function assertRecovers(result: Awaited<ReturnType<typeof requestWithFault>>) {
   const { one, port } = result;
   await waitUntil(() => one.node.load?.inFlight === 0);
+  const releasedAt = performance.now();
+  // The stand-in learns of the close a few milliseconds after the node has released the slot.
+  await waitUntil(() => one.backend.endlessConnections === 0);
+  assert.ok(performance.now() - releasedAt < maxCloseMilliseconds, 'the connection stays open');
   const sent = one.backend.endlessBytes;
   one.backend.fault = BackendFault.none;
   const next = await sendRequest(port, { path: '/reads/2', id: 'y' });
--- a/packages/stand-ins/src/platformBackend/StandInPlatformBackend.ts
+++ b/packages/stand-ins/src/platformBackend/StandInPlatformBackend.ts
@@ -74,6 +74,9 @@
   /** Bytes that were sent under the faults without end. */
   endlessBytes = 0;
 
+  /** Connections that are open and on which bytes without end are sent. */
+  endlessConnections = 0;
+
   /** The rejection that was written on a connection, for the faults that repeat it. */
   readonly #rejections = new WeakMap<Socket, string>();
 
@@ -191,6 +194,10 @@
       this.endlessBytes += repeated.length;
       socket.write(repeated, () => setTimeout(send, pauseMilliseconds));
     };
+    this.endlessConnections += 1;
+    socket.once('close', () => {
+      this.endlessConnections -= 1;
+    });
     socket.write(first, send);
   }
 }
