--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,23 +1,25 @@
-// A backend server leaves, and the node beside it is stopped and started again on its own.
+// One backend server spoils a header of some of its answers.
 import http from 'node:http';
 
 import { configurationOf, runCase, sendRequest, sleep } from '../lib/deployment.mjs';
 
 const hostName = 'cores.example';
-const deadline = 1000;
-const target = 400;
+const timeout = 1000;
+/** The clients wait longer than the operator wants them to be kept waiting, and then leave. */
+const deadline = 3000;
 const workMilliseconds = 87;
 const slots = 13;
 const zones = ['norte', 'sur', 'este'];
-const requestsPerSecond = 60;
-const calmMilliseconds = 3000;
-/** The bounds of the settings. */
-const drain = 2500;
-const stabilityWindow = 4000;
-/** How late the last heartbeat before the leave notice arrives. */
-const heartbeatDelay = 3500;
-/** The backend server serves on after its notice: `drain`, and longer. */
-const servesOn = 13_000;
+const requestsPerSecond = 120;
+const seconds = 36;
+/** The share of the answers and the time as in the site file; the time comes again after a pause. */
+const spoiled = { share: 0.05, from: 3000, milliseconds: 5000, every: 7000 };
+/** After this long past the route's timeout a request counts as not answered. */
+const lateMilliseconds = 500;
+
+function isSpoilingTime(elapsed) {
+  return elapsed >= spoiled.from && (elapsed - spoiled.from) % spoiled.every < spoiled.milliseconds;
+}
 
 await runCase(import.meta.dirname, async ({ deployment, recorder, trouble }) => {
   await deployment.start({
@@ -37,8 +39,8 @@
           host: hostName,
           path_prefix: '/orden/',
           kind: 'unsafe',
-          timeout: `${deadline}ms`,
-          target_latency: `${target}ms`,
+          timeout: `${timeout}ms`,
+          target_latency: '400ms',
           priority: 1,
           service: 'laboratorio',
           max_attempts: 2,
@@ -46,60 +48,52 @@
       ],
     ),
   });
-  const [leavingHost] = deployment.hosts;
-  const stopQuestions = deployment.askReadiness();
-  const { backend } = leavingHost;
+  const startedAt = performance.now();
+  const [{ backend: faulty }] = deployment.hosts;
+  if (trouble) {
+    faulty.answerWith = (request, requestId, response) => {
+      const isSpoiling = isSpoilingTime(performance.now() - startedAt);
+      if (!isSpoiling || Math.random() >= spoiled.share) return false;
+      recorder.add('spoiled', { backend: faulty.id, id: requestId });
+      const text = 'done';
+      const lines = [
+        'HTTP/1.1 200 OK',
+        ...Object.entries(faulty.headers(requestId)).map(([name, value]) => `${name}: ${value}`),
+        // A space in the name.
+        'server load: 1',
+        `content-length: ${text.length}`,
+      ];
+      request.socket.write(`${lines.join('\r\n')}\r\n\r\n${text}`);
+      request.socket.end();
+      response.destroy();
+      return true;
+    };
+  }
   const agent = new http.Agent({ keepAlive: true });
   const pending = [];
-  let index = 0;
-  const traffic = setInterval(() => {
-    index += 1;
-    pending.push(
-      sendRequest(deployment.entryHost(index), {
-        agent,
-        deadline,
-        hostName,
-        method: 'POST',
-        body: Buffer.from('one core'),
-        path: `/orden/${index}`,
-      }),
-    );
-  }, 1000 / requestsPerSecond);
-  await sleep(calmMilliseconds);
-
-  // This heartbeat is sent before the notice and arrives late. No other follows the notice.
-  backend.stopHeartbeats();
-  const late = backend.nextHeartbeat();
-  const lateArrival = sleep(heartbeatDelay).then(() => backend.call('heartbeat', late));
-  const status = await backend.call('deregister', { born: backend.born });
-  if (status !== 200) throw new Error(`the notice was answered with ${status}`);
-  const acknowledgedAt = performance.now();
-  recorder.add('leave-acknowledged', { backend: backend.id });
-  if (trouble) leavingHost.end('SIGTERM');
-  recorder.add('late-heartbeat', { backend: backend.id, status: await lateArrival });
-  await sleep(acknowledgedAt + servesOn - performance.now());
-  backend.close();
-  recorder.add('backend-exits', { backend: backend.id });
-  clearInterval(traffic);
-  stopQuestions();
+  for (let index = 0; index < seconds * requestsPerSecond; index += 1) {
+    await sleep(startedAt + (index * 1000) / requestsPerSecond - performance.now());
+    const request = sendRequest(deployment.hosts[index % zones.length], {
+      agent,
+      body: Buffer.from('one core'),
+      deadline,
+      hostName,
+      leaveAfter: deadline,
+      method: 'POST',
+      path: `/orden/${index}`,
+    });
+    pending.push(request);
+  }
   const outcomes = await Promise.all(pending);
-
-  const [, restart] = recorder.of('node-started').filter(({ node }) => node === leavingHost.name);
-  const allInTouchFrom = Math.max(
-    acknowledgedAt + drain,
-    restart === undefined ? 0 : restart.at + stabilityWindow,
-  );
-  const runs = recorder.of('run').filter((run) => run.backend === backend.id);
-  const afterDrain = runs.filter(({ at }) => at > acknowledgedAt + drain);
-  const broken = runs.filter(({ at }) => at > allInTouchFrom);
-  const reached = new Set(afterDrain.map(({ id }) => id));
-  const lost = outcomes.filter(({ id, status: answer }) => reached.has(id) && answer !== 200);
-  const count = (wanted) => outcomes.filter((outcome) => outcome.status === wanted).length;
+  const long = outcomes.filter(({ milliseconds }) => milliseconds > timeout);
+  const unanswered = long.filter(({ milliseconds }) => milliseconds > timeout + lateMilliseconds);
+  const count = (status) => outcomes.filter((outcome) => outcome.status === status).length;
   return {
-    broken: broken.length > 0,
+    broken: unanswered.length >= 8 && unanswered.length > long.length / 2,
     summary:
-      `${outcomes.length} requests, ${count(200)} answered. ${afterDrain.length} reached the leaving ` +
-      `backend later than ${drain} ms after the acknowledgement, ${broken.length} of them while ` +
-      `all machines were in touch. ${lost.length} of these were lost when the backend exited.`,
+      `${outcomes.length} requests, ${count(200)} answered with 200, ${count(502)} with 502. ` +
+      `${recorder.of('spoiled').length} answers had a spoiled header. ${long.length} requests ` +
+      `lasted longer than the route's timeout; ${unanswered.length} of them had no answer ` +
+      `${lateMilliseconds} ms after it, and ${count('left')} none when their clients left.`,
   };
 });
