--- a/review/lib/backend.mjs
+++ b/review/lib/backend.mjs
@@ -57,13 +57,6 @@
     this.#server.closeAllConnections();
   }
 
-  /** How many connections are open. */
-  connections() {
-    return new Promise((resolve) => {
-      this.#server.getConnections((_error, count) => resolve(count));
-    });
-  }
-
   /** The next heartbeat as a body. */
   nextHeartbeat() {
     this.sequence += 1;
@@ -101,10 +94,7 @@
 
   async #handle(request, response) {
     const requestId = request.headers['request-id'];
-    // A backend server may answer before it has read a long body; it then reads on.
-    const isEarly = this.answersEarly?.(request) === true;
-    if (isEarly) request.once('error', () => {});
-    const body = isEarly ? Buffer.alloc(0) : await readAll(request);
+    const body = await readAll(request);
     // A request whose connection closes before it is complete is dropped.
     if (body === undefined || response.destroyed) return;
     if (requestId === undefined) {
@@ -148,7 +138,6 @@
     const text = `answer of ${this.id} to ${requestId}`;
     response.writeHead(200, { ...this.headers(requestId), 'content-length': text.length });
     response.end(text);
-    request.resume();
   }
 
   headers(requestId) {
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -94,8 +94,7 @@
   /** Starts the node; one that ends is started again after a short delay. */
   start() {
     this.#expectedEnd = false;
-    const [, program] = ['node', process.execPath];
-    const child = spawn(program, deployedArguments(), {
+    const child = spawn(process.execPath, deployedArguments(), {
       cwd: root,
       env: {
         PATH: process.env.PATH,
@@ -164,10 +163,9 @@
 
   /**
    * Starts the store and the hosts. Each of `hosts` has a `service`, `zone` and `region`, and the
-   * `slots` and `workMilliseconds` of its backend server. `storeOf` gives the address of the store
-   * for a node, if it is not the store's own.
+   * `slots` and `workMilliseconds` of its backend server.
    */
-  async start({ hosts, configuration, bounds = usualBounds, storeOf }) {
+  async start({ hosts, configuration, bounds = usualBounds }) {
     const first = await findPorts(portsPerHost * (hosts.length + 1));
     this.storeAddress = { host: address, port: first };
     await this.store.listen(address, first);
@@ -184,7 +182,7 @@
         record: this.record,
       });
       const settingsFile = path.join(this.#directory, `${name}.toml`);
-      const store = (await storeOf?.(name, this.storeAddress)) ?? this.storeAddress;
+      const store = this.storeAddress;
       writeFileSync(settingsFile, settingsOf({ ...each, name, at, bounds, store }));
       const host = new Host({
         name,
