An answer with a malformed header name counts as lost

Cause: the HTTP parser of Node.js accepts an empty header name and a space in a name (checked for all 256 byte values), and `response.writeHead` refuses exactly these. The exchange passed such an answer on.

Change: `BackendServerExchange` checks the names of an answer's headers. A malformed answer proves nothing about the request, also when it claims not to have run it, so the outcome is `lost`: an idempotent request is sent to another host, any other one gets a 502 at once. The connection is closed.

--- a/packages/host-node/src/__tests__/fleet.ts
+++ b/packages/host-node/src/__tests__/fleet.ts
@@ -60,7 +60,8 @@
   };
 }
 
-async function freePorts(count: number): Promise<number[]> {
+/** Finds ports that no process listens on. */
+export async function freePorts(count: number): Promise<number[]> {
   const servers = Array.from({ length: count }, () => createServer());
   const ports: number[] = [];
   for (const server of servers) {
@@ -185,6 +186,8 @@
   readonly body?: string;
   readonly headers?: Record<string, string>;
   readonly agent?: Agent;
+  /** Ends the request with an error, e.g. when no answer comes. */
+  readonly signal?: AbortSignal;
 }
 
 export function sendRequest(port: number, options: SendRequestOptions): Promise<HttpResponse> {
@@ -195,6 +198,7 @@
       method: options.method ?? 'GET',
       path: options.path,
       ...(options.agent === undefined ? {} : { agent: options.agent }),
+      ...(options.signal === undefined ? {} : { signal: options.signal }),
       headers: {
         host: 'a.example',
         'request-id': options.id ?? 'r1',
--- a/packages/host-node/src/backend/BackendServerExchange.ts
+++ b/packages/host-node/src/backend/BackendServerExchange.ts
@@ -10,7 +10,7 @@
 import { request, type ClientRequest, type IncomingMessage } from 'node:http';
 import { Transform } from 'node:stream';
 
-import { endToEndHeaders } from '../headers.js';
+import { endToEndHeaders, findMalformedName } from '../headers.js';
 import type { ConnectionAgent } from './ConnectionAgent.js';
 
 /** The result of sending a request to a backend server. */
@@ -153,9 +153,12 @@
     // A different request id marks a stale answer to an earlier request on this connection.
     const answersThisRequest = firstValue(headers[HeaderNames.requestId]) === head.requestId;
     const status = answer.statusCode ?? 0;
+    const malformedName = findMalformedName(answer.rawHeaders);
     if (!answersThisRequest) {
       // Holds for rejections, too: one that is sent again must not vouch for this request.
       this.#reject(answer, 'the answer belongs to another request');
+    } else if (malformedName !== undefined) {
+      this.#reject(answer, `the answer has a header with the malformed name "${malformedName}"`);
     } else if (status < minFinalStatus || status > maxFinalStatus) {
       this.#reject(answer, `the answer has the status ${status}`);
     } else if (status === misdirectedStatus) {
--- a/packages/host-node/src/headers.ts
+++ b/packages/host-node/src/headers.ts
@@ -17,6 +17,18 @@
   HeaderNames.load,
 ]);
 
+/** A field name is a token (RFC 9110, section 5.1). */
+const fieldName = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/;
+
+/**
+ * Returns the first malformed header name, or `undefined` if there is none. The HTTP parser of
+ * Node.js accepts empty names and spaces in names, but its HTTP server and client refuse to send
+ * them. Takes a flat list of names and values.
+ */
+export function findMalformedName(rawHeaders: readonly string[]): string | undefined {
+  return rawHeaders.find((text, index) => index % 2 === 0 && !fieldName.test(text));
+}
+
 /** Returns the headers to forward, given and returned as a flat list of names and values. */
 export function endToEndHeaders(rawHeaders: readonly string[]): string[] {
   const kept: string[] = [];
--- a/packages/stand-ins/src/platformBackend/StandInPlatformBackend.ts
+++ b/packages/stand-ins/src/platformBackend/StandInPlatformBackend.ts
@@ -24,6 +24,8 @@
   unframed: 'unframed',
   /** Sends a second answer after the first. */
   extra: 'extra',
+  /** Sends a complete answer in which the name of one header contains a space. */
+  malformedHeader: 'malformed-header',
   error: 'error',
   /** Bytes without end that are no answer, until the connection is closed. */
   endlessGarbage: 'endless-garbage',
@@ -172,6 +174,9 @@
         response.end(text);
         socket?.write('HTTP/1.1 200 OK\r\nRequest-Id: old\r\nContent-Length: 1\r\n\r\nx');
         return;
+      case BackendFault.malformedHeader:
+        socket?.write(`${malformedHead(headers, text.length)}${text}`);
+        return;
       case BackendFault.stalledBody:
         response.useChunkedEncodingByDefault = false;
         response.shouldKeepAlive = false;
@@ -202,6 +207,12 @@
   }
 }
 
+function malformedHead(headers: Readonly<Record<string, string>>, length: number): string {
+  const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
+  lines.push('server load: 1', `content-length: ${length}`);
+  return `HTTP/1.1 200 OK\r\n${lines.join('\r\n')}\r\n\r\n`;
+}
+
 interface EndlessBytes {
   readonly first: string;
   readonly repeated: string;
