Callers' listener: a request is answered when handling it fails

What callers saw: any error on the way from a request to its answer left the request open, without an answer, until its caller left.

Cause: `CallersListener.#handle` had no branch for a failure. Its promise was rejected, `bin.ts` logged `unhandled-rejection`, and by then the timer of the route was cleared.

Change: an error before the outcome is known is logged as `request-fault` and answered with 502, which promises nothing (reason `node-fault`, also in the metrics). An answer whose head cannot be written, which a node of an older version may still pass on, gets a 502 too and is logged as `answer-not-sendable`; its body is discarded. `sendOutcome` returns the outcome that was sent, so that metrics and log tell the same as the caller was told.

Evidence: the three tests of CallersListener.test fail on the sources before (rejected promises, no answer within 2 s) and pass now. Sought on related paths: `CallerExchange` of `packages/node` handles this already; reports and status pages write fixed headers only.

--- /dev/null
+++ b/packages/host-node/src/__tests__/CallersListener.test.ts
@@ -0,0 +1,90 @@
+import { createLogger } from '@hickorybridge/logger';
+import { systemClock } from '@hickorybridge/utils';
+import assert from 'node:assert/strict';
+import { describe, it, type TestContext } from 'node:test';
+
+import { CallersListener, type FinishedRequest } from '../callers/CallersListener.js';
+import type { CallerOutcome } from '../routing/CallerRequest.js';
+import type { RequestRouter } from '../routing/RequestRouter.js';
+import { freePorts, host, sendRequest } from './fleet.js';
+
+/** Starts a listener over a stub router. */
+async function startListener(
+  t: TestContext,
+  { findRoute, route }: Pick<RequestRouter, 'findRoute' | 'route'>,
+) {
+  const events: string[] = [];
+  const finished: FinishedRequest[] = [];
+  const router = {
+    configuration: { limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536 } },
+    callerTimeoutEstimator: { estimateElapsed: () => 0 },
+    chooseService: () => 'desk',
+    findRoute,
+    route,
+  } as unknown as RequestRouter;
+  const listener = new CallersListener({
+    router,
+    service: () => 'desk',
+    isNestedCall: () => false,
+    stopping: () => false,
+    onFinished: (exchange) => finished.push(exchange),
+    clock: systemClock,
+    logger: createLogger({
+      level: 'info',
+      format: 'json',
+      fields: {},
+      write: (line) => events.push((JSON.parse(line) as { event: string }).event),
+    }),
+  });
+  const [port = 0] = await freePorts(1);
+  await listener.listen({ host, port });
+  t.after(() => listener[Symbol.asyncDispose]());
+  const send = () =>
+    sendRequest(port, { path: '/reads/1', id: 'x', signal: AbortSignal.timeout(2000) });
+  return { events, finished, listener, send };
+}
+
+const findRoute = (() => ({
+  name: 'reads',
+  timeoutMilliseconds: 1000,
+  targetMilliseconds: 500,
+})) as unknown as RequestRouter['findRoute'];
+
+describe('CallersListener', () => {
+  it('guards against a request that stays open when its routing fails unexpectedly', async (t) => {
+    const route = () => Promise.reject(new Error('a fault'));
+    const { events, finished, listener, send } = await startListener(t, { findRoute, route });
+    assert.equal((await send()).status, 502);
+    assert.deepEqual(events, ['request-fault']);
+    assert.equal(finished[0]?.outcome.type, 'failed');
+    assert.equal(listener.open, 0);
+  });
+
+  it('guards against a request that stays open when the search for its route throws', async (t) => {
+    const { events, send } = await startListener(t, {
+      findRoute: () => {
+        throw new Error('a fault');
+      },
+      route: () => Promise.reject(new Error('is not called')),
+    });
+    assert.equal((await send()).status, 502);
+    assert.deepEqual(events, ['request-fault']);
+  });
+
+  it('guards against a request that stays open when its answer cannot be written', async (t) => {
+    const head = { status: 200, headers: ['server load', '1'] };
+    const outcome: CallerOutcome = {
+      type: 'answered',
+      head,
+      body: { type: 'whole', data: Buffer.from('done') },
+    };
+    const { events, finished, listener, send } = await startListener(t, {
+      findRoute,
+      route: () => Promise.resolve(outcome),
+    });
+    assert.equal((await send()).status, 502);
+    assert.deepEqual(events, ['answer-not-sendable']);
+    assert.equal(finished[0]?.outcome.type, 'failed');
+    assert.equal(listener.open, 0);
+  });
+});
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -1,3 +1,4 @@
+import type { Logger } from '@hickorybridge/logger';
 import { HeaderNames } from '@hickorybridge/platform';
 import { maxWholeBodyBytes, type RequestBody } from '@hickorybridge/peer-protocol';
 import type { CallerLimits, Route, SocketAddress } from '@hickorybridge/types';
@@ -21,6 +22,7 @@
   readonly stopping: () => boolean;
   readonly onFinished: (exchange: FinishedRequest) => void;
   readonly clock: Clock;
+  readonly logger: Logger;
 }
 
 /** A finished request with its outcome and duration. */
@@ -45,6 +47,16 @@
 // Timers of Node.js fire at once when their delay exceeds 24 days.
 const maxRemainingMilliseconds = 3_600_000;
 
+type FailedOutcome = Extract<CallerOutcome, { type: 'failed' }>;
+
+/** The fault may have come after the request was sent, so this does not promise that it did not run. */
+const nodeFault: FailedOutcome = {
+  type: 'failed',
+  reason: FailureReason.nodeFault,
+  mayHaveRun: true,
+  detail: 'a fault of this node',
+};
+
 /** Accepts HTTP requests from callers on this host, including its backend server. */
 export class CallersListener implements AsyncDisposable {
   readonly #options: CallersListenerOptions;
@@ -60,7 +72,7 @@
     this.#server = createServer({ maxHeaderSize: maxParsedHeaderBytes, noDelay: true });
     this.#server.keepAliveTimeout = defaultIdleMilliseconds + idleMarginMilliseconds;
     this.#server.requestTimeout = 0;
-    this.#server.on('request', (request, response) => this.#handle(request, response));
+    this.#server.on('request', (request, response) => this.#answer(request, response));
     this.#server.on('clientError', (_error, socket) => socket.destroy());
   }
 
@@ -92,31 +104,43 @@
     this.#server.closeIdleConnections();
   }
 
-  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { clock } = this.#options;
+  /** Handles a request. Every request is answered, also when an operation fails unexpectedly. */
+  async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { clock, onFinished, stopping } = this.#options;
     const arrivedAt = clock.now();
     this.#openRequests += 1;
     response.once('close', () => {
       this.#openRequests -= 1;
     });
-    if (this.#options.stopping()) response.shouldKeepAlive = false;
+    if (stopping()) response.shouldKeepAlive = false;
     const requestId = singleHeader(request, HeaderNames.requestId) ?? '';
-    const finish = (outcome: CallerOutcome, found?: RouteMatch) => {
-      sendOutcome(request, response, outcome);
-      this.#options.onFinished({
-        requestId,
-        route: found?.route,
-        service: found?.service,
-        outcome,
-        milliseconds: clock.now() - arrivedAt,
-        depth: found?.depth ?? 0,
-      });
-    };
-    const found = this.#findRoute(request, requestId);
-    if (found.type === 'failed') {
-      finish(found);
-      return;
+    let found: RouteMatch | undefined;
+    let outcome: CallerOutcome;
+    try {
+      const match = this.#findRoute(request, requestId);
+      if (match.type === 'found') found = match;
+      outcome =
+        match.type === 'failed'
+          ? match
+          : await this.#route({ request, response, requestId, found: match, arrivedAt });
+    } catch (error) {
+      this.#logFault(requestId, error);
+      outcome = nodeFault;
     }
+    const sent = sendOutcome(request, response, outcome);
+    if (sent !== outcome) this.#logNotSendable(requestId, sent);
+    onFinished({
+      requestId,
+      route: found?.route,
+      service: found?.service,
+      outcome: sent,
+      milliseconds: clock.now() - arrivedAt,
+      depth: found?.depth ?? 0,
+    });
+  }
+
+  async #route(routable: RoutableRequest): Promise<CallerOutcome> {
+    const { found, request, response } = routable;
     const cancellation = new AbortController();
     response.once('close', () => {
       // Most responses are complete, and an abort is expensive.
@@ -127,22 +151,27 @@
       maxBufferedBytes: maxWholeBodyBytes,
     });
     if (body === 'too-large') {
-      finish(failure(FailureReason.bodyTooLarge, 'the body is larger than allowed'), found);
-      return;
+      return failure(FailureReason.bodyTooLarge, 'the body is larger than allowed');
     }
     if (body === 'broken') {
-      finish(failure(FailureReason.callerLeft, 'the body did not arrive completely'), found);
-      return;
+      return failure(FailureReason.callerLeft, 'the body did not arrive completely');
     }
-    const callerRequest = this.#toCallerRequest({
-      request,
+    const { signal } = cancellation;
+    return this.#options.router.route(this.#toCallerRequest({ ...routable, body, signal }));
+  }
+
+  #logFault(requestId: string, error: unknown): void {
+    this.#options.logger.error('request-fault', 'handling a request failed unexpectedly', {
       requestId,
-      found,
-      body,
-      arrivedAt,
-      signal: cancellation.signal,
+      detail: error instanceof Error ? (error.stack ?? error.message) : String(error),
+    });
+  }
+
+  #logNotSendable(requestId: string, outcome: CallerOutcome): void {
+    this.#options.logger.warn('answer-not-sendable', 'an answer cannot be sent as HTTP', {
+      requestId,
+      detail: outcome.type === 'failed' ? outcome.detail : undefined,
     });
-    finish(await this.#options.router.route(callerRequest), found);
   }
 
   #findRoute(request: IncomingMessage, requestId: string): RouteMatch | FailedOutcome {
@@ -179,14 +208,9 @@
     };
   }
 
-  #toCallerRequest(options: {
-    readonly request: IncomingMessage;
-    readonly requestId: string;
-    readonly found: RouteMatch;
-    readonly body: RequestBody;
-    readonly arrivedAt: number;
-    readonly signal: AbortSignal;
-  }): CallerRequest {
+  #toCallerRequest(
+    options: RoutableRequest & { readonly body: RequestBody; readonly signal: AbortSignal },
+  ): CallerRequest {
     const { arrivedAt, body, found, request, requestId, signal } = options;
     const { depth, route, service } = found;
     const remaining = remainingMillisecondsOf(request);
@@ -227,7 +251,14 @@
   readonly limits: CallerLimits;
 }
 
-type FailedOutcome = Extract<CallerOutcome, { type: 'failed' }>;
+/** A request whose route is known. */
+interface RoutableRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly requestId: string;
+  readonly found: RouteMatch;
+  readonly arrivedAt: number;
+}
 
 function failure(reason: FailureReason, detail: string): FailedOutcome {
   return { type: 'failed', reason, mayHaveRun: false, detail };
--- a/packages/host-node/src/callers/sendOutcome.ts
+++ b/packages/host-node/src/callers/sendOutcome.ts
@@ -18,26 +18,49 @@
 const timeoutStatus = 504;
 const lostStatus = 502;
 
-/** Sends the outcome of a request to its caller. */
+/**
+ * Sends the outcome of a request to its caller. Returns the outcome that was sent: a failure if the
+ * head of the answer cannot be sent as HTTP.
+ */
 export function sendOutcome(
   request: IncomingMessage,
   response: ServerResponse,
   outcome: CallerOutcome,
-): void {
+): CallerOutcome {
   if (response.destroyed || response.writableEnded) {
     if (outcome.type === 'answered') discardBody(outcome.body);
-    return;
+    return outcome;
   }
   // While the request body is unread, the connection cannot be reused for another request.
   if (!request.complete) response.shouldKeepAlive = false;
-  if (outcome.type === 'failed') sendFailure(response, outcome);
-  else sendAnswer(response, outcome);
+  if (outcome.type === 'failed') {
+    sendFailure(response, outcome);
+    return outcome;
+  }
+  try {
+    sendAnswer(response, outcome);
+    return outcome;
+  } catch (error) {
+    // A node of an older version passes on malformed headers.
+    discardBody(outcome.body);
+    const failure = notSendable(error);
+    sendFailure(response, failure);
+    return failure;
+  }
 }
 
-function sendFailure(
-  response: ServerResponse,
-  outcome: Extract<CallerOutcome, { type: 'failed' }>,
-): void {
+type FailedOutcome = Extract<CallerOutcome, { type: 'failed' }>;
+
+function notSendable(error: unknown): FailedOutcome {
+  return {
+    type: 'failed',
+    reason: FailureReason.connectionLost,
+    mayHaveRun: true,
+    detail: `the answer of the backend server cannot be sent: ${String(error)}`,
+  };
+}
+
+function sendFailure(response: ServerResponse, outcome: FailedOutcome): void {
   const { detail, reason, returnMilliseconds } = outcome;
   const text = JSON.stringify({ reason, detail });
   const headers: string[] = ['content-type', 'application/json'];
@@ -49,7 +72,7 @@
   response.end(text);
 }
 
-function statusOf({ mayHaveRun, reason }: Extract<CallerOutcome, { type: 'failed' }>): number {
+function statusOf({ mayHaveRun, reason }: FailedOutcome): number {
   if (!mayHaveRun) return notRunStatuses[reason] ?? defaultNotRunStatus;
   return reason === FailureReason.timeout ? timeoutStatus : lostStatus;
 }
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -185,6 +185,7 @@
       if (depth > 0) backendServers.recordNestedCall(requestId, milliseconds);
     },
     clock,
+    logger,
   });
   const configurationReceiver = new ConfigurationReceiver({
     apply: (configuration) => {
--- a/packages/host-node/src/routing/CallerRequest.ts
+++ b/packages/host-node/src/routing/CallerRequest.ts
@@ -35,6 +35,7 @@
   timeout: 'timeout',
   connectionLost: 'connection-lost',
   callerLeft: 'caller-left',
+  nodeFault: 'node-fault',
   badRequest: 'bad-request',
   bodyTooLarge: 'body-too-large',
   headersTooLarge: 'headers-too-large',
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -113,7 +113,7 @@
       };
       this.#route().then(finish, (error: unknown) => {
         this.#logFault(error);
-        finish(this.#fail(FailureReason.connectionLost, 'a fault of this node'));
+        finish(this.#fail(FailureReason.nodeFault, 'a fault of this node'));
       });
     });
   }
