A request whose head cannot be forwarded is rejected at once

What callers saw: a request with an empty header name, a space in a header name, or a tab or form feed in its path was sent to up to three hosts, refused by each, and ended with 503 and a Retry-After. It can never be served, so the promise made the caller come back for nothing.

Change: the callers' listener checks the head and answers 400 (reason `bad-request`), without a route, a retry or a slot.

Evidence: the three new tests of CallersListener.test fail on the sources before (the request is routed) and pass now.

--- a/packages/host-node/src/__tests__/CallersListener.test.ts
+++ b/packages/host-node/src/__tests__/CallersListener.test.ts
@@ -1,6 +1,8 @@
 import { createLogger } from '@hickorybridge/logger';
 import { systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
+import { connect } from 'node:net';
+import { text } from 'node:stream/consumers';
 import { describe, it, type TestContext } from 'node:test';
 
 import { CallersListener, type FinishedRequest } from '../callers/CallersListener.js';
@@ -41,7 +43,7 @@
   t.after(() => listener[Symbol.asyncDispose]());
   const send = () =>
     sendRequest(port, { path: '/reads/1', id: 'x', signal: AbortSignal.timeout(2000) });
-  return { events, finished, listener, send };
+  return { events, finished, listener, port, send };
 }
 
 const findRoute = (() => ({
@@ -87,4 +89,28 @@
     assert.equal(finished[0]?.outcome.type, 'failed');
     assert.equal(listener.open, 0);
   });
+
+  // The HTTP parser of Node.js accepts these, and its HTTP client refuses to send them.
+  for (const [part, requestLine, header] of [
+    ['header name', 'GET /reads/1 HTTP/1.1', 'x y: 1'],
+    ['empty header name', 'GET /reads/1 HTTP/1.1', ': 1'],
+    ['path', 'GET /reads/\t1 HTTP/1.1', 'x-y: 1'],
+  ] as const) {
+    it(`guards against a promise to serve a request later whose ${part} cannot be forwarded`, async (t) => {
+      let routed = 0;
+      const { port } = await startListener(t, {
+        findRoute,
+        route: () => {
+          routed += 1;
+          return Promise.reject(new Error('is not called'));
+        },
+      });
+      const socket = connect(port, host);
+      socket.end(`${requestLine}\r\nhost: a.example\r\n${header}\r\nconnection: close\r\n\r\n`);
+      const answer = await text(socket);
+      assert.match(answer, /^HTTP\/1\.1 400 /);
+      assert.doesNotMatch(answer, /retry-after/i);
+      assert.equal(routed, 0);
+    });
+  }
 });
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '@hickorybridge/utils';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
-import { endToEndHeaders } from '../headers.js';
+import { endToEndHeaders, findMalformedName } from '../headers.js';
 import { listen } from '../listen.js';
 import { FailureReason, type CallerOutcome, type CallerRequest } from '../routing/CallerRequest.js';
 import type { RequestRouter } from '../routing/RequestRouter.js';
@@ -43,6 +43,8 @@
 const defaultIdleMilliseconds = 15_000;
 // Suggested retry delay: a node reads its configuration, or restarts, within about this time.
 const startupRetryMilliseconds = 700;
+// The HTTP client of Node.js refuses to send a path with these characters.
+const notForwardable = /[^\u0021-\u00ff]/;
 const defaultRemainingMilliseconds = 30_000;
 // Timers of Node.js fire at once when their delay exceeds 24 days.
 const maxRemainingMilliseconds = 3_600_000;
@@ -194,6 +196,8 @@
     if (headerBytes > configuration.limits.maxHeaderBytes) {
       return failure(FailureReason.headersTooLarge, 'the headers are larger than allowed');
     }
+    const malformed = describeMalformedHead(request);
+    if (malformed !== undefined) return failure(FailureReason.badRequest, malformed);
     const host = request.headers.host ?? '';
     const route = router.findRoute(host, request.url ?? '');
     if (route === undefined) {
@@ -264,6 +268,13 @@
   return { type: 'failed', reason, mayHaveRun: false, detail };
 }
 
+/** Describes what prevents the head of a request from being forwarded; `undefined` if nothing does. */
+function describeMalformedHead({ rawHeaders, url = '' }: IncomingMessage): string | undefined {
+  const malformedName = findMalformedName(rawHeaders);
+  if (malformedName !== undefined) return `the header name "${malformedName}" is malformed`;
+  return notForwardable.test(url) ? 'the path contains a control character' : undefined;
+}
+
 function singleHeader(request: IncomingMessage, name: string): string | undefined {
   const value = request.headers[name];
   return Array.isArray(value) ? value[0] : value;
