A kept error answer has an owner and cannot end the node

At the deadline of the request the node ended, and with it all its requests.

Cause: the kept answer was discarded neither after another host had answered nor after the caller had left. Its exchange went on, holding a slot, until the deadline destroyed the body with an error that nobody listened to.

Change: `KeptErrorAnswer` owns such an answer. It is taken, replaced or discarded in every way out of the request; one whose body has broken off is not passed on, the caller gets 502. The stream of a body keeps a failure as its state (`keepErrorAsState`, also used by `BodyReceiver`) and no longer raises an uncaught error.

Evidence: before the change the new test of endlessBytes.test fails with the uncaught error "the answer broke off", and the three new tests of RequestRun.test fail; all pass now.

--- a/packages/host-node/src/__tests__/RequestRun.test.ts
+++ b/packages/host-node/src/__tests__/RequestRun.test.ts
@@ -6,6 +6,7 @@
 import { RandomSource, systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
+import { PassThrough } from 'node:stream';
 import { describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 
@@ -49,6 +50,16 @@
   body: { type: 'whole', data: Buffer.alloc(0) },
 });
 
+/** A server error whose body has not arrived completely. */
+function createErrorAnswer(stream: PassThrough): ExecutionOutcome {
+  return {
+    type: 'answered',
+    head: { status: 500, headers: [] },
+    report: { limit: 4, inFlight: 0, queued: 0, serviceMilliseconds: 5, rampShare: 1 },
+    body: { type: 'stream', stream },
+  };
+}
+
 interface RunOverrides {
   /** Time after which each host answers; hosts never answer by default. */
   readonly answerDelayMilliseconds: number;
@@ -57,6 +68,8 @@
   readonly idempotent: boolean;
   /** Error that sending fails with. */
   readonly sendError: Error;
+  /** Gives the outcome at one host, in place of the answer after a time. */
+  readonly outcomeAt: (nodeId: string, signal: AbortSignal) => Promise<ExecutionOutcome>;
 }
 
 /**
@@ -86,6 +99,7 @@
       send: async (nodeId, _head, _body, signal): Promise<ExecutionOutcome> => {
         askedHosts.push(nodeId);
         if (overrides.sendError !== undefined) throw overrides.sendError;
+        if (overrides.outcomeAt !== undefined) return overrides.outcomeAt(nodeId, signal);
         if (answerDelayMilliseconds !== undefined) {
           await sleep(answerDelayMilliseconds);
           return createAnswer();
@@ -163,4 +177,47 @@
     assert.ok(systemClock.now() - startedAt < 1000, 'the outcome came at the deadline only');
     assert.equal(result.type === 'failed' && result.mayHaveRun, true);
   });
+
+  // The exchange of a body that nobody reads or discards goes on until its deadline.
+  it('guards against a server error that is kept after another host has answered', async () => {
+    const stream = new PassThrough();
+    const { outcome } = startRun(2000, {
+      idempotent: true,
+      outcomeAt: async (nodeId) => (nodeId === 'one' ? createErrorAnswer(stream) : createAnswer()),
+    });
+    const result = await outcome;
+    assert.equal(result.type === 'answered' && result.head.status, 200);
+    assert.equal(stream.destroyed, true);
+  });
+
+  it('guards against a server error that is kept after the caller has disconnected', async () => {
+    const stream = new PassThrough();
+    const { callerAbort, outcome } = startRun(2000, {
+      idempotent: true,
+      outcomeAt: async (nodeId, signal) => {
+        if (nodeId === 'one') return createErrorAnswer(stream);
+        await once(signal, 'abort');
+        return { type: 'refused', reason: 'cancelled', report: undefined };
+      },
+    });
+    await sleep(10);
+    callerAbort.abort();
+    await outcome;
+    assert.equal(stream.destroyed, true);
+  });
+
+  it('guards against a server error that is passed on although its body has broken off', async () => {
+    const stream = new PassThrough();
+    stream.on('error', () => {});
+    const { outcome } = startRun(2000, {
+      idempotent: true,
+      outcomeAt: async (nodeId) => {
+        if (nodeId === 'one') return createErrorAnswer(stream);
+        stream.destroy(new Error('the answer broke off'));
+        return { type: 'refused', reason: 'connection-refused', report: undefined };
+      },
+    });
+    const result = await outcome;
+    assert.equal(result.type === 'failed' && result.mayHaveRun, true);
+  });
 });
--- a/packages/host-node/src/__tests__/endlessBytes.test.ts
+++ b/packages/host-node/src/__tests__/endlessBytes.test.ts
@@ -1,6 +1,7 @@
 import { BackendFault } from '@hickorybridge/stand-ins';
 import assert from 'node:assert/strict';
 import { describe, it, type TestContext } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 import { sendRequest, startFleet, waitUntil } from './fleet.js';
 
@@ -90,4 +91,24 @@
     assert.equal(result.answer?.text, 'answer to x ');
     await assertRecovers(result);
   });
+
+  it('guards against an endless server error that ends the process after a retry was answered', async (t) => {
+    const { members } = await startFleet(t, ['one', 'two']);
+    const [one] = members;
+    assert.ok(one !== undefined);
+    const { port } = one.settings.listeners.callers;
+    one.backend.fault = BackendFault.endlessError;
+    for (let number = 0; number < 6; number += 1) {
+      const read = await sendRequest(port, { path: `/reads/${number}`, id: `r${number}` });
+      assert.equal(read.status, 200);
+    }
+    assert.ok(one.backend.ran.length > 0, 'no request reached the faulty backend server');
+    const answeredAt = performance.now();
+    await waitUntil(() => one.backend.endlessConnections === 0);
+    assert.ok(performance.now() - answeredAt < maxCloseMilliseconds, 'the connection stays open');
+    // Past the deadline of the requests, when an exchange that is still open is cancelled.
+    await sleep(maxMilliseconds);
+    one.backend.fault = BackendFault.none;
+    assert.equal((await sendRequest(port, { path: '/reads/7', id: 'y' })).status, 200);
+  });
 });
--- a/packages/host-node/src/backend/BackendServerExchange.ts
+++ b/packages/host-node/src/backend/BackendServerExchange.ts
@@ -1,4 +1,5 @@
 import {
+  keepErrorAsState,
   LossCause,
   maxWholeBodyBytes,
   type AnswerBody,
@@ -8,7 +9,7 @@
 import type { AnswerHead, LoadFigures, RequestHead } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
 import { request, type ClientRequest, type IncomingMessage } from 'node:http';
-import { Transform } from 'node:stream';
+import { PassThrough } from 'node:stream';
 
 import { endToEndHeaders, findMalformedName } from '../headers.js';
 import type { ConnectionAgent } from './ConnectionAgent.js';
@@ -223,9 +224,7 @@
 
   /** Streams a large body as it arrives; the stream fails if the answer ends early. */
   #streamBody(answer: IncomingMessage, head: AnswerHead, first: readonly Buffer[] = []): void {
-    const stream = new Transform({
-      transform: (chunk, _encoding, callback) => callback(null, chunk),
-    });
+    const stream = keepErrorAsState(new PassThrough());
     for (const chunk of first) stream.write(chunk);
     onAnswerEnd(answer, (complete) => {
       if (complete) stream.end();
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -18,6 +18,7 @@
 import { FailureReason, type CallerOutcome, type CallerRequest } from './CallerRequest.js';
 import type { HostChoice } from './HostChoice.js';
 import { HostAttempt } from './HostAttempt.js';
+import { KeptErrorAnswer, type AnsweredOutcome } from './KeptErrorAnswer.js';
 
 /** Sends a request to the node of another host, or to the backend server of this host. */
 export type SendToHost = (
@@ -81,8 +82,7 @@
 
   #lastHost: string | undefined;
 
-  /** Error answer of a backend server, kept while the request is retried. */
-  #errorAnswer: CallerOutcome | undefined;
+  readonly #errorAnswer = new KeptErrorAnswer();
 
   constructor(options: RequestRunOptions, request: CallerRequest) {
     this.#options = options;
@@ -96,20 +96,24 @@
     // Nested calls add nothing to the retry budget, since they may stem from retries themselves.
     if (depth === 0) this.#options.retryBudgetFor(service).recordFirstAttempt();
     return new Promise((resolve) => {
-      const stop = (outcome: CallerOutcome) => {
+      const settle = (outcome: CallerOutcome) => {
         resolve(outcome);
+        this.#errorAnswer.discard();
+      };
+      const stop = (outcome: CallerOutcome) => {
+        settle(outcome);
         this.#cancellation.abort();
         for (const attempt of this.#runningAttempts) attempt.cancel();
       };
       const onLeft = () => stop(this.#fail(FailureReason.callerLeft, 'the caller has left'));
       signal.addEventListener('abort', onLeft, { once: true });
       const onTimeout = () =>
-        stop(this.#errorAnswer ?? this.#fail(FailureReason.timeout, this.#describeWait()));
+        stop(this.#errorAnswer.take() ?? this.#fail(FailureReason.timeout, this.#describeWait()));
       const timer = setTimeout(onTimeout, deadline - clock.now());
       const finish = (outcome: CallerOutcome) => {
         clearTimeout(timer);
         signal.removeEventListener('abort', onLeft);
-        resolve(outcome);
+        settle(outcome);
       };
       this.#route().then(finish, (error: unknown) => {
         this.#logFault(error);
@@ -123,7 +127,7 @@
       const candidate = await this.#selectHost();
       // The caller already has its outcome, so no further attempt may start.
       if (this.#cancellation.signal.aborted) return this.#noHost();
-      if (candidate === undefined) return this.#errorAnswer ?? this.#noHost();
+      if (candidate === undefined) return this.#errorAnswer.take() ?? this.#noHost();
       const { outcome, winner } = await runHedged({
         first: this.#startAttempt(candidate),
         delayMilliseconds: this.#hedgeDelay(),
@@ -249,21 +253,18 @@
     }
   }
 
-  #decideAnswered(
-    { entry }: HostCandidate,
-    outcome: Extract<ExecutionOutcome, { type: 'answered' }>,
-  ): CallerOutcome | undefined {
+  #decideAnswered({ entry }: HostCandidate, outcome: AnsweredOutcome): CallerOutcome | undefined {
     const { status } = outcome.head;
     if (status < minServerErrorStatus) return outcome;
     if (this.#tryTakeRetry()) {
-      if (this.#errorAnswer?.type === 'answered') discardBody(this.#errorAnswer.body);
-      this.#errorAnswer = outcome;
+      this.#errorAnswer.replace(outcome);
       this.#logRetry(entry.nodeId, `status ${status}`);
       return undefined;
     }
-    if (this.#errorAnswer?.type !== 'answered') return outcome;
+    const earlier = this.#errorAnswer.take();
+    if (earlier === undefined) return outcome;
     discardBody(outcome.body);
-    return this.#errorAnswer;
+    return earlier;
   }
 
   #decideRefused(
@@ -287,7 +288,7 @@
         ? this.#tryTakeRetry()
         : this.#refusals < maxRefusals && this.#canResendBody();
     if (isRetried) return undefined;
-    return this.#errorAnswer ?? this.#overloaded(reason);
+    return this.#errorAnswer.take() ?? this.#overloaded(reason);
   }
 
   #decideLost(
@@ -301,7 +302,7 @@
     }
     const reason =
       cause === LossCause.deadline ? FailureReason.timeout : FailureReason.connectionLost;
-    return this.#errorAnswer ?? this.#fail(reason, detail);
+    return this.#errorAnswer.take() ?? this.#fail(reason, detail);
   }
 
   /**
--- a/packages/peer-protocol/src/AnswerBody.ts
+++ b/packages/peer-protocol/src/AnswerBody.ts
@@ -11,9 +11,17 @@
 /** Bodies up to this size are sent whole, in one frame with the head of the answer, in bytes. */
 export const maxWholeBodyBytes = 32 * 1024;
 
+/**
+ * Keeps the failure of a body without a reader from ending the process as an uncaught error. Whoever
+ * reads the stream later finds the failure in `errored`.
+ */
+export function keepErrorAsState<Body extends Readable>(stream: Body): Body {
+  return stream.on('error', () => {});
+}
+
 /** Drops a body that nobody wants. */
 export function discardBody(body: AnswerBody): void {
-  if (body.type === 'stream') body.stream.on('error', () => {}).destroy();
+  if (body.type === 'stream') keepErrorAsState(body.stream).destroy();
 }
 
 /** Calls the listener when the body has ended; `complete` is false when it broke off. */
--- a/packages/peer-protocol/src/BodyReceiver.ts
+++ b/packages/peer-protocol/src/BodyReceiver.ts
@@ -1,5 +1,6 @@
 import { Readable } from 'node:stream';
 
+import { keepErrorAsState } from './AnswerBody.js';
 import { creditBatchBytes, streamWindowBytes } from './flowControl.js';
 
 /** What a body receiver needs from its connection. */
@@ -34,8 +35,7 @@
     this.#options = options;
     this.#window = options.creditOnFirstRead ? 0 : streamWindowBytes;
     this.#creditPending = options.creditOnFirstRead;
-    // A body that fails before it has a reader must not end the process.
-    this.on('error', () => {});
+    keepErrorAsState(this);
   }
 
   /** Takes in data from the peer. Returns false when the peer sent more than it was allowed. */
--- a/packages/stand-ins/src/platformBackend/StandInPlatformBackend.ts
+++ b/packages/stand-ins/src/platformBackend/StandInPlatformBackend.ts
@@ -35,6 +35,8 @@
   endlessInterim: 'endless-interim',
   /** An answer without a length whose body does not end. */
   endlessBody: 'endless-body',
+  /** A server error in chunks that do not end. */
+  endlessError: 'endless-error',
   /** An answer without a length that stops in the middle of its body. */
   stalledBody: 'stalled-body',
   /** An answer in chunks that do not end. */
@@ -242,6 +244,11 @@
         first: `${head('200 OK', ['transfer-encoding: chunked'])}\r\n\r\n`,
         repeated: repeated('a\r\nmore bytes\r\n'),
       };
+    case BackendFault.endlessError:
+      return {
+        first: `${head('500 Failed', ['transfer-encoding: chunked'])}\r\n\r\n`,
+        repeated: repeated('a\r\nmore bytes\r\n'),
+      };
     case BackendFault.endlessRejection:
       return {
         first: `${head('503 Busy', ['not-executed: 1'])}\r\n\r\n`,
