A caller that leaves during an upload no longer ends the node

Change: the stream of an upload keeps the failure as its state, too.

Evidence: both tests of readBody.test fail on the sources before with the uncaught error "the caller broke off the body", and pass now.

--- a/packages/host-node/src/callers/readBody.ts
+++ b/packages/host-node/src/callers/readBody.ts
@@ -1,4 +1,4 @@
-import type { RequestBody } from '@hickorybridge/peer-protocol';
+import { keepErrorAsState, type RequestBody } from '@hickorybridge/peer-protocol';
 import type { IncomingMessage } from 'node:http';
 import { PassThrough } from 'node:stream';
 
@@ -53,7 +53,7 @@
   limits: BodyLimits,
   first: readonly Buffer[] = [],
 ): PassThrough {
-  const stream = new PassThrough();
+  const stream = keepErrorAsState(new PassThrough());
   let size = 0;
   for (const chunk of first) {
     size += chunk.length;
