hickorybridged: an answer that breaks off unread cannot end the process

Change: the stream keeps the failure as its state.

Evidence: BackendServerExchange.test fails on the sources before with the uncaught error "the connection was reset", and passes now.

--- a/packages/node/src/admitting/BackendServerExchange.ts
+++ b/packages/node/src/admitting/BackendServerExchange.ts
@@ -1,4 +1,9 @@
-import { LossCause, maxWholeBodyBytes, type AnswerBody } from '@hickorybridge/peer-protocol';
+import {
+  keepErrorAsState,
+  LossCause,
+  maxWholeBodyBytes,
+  type AnswerBody,
+} from '@hickorybridge/peer-protocol';
 import type { AnswerHead, HeaderList } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
 import { Readable } from 'node:stream';
@@ -134,6 +139,7 @@
         callback(error);
       },
     });
+    keepErrorAsState(stream);
     this.#stream = stream;
     this.#settle({ type: 'answered', head, body: { type: 'stream', stream } });
   }
