Tests: an answer whose head is cut off is never a success

Another operator's report: a backend server stopped in the middle of its answer's head, and callers got a 200 with an empty or short body. Looked for here and not found: with the head cut after each of its 108 bytes the caller gets 502, directly and over a peer, and the request runs once. The tests keep it so; no source of the product changes.

--- a/packages/stand-ins/src/platformBackend/StandInPlatformBackend.ts
+++ b/packages/stand-ins/src/platformBackend/StandInPlatformBackend.ts
@@ -24,6 +24,8 @@
   unframed: 'unframed',
   /** Sends a second answer after the first. */
   extra: 'extra',
+  /** Stops within the head of the answer, after `cutHeadBytes`, and closes the connection. */
+  cutHead: 'cut-head',
   /** Sends a complete answer in which the name of one header contains a space. */
   malformedHeader: 'malformed-header',
   error: 'error',
@@ -67,6 +69,9 @@
 
   workMilliseconds = 5;
 
+  /** How much of a head is sent under the fault `cutHead`, in bytes. */
+  cutHeadBytes = 0;
+
   /** Ids of the requests that ran, in order. */
   readonly ran: string[] = [];
 
@@ -176,8 +181,11 @@
         response.end(text);
         socket?.write('HTTP/1.1 200 OK\r\nRequest-Id: old\r\nContent-Length: 1\r\n\r\nx');
         return;
+      case BackendFault.cutHead:
+        socket?.end(createHead(headers, text.length).slice(0, this.cutHeadBytes));
+        return;
       case BackendFault.malformedHeader:
-        socket?.write(`${malformedHead(headers, text.length)}${text}`);
+        socket?.write(`${createHead({ ...headers, 'server load': '1' }, text.length)}${text}`);
         return;
       case BackendFault.stalledBody:
         response.useChunkedEncodingByDefault = false;
@@ -209,10 +217,10 @@
   }
 }
 
-function malformedHead(headers: Readonly<Record<string, string>>, length: number): string {
-  const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
-  lines.push('server load: 1', `content-length: ${length}`);
-  return `HTTP/1.1 200 OK\r\n${lines.join('\r\n')}\r\n\r\n`;
+/** Head of an answer, for faults that Node.js does not send. */
+function createHead(headers: Readonly<Record<string, string>>, length: number): string {
+  const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+  return `HTTP/1.1 200 OK\r\n${lines.join('')}content-length: ${length}\r\n\r\n`;
 }
 
 interface EndlessBytes {
