Planned stop: open requests are answered before the process ends

Here a stopping node takes requests for 2.6 s of 6 s; one that ran longer than the remaining 3.1 s could be cut by the exit.

Cause: `HostNode` ended the process with requests open, and passed requests on with deadlines after its own end.

Change: the deadline of a request that a stopping node takes is at most the moment at which the node ends, so hosts refuse work that cannot be answered by then. At that moment open requests get a truthful failure (`stopping`, 502 if they may have run, 503 if not), and a connection on which an answer has begun is reset: the end of a process closes it normally, which makes an answer without a length look complete.

New tests in plannedStop, CallersListener and RequestRun.test, which need the new behaviour (the open requests were not ended before).

--- a/packages/host-node/src/HostNode.ts
+++ b/packages/host-node/src/HostNode.ts
@@ -45,6 +45,8 @@
 
   #stopping: Promise<void> | undefined;
 
+  #endsAt: number | undefined;
+
   constructor(components: HostNodeComponents) {
     this.#components = components;
   }
@@ -53,6 +55,11 @@
     return this.#stopping !== undefined;
   }
 
+  /** When open requests are ended, in monotonic milliseconds; `undefined` unless stopping. */
+  get endsAt(): number | undefined {
+    return this.#endsAt;
+  }
+
   /** Whether the readiness probe tells callers to use this node. */
   get ready(): boolean {
     return !this.stopping && this.#components.router.configuration !== undefined;
@@ -133,6 +140,7 @@
     const startedAt = clock.now();
     const { graceMilliseconds } = settings.current.bounds;
     const limit = graceMilliseconds - shutdownMarginMilliseconds;
+    this.#endsAt = startedAt + limit;
     logger.info('node-stopping', 'the node stops when its open requests are answered', {
       open: callers.open,
     });
@@ -152,6 +160,7 @@
       open: callers.open,
       milliseconds: Math.round(clock.now() - startedAt),
     });
+    callers.endOpenRequests();
     const release = async () => {
       await supervisor[Symbol.asyncDispose]();
       for (const disposable of this.#components.disposables) {
--- a/packages/host-node/src/__tests__/CallersListener.test.ts
+++ b/packages/host-node/src/__tests__/CallersListener.test.ts
@@ -1,12 +1,14 @@
 import { createLogger } from '@hickorybridge/logger';
 import { systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
 import { connect } from 'node:net';
+import { PassThrough } from 'node:stream';
 import { text } from 'node:stream/consumers';
 import { describe, it, type TestContext } from 'node:test';
 
 import { CallersListener, type FinishedRequest } from '../callers/CallersListener.js';
-import type { CallerOutcome } from '../routing/CallerRequest.js';
+import type { CallerOutcome, CallerRequest } from '../routing/CallerRequest.js';
 import type { RequestRouter } from '../routing/RequestRouter.js';
 import { freePorts, host, sendRequest } from './fleet.js';
 
@@ -14,6 +16,7 @@
 async function startListener(
   t: TestContext,
   { findRoute, route }: Pick<RequestRouter, 'findRoute' | 'route'>,
+  endsAt?: number,
 ) {
   const events: string[] = [];
   const finished: FinishedRequest[] = [];
@@ -28,7 +31,7 @@
     router,
     service: () => 'desk',
     isNestedCall: () => false,
-    stopping: () => false,
+    endsAt: () => endsAt,
     onFinished: (exchange) => finished.push(exchange),
     clock: systemClock,
     logger: createLogger({
@@ -90,6 +93,48 @@
     assert.equal(listener.open, 0);
   });
 
+  it('guards against work for a caller of a stopping node that cannot end in time', async (t) => {
+    const endsAt = systemClock.now() + 300;
+    const deadlines: number[] = [];
+    const route = async ({ deadline }: CallerRequest): Promise<CallerOutcome> => {
+      deadlines.push(deadline);
+      return { type: 'failed', reason: 'overloaded', mayHaveRun: false, detail: '' };
+    };
+    const { send } = await startListener(t, { findRoute, route }, endsAt);
+    await send();
+    assert.deepEqual(deadlines, [endsAt]);
+  });
+
+  it('guards against a request that is cut off without an answer when the node ends', async (t) => {
+    const route = async ({ signal }: CallerRequest): Promise<CallerOutcome> => {
+      await once(signal, 'abort');
+      return { type: 'failed', reason: signal.reason, mayHaveRun: true, detail: '' };
+    };
+    const { finished, listener, send } = await startListener(t, { findRoute, route });
+    const answer = send();
+    while (listener.open === 0) await systemClock.sleep(5);
+    listener.endOpenRequests();
+    assert.equal((await answer).status, 502);
+    assert.equal(finished[0]?.outcome.type === 'failed' && finished[0].outcome.reason, 'stopping');
+  });
+
+  // The end of a process closes its connections as if an answer without a length were complete.
+  it('guards against an answer without a length that looks complete when the node ends', async (t) => {
+    const stream = new PassThrough();
+    stream.write('the first part');
+    const head = { status: 200, headers: [], endsWithConnection: true };
+    const { listener, port } = await startListener(t, {
+      findRoute,
+      route: () => Promise.resolve({ type: 'answered', head, body: { type: 'stream', stream } }),
+    });
+    const socket = connect(port, host);
+    socket.write('GET /reads/1 HTTP/1.1\r\nhost: a.example\r\n\r\n');
+    await once(socket, 'data');
+    listener.endOpenRequests();
+    const [error] = (await once(socket, 'error')) as [NodeJS.ErrnoException];
+    assert.equal(error.code, 'ECONNRESET');
+  });
+
   // The HTTP parser of Node.js accepts these, and its HTTP client refuses to send them.
   for (const [part, requestLine, header] of [
     ['header name', 'GET /reads/1 HTTP/1.1', 'x y: 1'],
--- a/packages/host-node/src/__tests__/RequestRun.test.ts
+++ b/packages/host-node/src/__tests__/RequestRun.test.ts
@@ -10,7 +10,7 @@
 import { describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import type { CallerRequest } from '../routing/CallerRequest.js';
+import { FailureReason, type CallerRequest } from '../routing/CallerRequest.js';
 import type { HostChoice } from '../routing/HostChoice.js';
 import { RequestRun } from '../routing/RequestRun.js';
 
@@ -171,6 +171,15 @@
     assert.deepEqual(askedHosts, ['one']);
   });
 
+  it('guards against the end of this node that is reported as a caller that has left', async () => {
+    const { callerAbort, outcome } = startRun(2000);
+    await sleep(10);
+    callerAbort.abort(FailureReason.stopping);
+    const result = await outcome;
+    assert.equal(result.type === 'failed' && result.reason, FailureReason.stopping);
+    assert.equal(result.type === 'failed' && result.mayHaveRun, true);
+  });
+
   it('guards against a fault of this process that keeps the caller waiting', async () => {
     const startedAt = systemClock.now();
     const result = await startRun(2000, { sendError: new Error('a fault here') }).outcome;
--- a/packages/host-node/src/__tests__/plannedStop.test.ts
+++ b/packages/host-node/src/__tests__/plannedStop.test.ts
@@ -25,6 +25,10 @@
       return state.openRequests;
     },
     stopAccepting: () => events.push('stopped accepting'),
+    endOpenRequests: () => {
+      if (state.openRequests > 0) events.push('ended open requests');
+      state.openRequests = 0;
+    },
   };
   const pool = {
     ...disposable('pool'),
@@ -70,6 +74,17 @@
     });
   }
 
+  it('guards against requests that are cut off without an answer at the end of the grace time', async () => {
+    const { events, state, stopped } = stopNode();
+    state.openRequests = 1;
+    await stopped;
+    assert.deepEqual(events.slice(0, 3), [
+      'stopped accepting',
+      'ended open requests',
+      'supervisor disposed',
+    ]);
+  });
+
   it('guards against a task that does not end and delays the exit beyond the grace time', async () => {
     const startedAt = systemClock.now();
     const { state, stopped } = stopNode({ supervisorMilliseconds: 60_000 });
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -10,7 +10,7 @@
 import { FailureReason, type CallerOutcome, type CallerRequest } from '../routing/CallerRequest.js';
 import type { RequestRouter } from '../routing/RequestRouter.js';
 import { readBody } from './readBody.js';
-import { sendOutcome } from './sendOutcome.js';
+import { abortAnswer, sendOutcome } from './sendOutcome.js';
 
 export interface CallersListenerOptions {
   readonly router: RequestRouter;
@@ -18,8 +18,8 @@
   readonly service: () => string;
   /** Whether a request is a call that the backend server makes while it runs another request. */
   readonly isNestedCall: (requestId: string) => boolean;
-  /** Whether the node is shutting down. */
-  readonly stopping: () => boolean;
+  /** When the node ends, in monotonic milliseconds; `undefined` unless it is shutting down. */
+  readonly endsAt: () => number | undefined;
   readonly onFinished: (exchange: FinishedRequest) => void;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -65,7 +65,8 @@
 
   readonly #server: Server;
 
-  #openRequests = 0;
+  /** Requests that have no complete answer yet. */
+  readonly #openRequests = new Map<ServerResponse, AbortController>();
 
   #stoppedAccepting = false;
 
@@ -80,7 +81,7 @@
 
   /** Number of requests that have no complete answer yet. */
   get open(): number {
-    return this.#openRequests;
+    return this.#openRequests.size;
   }
 
   async listen(address: SocketAddress): Promise<void> {
@@ -101,6 +102,17 @@
     this.#server.closeIdleConnections();
   }
 
+  /**
+   * Ends the open requests, which the end of the process would cut off: answers them with a failure,
+   * and resets the connections on which an answer has begun.
+   */
+  endOpenRequests(): void {
+    for (const [response, cancellation] of this.#openRequests) {
+      if (!response.headersSent) cancellation.abort(FailureReason.stopping);
+      else if (!response.writableFinished) abortAnswer(response);
+    }
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.#server.close();
     this.#server.closeIdleConnections();
@@ -108,13 +120,16 @@
 
   /** Handles a request. Every request is answered, also when an operation fails unexpectedly. */
   async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { clock, onFinished, stopping } = this.#options;
+    const { clock, endsAt, onFinished } = this.#options;
     const arrivedAt = clock.now();
-    this.#openRequests += 1;
+    const cancellation = new AbortController();
+    this.#openRequests.set(response, cancellation);
     response.once('close', () => {
-      this.#openRequests -= 1;
+      this.#openRequests.delete(response);
+      // Most responses are complete, and an abort is expensive.
+      if (!response.writableFinished) cancellation.abort();
     });
-    if (stopping()) response.shouldKeepAlive = false;
+    if (endsAt() !== undefined) response.shouldKeepAlive = false;
     const requestId = singleHeader(request, HeaderNames.requestId) ?? '';
     let found: RouteMatch | undefined;
     let outcome: CallerOutcome;
@@ -124,7 +139,13 @@
       outcome =
         match.type === 'failed'
           ? match
-          : await this.#route({ request, response, requestId, found: match, arrivedAt });
+          : await this.#route({
+              request,
+              requestId,
+              found: match,
+              arrivedAt,
+              signal: cancellation.signal,
+            });
     } catch (error) {
       this.#logFault(requestId, error);
       outcome = nodeFault;
@@ -142,12 +163,7 @@
   }
 
   async #route(routable: RoutableRequest): Promise<CallerOutcome> {
-    const { found, request, response } = routable;
-    const cancellation = new AbortController();
-    response.once('close', () => {
-      // Most responses are complete, and an abort is expensive.
-      if (!response.writableFinished) cancellation.abort();
-    });
+    const { found, request } = routable;
     const body = await readBody(request, {
       maxBytes: found.limits.maxBodyBytes,
       maxBufferedBytes: maxWholeBodyBytes,
@@ -158,8 +174,7 @@
     if (body === 'broken') {
       return failure(FailureReason.callerLeft, 'the body did not arrive completely');
     }
-    const { signal } = cancellation;
-    return this.#options.router.route(this.#toCallerRequest({ ...routable, body, signal }));
+    return this.#options.router.route(this.#toCallerRequest({ ...routable, body }));
   }
 
   #logFault(requestId: string, error: unknown): void {
@@ -212,13 +227,16 @@
     };
   }
 
-  #toCallerRequest(
-    options: RoutableRequest & { readonly body: RequestBody; readonly signal: AbortSignal },
-  ): CallerRequest {
+  #toCallerRequest(options: RoutableRequest & { readonly body: RequestBody }): CallerRequest {
     const { arrivedAt, body, found, request, requestId, signal } = options;
     const { depth, route, service } = found;
     const remaining = remainingMillisecondsOf(request);
-    const deadline = arrivedAt + Math.min(remaining, route.timeoutMilliseconds);
+    // A host refuses a request that it cannot answer by its deadline, so a node that is shutting down
+    // does not start work that its end would cut off.
+    const deadline = Math.min(
+      arrivedAt + Math.min(remaining, route.timeoutMilliseconds),
+      this.#options.endsAt() ?? Infinity,
+    );
     // The remaining time of a nested call comes from its parent request, so it does not tell how
     // long earlier attempts took.
     const waited =
@@ -258,10 +276,10 @@
 /** A request whose route is known. */
 interface RoutableRequest {
   readonly request: IncomingMessage;
-  readonly response: ServerResponse;
   readonly requestId: string;
   readonly found: RouteMatch;
   readonly arrivedAt: number;
+  readonly signal: AbortSignal;
 }
 
 function failure(reason: FailureReason, detail: string): FailedOutcome {
--- a/packages/host-node/src/callers/sendOutcome.ts
+++ b/packages/host-node/src/callers/sendOutcome.ts
@@ -105,7 +105,7 @@
 }
 
 /** Resets the connection: after a normal close, an answer without a length would look complete. */
-function abortAnswer(response: ServerResponse): void {
+export function abortAnswer(response: ServerResponse): void {
   if (response.socket === null) response.destroy();
   else resetConnection(response.socket);
 }
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -178,7 +178,7 @@
     router,
     service: () => settings.current.service,
     isNestedCall: (requestId) => backendServers.isNestedCall(requestId),
-    stopping: () => node.stopping,
+    endsAt: () => node.endsAt,
     onFinished: (finished) => {
       telemetry.recordFinishedRequest(finished);
       const { depth, milliseconds, requestId } = finished;
--- a/packages/host-node/src/routing/CallerRequest.ts
+++ b/packages/host-node/src/routing/CallerRequest.ts
@@ -21,7 +21,7 @@
   readonly callerDeadline: number;
   /** 1 for a call that a backend server makes while it runs a request, otherwise 0. */
   readonly depth: number;
-  /** Aborted when the caller disconnects. */
+  /** Aborted when the caller disconnects, or with the reason `stopping` when this node ends. */
   readonly signal: AbortSignal;
 }
 
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -105,14 +105,14 @@
         this.#cancellation.abort();
         for (const attempt of this.#runningAttempts) attempt.cancel();
       };
-      const onLeft = () => stop(this.#fail(FailureReason.callerLeft, 'the caller has left'));
-      signal.addEventListener('abort', onLeft, { once: true });
+      const onAbort = () => stop(this.#failAborted());
+      signal.addEventListener('abort', onAbort, { once: true });
       const onTimeout = () =>
         stop(this.#errorAnswer.take() ?? this.#fail(FailureReason.timeout, this.#describeWait()));
       const timer = setTimeout(onTimeout, deadline - clock.now());
       const finish = (outcome: CallerOutcome) => {
         clearTimeout(timer);
-        signal.removeEventListener('abort', onLeft);
+        signal.removeEventListener('abort', onAbort);
         settle(outcome);
       };
       this.#route().then(finish, (error: unknown) => {
@@ -350,6 +350,12 @@
     return `no answer in time from host "${this.#lastHost}"`;
   }
 
+  #failAborted(): CallerOutcome {
+    return this.#request.signal.reason === FailureReason.stopping
+      ? this.#fail(FailureReason.stopping, 'this node ends')
+      : this.#fail(FailureReason.callerLeft, 'the caller has left');
+  }
+
   #noHost(): CallerOutcome {
     const { service } = this.#request;
     return this.#fail(
