An answer that this node breaks off is never complete

Cause: when a request is destroyed, Node.js drops what its answer has buffered, and still marks the answer as complete if the parser had read its last byte. `BackendServerExchange` took that mark for the state of the body that it had passed on.

Change: the exchange remembers that it has broken off its connection, for whatever reason, and such an answer is not complete.

Evidence: two of the three new tests of BackendServerExchange.test (a cancellation and a broken upload) fail on the sources before, since the short body ends normally, and pass now.

--- /dev/null
+++ b/packages/host-node/src/__tests__/BackendServerExchange.test.ts
@@ -0,0 +1,99 @@
+import { keepErrorAsState, LossCause } from '@hickorybridge/peer-protocol';
+import { systemClock } from '@hickorybridge/utils';
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { PassThrough, type Readable } from 'node:stream';
+import { buffer } from 'node:stream/consumers';
+import { describe, it, type TestContext } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { BackendServerExchange, type ExchangeOptions } from '../backend/BackendServerExchange.js';
+import { ConnectionAgent } from '../backend/ConnectionAgent.js';
+import { host } from './fleet.js';
+
+/** The HTTP parser reads this in two parts; the second stays in the buffer of an unread answer. */
+const bodyBytes = 100_000;
+const headers = { 'request-id': 'x', 'response-signature': 'signed' };
+
+/** Starts an exchange with a server that answers as `answer` says. */
+async function startExchange(
+  t: TestContext,
+  answer: (request: IncomingMessage, response: ServerResponse) => void,
+  body: ExchangeOptions['body'] = { type: 'none' },
+) {
+  const server = createServer(answer);
+  server.listen(0, host);
+  await once(server, 'listening');
+  const agent = new ConnectionAgent(1);
+  t.after(() => {
+    agent.destroy();
+    server.closeAllConnections();
+    server.close();
+  });
+  return new BackendServerExchange({
+    agent,
+    host,
+    port: (server.address() as AddressInfo).port,
+    head: {
+      requestId: 'x',
+      service: 'desk',
+      backendServerId: 'b',
+      incarnation: 0,
+      kind: 'orders',
+      idempotent: false,
+      weight: 1,
+      method: 'POST',
+      target: '/orders/1',
+      headers: ['host', 'a.example'],
+      deadline: systemClock.now() + 2000,
+      depth: 0,
+      attempts: 1,
+    },
+    body,
+    clock: systemClock,
+    onLoad: () => {},
+    onEnd: () => {},
+  });
+}
+
+async function streamOf(exchange: BackendServerExchange): Promise<Readable> {
+  const outcome = await exchange.outcome;
+  assert.ok(outcome.type === 'answered' && outcome.body.type === 'stream');
+  return outcome.body.stream;
+}
+
+function answerWithLength(_request: IncomingMessage, response: ServerResponse): void {
+  response.writeHead(200, { ...headers, 'content-length': bodyBytes });
+  response.end(Buffer.alloc(bodyBytes));
+}
+
+describe('BackendServerExchange', () => {
+  // Node.js drops what an answer has buffered when its request is destroyed, and still marks the answer
+  // as complete if its last byte had been parsed.
+  it('guards against an answer that lacks its end and looks complete, after a cancellation', async (t) => {
+    const exchange = await startExchange(t, answerWithLength);
+    const stream = await streamOf(exchange);
+    await sleep(50);
+    exchange.cancel(LossCause.deadline);
+    await assert.rejects(buffer(stream), /the answer broke off/);
+  });
+
+  it('guards against an answer that lacks its end and looks complete, after a broken upload', async (t) => {
+    const upload = keepErrorAsState(new PassThrough());
+    const exchange = await startExchange(t, answerWithLength, { type: 'stream', stream: upload });
+    upload.write('the first part');
+    const stream = await streamOf(exchange);
+    await sleep(50);
+    upload.destroy(new Error('the caller broke off the body'));
+    await assert.rejects(buffer(stream), /the answer broke off/);
+  });
+
+  it('guards against a complete answer that is not passed on to a slow reader', async (t) => {
+    const exchange = await startExchange(t, answerWithLength);
+    const stream = await streamOf(exchange);
+    await sleep(50);
+    assert.equal((await buffer(stream)).length, bodyBytes);
+  });
+});
--- a/packages/host-node/src/backend/BackendServerExchange.ts
+++ b/packages/host-node/src/backend/BackendServerExchange.ts
@@ -78,6 +78,9 @@
 
   #cancelCause: LossCause | undefined;
 
+  /** True once this node has broken off the exchange. */
+  #aborted = false;
+
   constructor(options: ExchangeOptions) {
     this.#options = options;
     this.outcome = new Promise((resolve) => {
@@ -89,8 +92,16 @@
   /** Ends the exchange by closing its connection. */
   cancel(cause: LossCause): void {
     this.#cancelCause ??= cause;
-    // Without an error, an answer delimited by the end of its connection would look complete.
-    this.#request.destroy(new Error('the request was cancelled'));
+    this.#abort('the request was cancelled');
+  }
+
+  /**
+   * Closes the connection. Node.js then drops what the answer has buffered, and still marks the
+   * answer as complete if its last byte had been parsed.
+   */
+  #abort(reason: string): void {
+    this.#aborted = true;
+    this.#request.destroy(new Error(reason));
   }
 
   #start(): ClientRequest {
@@ -116,7 +127,7 @@
       if (!this.#answerStarted) this.#fail('the connection was closed without an answer');
     });
     if (body.type === 'stream') {
-      body.stream.once('error', () => outgoing.destroy());
+      body.stream.once('error', () => this.#abort('the body of the request broke off'));
       body.stream.pipe(outgoing);
     } else {
       outgoing.end(body.type === 'buffered' ? body.data : undefined);
@@ -179,7 +190,7 @@
     let bytes = 0;
     answer.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
-      if (bytes > maxRejectionBytes) this.#request.destroy();
+      if (bytes > maxRejectionBytes) this.#abort('the rejection is too long');
     });
     answer.once('close', () => this.#end(false));
     this.#settle({ type: 'not-run', reason });
@@ -187,7 +198,7 @@
 
   #reject(answer: IncomingMessage, detail: string): void {
     answer.destroy();
-    this.#request.destroy();
+    this.#abort(detail);
     this.#fail(detail);
   }
 
@@ -210,7 +221,7 @@
       answer.removeAllListeners('data');
       this.#streamBody(answer, head, chunks.splice(0));
     });
-    onAnswerEnd(answer, (complete) => {
+    this.#onAnswerEnd(answer, (complete) => {
       if (this.#settled) return;
       if (!complete) {
         this.#fail('the answer broke off');
@@ -226,18 +237,23 @@
   #streamBody(answer: IncomingMessage, head: AnswerHead, first: readonly Buffer[] = []): void {
     const stream = keepErrorAsState(new PassThrough());
     for (const chunk of first) stream.write(chunk);
-    onAnswerEnd(answer, (complete) => {
+    this.#onAnswerEnd(answer, (complete) => {
       if (complete) stream.end();
       else stream.destroy(new Error('the answer broke off'));
       this.#end(complete && head.status < minServerErrorStatus);
     });
     stream.once('close', () => {
-      if (!answer.complete) this.#request.destroy();
+      if (!answer.complete) this.#abort('the answer is not wanted');
     });
     answer.pipe(stream, { end: false });
     this.#settle({ type: 'answered', head, body: { type: 'stream', stream } });
   }
 
+  /** Calls the listener when an answer has ended, with whether all of it was received. */
+  #onAnswerEnd(answer: IncomingMessage, listener: (complete: boolean) => void): void {
+    onAnswerEnd(answer, (complete) => listener(complete && !this.#aborted));
+  }
+
   #fail(detail: string): void {
     const cancelled = this.#cancelCause;
     if (!this.#mayHaveSent) {
