A streamed request body has one reader

Cause: whether a body of more than 32 KB could be sent again was read off `readableDidRead`. While the first attempt waited in a queue nothing had read the stream, so a hedged request was sent and read it; then the first attempt got its slot and read what was left.

Change: `StreamedBody` hands its stream to one reader. A request with such a body is not hedged, and is sent again only while its body has not been taken. An attempt takes it late: with the first credit of the peer, or when the connection with the backend server stands. A refusal that did not read the body therefore still allows another host, also when the body has not arrived yet. An attempt that cannot take it is not sent. `hickorybridged` uses the same class.

--- a/packages/host-node/src/__tests__/BackendServerExchange.test.ts
+++ b/packages/host-node/src/__tests__/BackendServerExchange.test.ts
@@ -1,4 +1,4 @@
-import { keepErrorAsState, LossCause } from '@hickorybridge/peer-protocol';
+import { LossCause, StreamedBody } from '@hickorybridge/peer-protocol';
 import { systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
@@ -81,8 +81,9 @@
   });
 
   it('guards against an answer that lacks its end and looks complete, after a broken upload', async (t) => {
-    const upload = keepErrorAsState(new PassThrough());
-    const exchange = await startExchange(t, answerWithLength, { type: 'stream', stream: upload });
+    const upload = new PassThrough();
+    const body = { type: 'stream', source: new StreamedBody(upload) } as const;
+    const exchange = await startExchange(t, answerWithLength, body);
     upload.write('the first part');
     const stream = await streamOf(exchange);
     await sleep(50);
--- a/packages/host-node/src/__tests__/RequestRun.test.ts
+++ b/packages/host-node/src/__tests__/RequestRun.test.ts
@@ -1,6 +1,10 @@
 import { RetryBudget } from '@hickorybridge/coordination';
 import { silentLogger } from '@hickorybridge/logger';
-import type { ExecutionOutcome } from '@hickorybridge/peer-protocol';
+import {
+  StreamedBody,
+  type ExecutionOutcome,
+  type RequestBody,
+} from '@hickorybridge/peer-protocol';
 import { HostLoad, RouteWorkEstimator, type HostCandidate } from '@hickorybridge/routing';
 import { Distance, type Route } from '@hickorybridge/types';
 import { RandomSource, systemClock } from '@hickorybridge/utils';
@@ -66,6 +70,7 @@
   /** Time that it takes to find a free host for a hedged request. */
   readonly freeHostDelayMilliseconds: number;
   readonly idempotent: boolean;
+  readonly body: RequestBody;
   /** Error that sending fails with. */
   readonly sendError: Error;
   /** Gives the outcome at one host, in place of the answer after a time. */
@@ -127,7 +132,7 @@
       method: 'POST',
       target: '/',
       headers: [],
-      body: { type: 'none' },
+      body: overrides.body ?? { type: 'none' },
       arrivedAt,
       usefulUntil: arrivedAt + 500,
       deadline: arrivedAt + timeoutMilliseconds,
@@ -180,6 +185,15 @@
     assert.equal(result.type === 'failed' && result.mayHaveRun, true);
   });
 
+  it('burst: guards against a hedged request that reads a streamed body beside the first attempt', async () => {
+    const source = new StreamedBody(new PassThrough());
+    const body: RequestBody = { type: 'stream', source };
+    // The first host has the request in its queue, so nothing has read the body yet.
+    const { askedHosts, outcome } = startRun(200, { idempotent: true, body });
+    await outcome;
+    assert.deepEqual(askedHosts, ['one']);
+  });
+
   it('guards against a fault of this process that keeps the caller waiting', async () => {
     const startedAt = systemClock.now();
     const result = await startRun(2000, { sendError: new Error('a fault here') }).outcome;
--- a/packages/host-node/src/__tests__/readBody.test.ts
+++ b/packages/host-node/src/__tests__/readBody.test.ts
@@ -39,6 +39,6 @@
   it(`guards against a caller that leaves during an upload (${framing}) and ends the process`, async (t) => {
     const body = await leaveDuringUpload(t, framing);
     assert.ok(typeof body === 'object' && body.type === 'stream');
-    assert.match(String(body.stream.errored), /the caller broke off the body/);
+    assert.equal(body.source.take(), undefined);
   });
 }
--- a/packages/host-node/src/backend/BackendServerExchange.ts
+++ b/packages/host-node/src/backend/BackendServerExchange.ts
@@ -115,8 +115,8 @@
       headers: this.#headers() as unknown as Record<string, string>,
     });
     outgoing.once('socket', (socket) => {
-      if (!socket.connecting) this.#mayHaveSent = true;
-      else socket.once('connect', () => this.#handleConnect());
+      if (socket.connecting) socket.once('connect', () => this.#handleConnect(outgoing));
+      else this.#handleConnect(outgoing);
     });
     outgoing.once('response', (answer) => this.#handleAnswer(answer));
     outgoing.on('error', (error) => {
@@ -126,17 +126,21 @@
     outgoing.once('close', () => {
       if (!this.#answerStarted) this.#fail('the connection was closed without an answer');
     });
-    if (body.type === 'stream') {
-      body.stream.once('error', () => this.#abort('the body of the request broke off'));
-      body.stream.pipe(outgoing);
-    } else {
-      outgoing.end(body.type === 'buffered' ? body.data : undefined);
-    }
+    if (body.type !== 'stream') outgoing.end(body.type === 'buffered' ? body.data : undefined);
     return outgoing;
   }
 
-  #handleConnect(): void {
+  #handleConnect(outgoing: ClientRequest): void {
+    const { body } = this.#options;
+    // A streamed body is taken only now, so that it can be sent elsewhere when the connection fails.
+    const stream = body.type === 'stream' ? body.source.take() : undefined;
+    if (body.type === 'stream' && stream === undefined) {
+      outgoing.destroy(new Error('the body of the request is not available any more'));
+      return;
+    }
     this.#mayHaveSent = true;
+    stream?.once('error', () => this.#abort('the body of the request broke off'));
+    stream?.pipe(outgoing);
   }
 
   #headers(): string[] {
--- a/packages/host-node/src/callers/readBody.ts
+++ b/packages/host-node/src/callers/readBody.ts
@@ -1,4 +1,4 @@
-import { keepErrorAsState, type RequestBody } from '@hickorybridge/peer-protocol';
+import { StreamedBody, type RequestBody } from '@hickorybridge/peer-protocol';
 import type { IncomingMessage } from 'node:http';
 import { PassThrough } from 'node:stream';
 
@@ -21,7 +21,7 @@
   const length = Number(declared ?? 0);
   if (length > limits.maxBytes) return 'too-large';
   if (length > limits.maxBufferedBytes)
-    return { type: 'stream', stream: limitedStream(request, limits) };
+    return { type: 'stream', source: limitedStream(request, limits) };
   return bufferSmallBody(request, limits);
 }
 
@@ -38,7 +38,7 @@
       if (size <= limits.maxBufferedBytes) return;
       request.off('data', onData);
       request.pause();
-      resolve({ type: 'stream', stream: limitedStream(request, limits, chunks) });
+      resolve({ type: 'stream', source: limitedStream(request, limits, chunks) });
     };
     request.on('data', onData);
     request.once('end', () => resolve({ type: 'buffered', data: Buffer.concat(chunks) }));
@@ -52,8 +52,8 @@
   request: IncomingMessage,
   limits: BodyLimits,
   first: readonly Buffer[] = [],
-): PassThrough {
-  const stream = keepErrorAsState(new PassThrough());
+): StreamedBody {
+  const stream = new PassThrough();
   let size = 0;
   for (const chunk of first) {
     size += chunk.length;
@@ -67,5 +67,5 @@
     if (!request.complete) stream.destroy(new Error('the caller broke off the body'));
   });
   request.pipe(stream);
-  return stream;
+  return new StreamedBody(stream);
 }
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -1,4 +1,5 @@
 import {
+  canSendBody,
   discardBody,
   LossCause,
   runHedged,
@@ -156,8 +157,9 @@
 
   /** Delay after which an idempotent request is also sent to a second host. */
   #hedgeDelay(): number | undefined {
-    const { route } = this.#request;
-    if (!route.idempotent || !this.#canResendBody()) return undefined;
+    const { body, route } = this.#request;
+    // A streamed body has one reader, and the first attempt still waits for its turn to read it.
+    if (!route.idempotent || body.type === 'stream') return undefined;
     const expected = this.#options.routeWorkEstimator.expectedWork(
       route.name,
       route.targetMilliseconds,
@@ -272,7 +274,7 @@
     { reason, report }: Extract<ExecutionOutcome, { type: 'refused' }>,
   ): CallerOutcome | undefined {
     const { clock, logger } = this.#options;
-    const { requestId, route } = this.#request;
+    const { body, requestId, route } = this.#request;
     this.#refusals += 1;
     load.avoid(avoidMillisecondsAfter(reason), clock.now());
     logger.info('request-refused', 'a host refused the request', {
@@ -286,7 +288,7 @@
     const isRetried =
       reason === 'backend-server-shed'
         ? this.#tryTakeRetry()
-        : this.#refusals < maxRefusals && this.#canResendBody();
+        : this.#refusals < maxRefusals && canSendBody(body);
     if (isRetried) return undefined;
     return this.#errorAnswer.take() ?? this.#overloaded(reason);
   }
@@ -311,20 +313,14 @@
    */
   #tryTakeRetry(): boolean {
     const { retryBudgetFor, clock, routeWorkEstimator } = this.#options;
-    const { deadline, route, service } = this.#request;
+    const { body, deadline, route, service } = this.#request;
     if (this.#possibleRuns > 0 && !route.idempotent) return false;
-    if (this.#backendAttempts >= route.maxAttempts || !this.#canResendBody()) return false;
+    if (this.#backendAttempts >= route.maxAttempts || !canSendBody(body)) return false;
     const expected = routeWorkEstimator.expectedWork(route.name, route.targetMilliseconds);
     if (clock.now() + expected * minimumRetryShare > deadline) return false;
     return retryBudgetFor(service).tryAcquireRetry();
   }
 
-  /** A streamed body can be sent again only while none of it has been read. */
-  #canResendBody(): boolean {
-    const { body } = this.#request;
-    return body.type !== 'stream' || !body.stream.readableDidRead;
-  }
-
   #logRetry(host: string, detail: string): void {
     const { requestId, route } = this.#request;
     this.#options.logger.info('request-repeated', 'sending the request to another host', {
--- a/packages/node/src/admitting/BackendServerClient.ts
+++ b/packages/node/src/admitting/BackendServerClient.ts
@@ -1,4 +1,4 @@
-import type { RequestBody } from '@hickorybridge/peer-protocol';
+import type { RequestBody, StreamedBody } from '@hickorybridge/peer-protocol';
 import type { RequestHead, SocketAddress } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
 import type { Readable } from 'node:stream';
@@ -32,13 +32,13 @@
   send(head: RequestHead, body: RequestBody): BackendServerExchange {
     const exchange = new BackendServerExchange(head.deadline, this.#clock);
     const remaining = head.deadline - this.#clock.now();
-    const options: Dispatcher.DispatchOptions = {
-      method: head.method,
-      path: head.target,
-      headers: createBackendServerHeaders(head, remaining),
-      body: bodyOf(body),
-    };
     try {
+      const options: Dispatcher.DispatchOptions = {
+        method: head.method,
+        path: head.target,
+        headers: createBackendServerHeaders(head, remaining),
+        body: bodyOf(body),
+      };
       this.#pool.dispatch(options, exchange);
     } catch (error) {
       // The client refuses requests that it could not write, as those with malformed headers.
@@ -52,6 +52,12 @@
   }
 }
 
+function takeStream(source: StreamedBody): Readable {
+  const stream = source.take();
+  if (stream === undefined) throw new Error('the body of the request is not available any more');
+  return stream;
+}
+
 function bodyOf(body: RequestBody): Buffer | Readable | null {
   switch (body.type) {
     case 'none':
@@ -59,6 +65,6 @@
     case 'buffered':
       return body.data;
     default:
-      return body.stream;
+      return takeStream(body.source);
   }
 }
--- a/packages/node/src/listeners/readRequestBody.ts
+++ b/packages/node/src/listeners/readRequestBody.ts
@@ -1,4 +1,4 @@
-import type { RequestBody } from '@hickorybridge/peer-protocol';
+import { StreamedBody, type RequestBody } from '@hickorybridge/peer-protocol';
 import { fail, succeed, type Result } from '@hickorybridge/types';
 import type { IncomingMessage } from 'node:http';
 import { buffer } from 'node:stream/consumers';
@@ -17,9 +17,11 @@
 ): Promise<Result<RequestBody, IncompleteBody>> {
   const length = incoming.headers['content-length'];
   const chunked = incoming.headers['transfer-encoding'] !== undefined;
-  if (chunked) return succeed({ type: 'stream', stream: incoming });
+  if (chunked) return succeed({ type: 'stream', source: new StreamedBody(incoming) });
   if (length === undefined || length === '0') return succeed({ type: 'none' });
-  if (Number(length) > maxBufferedBodyBytes) return succeed({ type: 'stream', stream: incoming });
+  if (Number(length) > maxBufferedBodyBytes) {
+    return succeed({ type: 'stream', source: new StreamedBody(incoming) });
+  }
   try {
     return succeed({ type: 'buffered', data: await buffer(incoming) });
   } catch {
--- a/packages/node/src/routing/RoutingRun.ts
+++ b/packages/node/src/routing/RoutingRun.ts
@@ -1,4 +1,5 @@
 import {
+  canSendBody,
   LossCause,
   runHedged,
   type ExecutionOutcome,
@@ -175,17 +176,11 @@
     });
     this.#mayHaveRun ||= mayHaveRun;
     if (decision.type === 'stop') return decision.reason;
-    if (!this.#canSendAgain()) return StopReason.noPermission;
+    if (!canSendBody(this.#request.body)) return StopReason.noPermission;
     this.#attempts = decision.attempts;
     return undefined;
   }
 
-  /** A body that streams from the caller can be sent again only while none of it was read. */
-  #canSendAgain(): boolean {
-    const { body } = this.#request;
-    return body.type !== 'stream' || !body.stream.readableDidRead;
-  }
-
   #deadlineExceeded(): RoutedOutcome {
     const detail = `the deadline passed after ${this.#tries} tries`;
     return this.#fail(ProblemName.deadlineExceeded, detail);
--- a/packages/peer-protocol/src/IncomingStream.ts
+++ b/packages/peer-protocol/src/IncomingStream.ts
@@ -11,6 +11,7 @@
   type RequestExecutor,
 } from './RequestExecutor.js';
 import { sendBody } from './sendBody.js';
+import { StreamedBody } from './StreamedBody.js';
 
 /** A request that a peer has sent to this process. */
 export class IncomingStream {
@@ -84,7 +85,7 @@
       abandoned: () => {},
     });
     this.#requestBody = receiver;
-    return { type: 'stream', stream: receiver };
+    return { type: 'stream', source: new StreamedBody(receiver) };
   }
 
   async #sendOutcome(outcome: ExecutionOutcome): Promise<void> {
--- a/packages/peer-protocol/src/OutgoingStream.ts
+++ b/packages/peer-protocol/src/OutgoingStream.ts
@@ -1,5 +1,3 @@
-import type { Readable } from 'node:stream';
-
 import { BodyReceiver } from './BodyReceiver.js';
 import { CreditWindow } from './flowControl.js';
 import {
@@ -11,6 +9,7 @@
 } from './frame.js';
 import { LossCause, type ExecutionOutcome } from './RequestExecutor.js';
 import { sendBody } from './sendBody.js';
+import type { StreamedBody } from './StreamedBody.js';
 
 /** What a stream needs from its connection. */
 export interface StreamConnection {
@@ -48,10 +47,16 @@
     });
   }
 
-  /** Sends the body of the request as the peer grants credit. */
-  async sendRequestBody(source: Readable): Promise<void> {
+  /**
+   * Sends the body of the request as the peer grants credit. The body is taken with the first credit,
+   * so that it can be sent to another host when the peer refuses the request without reading it.
+   */
+  async sendRequestBody(source: StreamedBody): Promise<void> {
+    if (!(await this.#bodyCredit.isGranted())) return;
     try {
-      await sendBody(source, this.#bodyCredit, (data, end) =>
+      const body = source.take();
+      if (body === undefined) throw new Error('it is not available any more');
+      await sendBody(body, this.#bodyCredit, (data, end) =>
         this.#connection.sendWhenWritable({
           type: FrameType.body,
           stream: this.#stream,
--- a/packages/peer-protocol/src/PeerConnection.ts
+++ b/packages/peer-protocol/src/PeerConnection.ts
@@ -184,7 +184,7 @@
     const stream = new OutgoingStream(this, number, head.idempotent);
     this.#outgoing.set(number, stream);
     this.send(createOpenFrame(number, head, body));
-    if (body.type === 'stream') stream.sendRequestBody(body.stream);
+    if (body.type === 'stream') stream.sendRequestBody(body.source);
     const onAbort = () => cancelAndConfirm(stream);
     signal.addEventListener('abort', onAbort, { once: true });
     const outcome = await stream.outcome;
--- a/packages/peer-protocol/src/RequestExecutor.ts
+++ b/packages/peer-protocol/src/RequestExecutor.ts
@@ -1,13 +1,18 @@
 import type { AnswerHead, LoadReport, RefusalReason, RequestHead } from '@hickorybridge/types';
-import type { Readable } from 'node:stream';
 
 import type { AnswerBody } from './AnswerBody.js';
+import type { StreamedBody } from './StreamedBody.js';
 
-/** The body of a request. A buffered body can be sent again; a stream only until it is read. */
+/** The body of a request. A buffered body can be sent again; a stream only until it is taken. */
 export type RequestBody =
   | { readonly type: 'none' }
   | { readonly type: 'buffered'; readonly data: Buffer }
-  | { readonly type: 'stream'; readonly stream: Readable };
+  | { readonly type: 'stream'; readonly source: StreamedBody };
+
+/** Whether a request with this body can be sent, for the first time or again. */
+export function canSendBody(body: RequestBody): boolean {
+  return body.type !== 'stream' || body.source.available;
+}
 
 /** Why it is not known whether a request ran. */
 export const LossCause = {
--- a/packages/peer-protocol/src/__tests__/PeerPool.test.ts
+++ b/packages/peer-protocol/src/__tests__/PeerPool.test.ts
@@ -10,6 +10,7 @@
 
 import {
   PeerPool,
+  StreamedBody,
   toStream,
   type AnswerBody,
   type PeerLiveness,
@@ -77,8 +78,11 @@
 
 const echoing: RequestExecutor = {
   execute: async (head, body) => {
+    const stream = body.type === 'stream' ? body.source.take() : undefined;
     const answer: AnswerBody =
-      body.type === 'stream' ? body : { type: 'whole', data: Buffer.from(head.target) };
+      stream === undefined
+        ? { type: 'whole', data: Buffer.from(head.target) }
+        : { type: 'stream', stream };
     return { type: 'answered', head: { status: 200, headers: [] }, report, body: answer };
   },
 };
@@ -92,7 +96,8 @@
   const answers = await Promise.all(
     sizes.map(async (size, index) => {
       const data = Buffer.alloc(size, index + 1);
-      const body = { type: 'stream', stream: Readable.from([data]) } as const;
+      const source = new StreamedBody(Readable.from([data], { objectMode: false }));
+      const body = { type: 'stream', source } as const;
       const outcome = await first.execute('second', createHead(), body, signal);
       assert.equal(outcome.type, 'answered');
       return outcome.type === 'answered'
@@ -116,6 +121,46 @@
   assert.deepEqual(notSent, { type: 'refused', reason: 'not-sent', report: undefined });
 });
 
+test('guards against a streamed body that cannot be sent again after a refusal that did not read it', async () => {
+  const addresses = new Map<string, SocketAddress>();
+  await using first = await createPool({ nodeId: 'first', executor: echoing, addresses });
+  await using second = await createPool({ nodeId: 'second', executor: refusing, addresses });
+  await using third = await createPool({ nodeId: 'third', executor: echoing, addresses });
+  assert.deepEqual([second.size, third.size], [0, 0]);
+  const { signal } = new AbortController();
+  const data = Buffer.alloc(100_000, 1);
+  const source = new StreamedBody(Readable.from([data], { objectMode: false }));
+  const refused = await first.execute('second', createHead(), { type: 'stream', source }, signal);
+  assert.equal(refused.type, 'refused');
+  const outcome = await first.execute('third', createHead(), { type: 'stream', source }, signal);
+  assert.ok(outcome.type === 'answered');
+  assert.equal((await buffer(toStream(outcome.body))).equals(data), true);
+  assert.equal(source.available, false);
+});
+
+test('guards against a body that two attempts read, of which each gets a part', async () => {
+  const addresses = new Map<string, SocketAddress>();
+  await using first = await createPool({ nodeId: 'first', executor: echoing, addresses });
+  await using second = await createPool({ nodeId: 'second', executor: echoing, addresses });
+  assert.equal(second.size, 0);
+  const { signal } = new AbortController();
+  const data = Buffer.alloc(300_000, 1);
+  const source = new StreamedBody(Readable.from([data], { objectMode: false }));
+  const outcomes = await Promise.all(
+    [1, 2].map(() => first.execute('second', createHead(), { type: 'stream', source }, signal)),
+  );
+  const bodies = await Promise.allSettled(
+    outcomes.map((outcome) =>
+      outcome.type === 'answered' ? buffer(toStream(outcome.body)) : Promise.reject(new Error('')),
+    ),
+  );
+  const complete = bodies.filter((body) => body.status === 'fulfilled');
+  assert.deepEqual(
+    complete.map(({ value }) => value.length),
+    [data.length],
+  );
+});
+
 test('a connection that ends before the answer leaves the request lost, not refused', async () => {
   const addresses = new Map<string, SocketAddress>();
   const waiting: RequestExecutor = { execute: () => new Promise(() => {}) };
--- a/packages/peer-protocol/src/flowControl.ts
+++ b/packages/peer-protocol/src/flowControl.ts
@@ -30,15 +30,20 @@
     this.#wake?.();
   }
 
-  /** Takes up to `wanted` bytes, at least one; 0 after the window is closed. */
-  async take(wanted: number): Promise<number> {
+  /** Waits for bytes that may be sent; false after the window is closed. */
+  async isGranted(): Promise<boolean> {
     while (this.#bytes <= 0 && !this.#closed) {
       await new Promise<void>((resolve) => {
         this.#wake = resolve;
       });
       this.#wake = undefined;
     }
-    if (this.#closed) return 0;
+    return !this.#closed;
+  }
+
+  /** Takes up to `wanted` bytes, at least one; 0 after the window is closed. */
+  async take(wanted: number): Promise<number> {
+    if (!(await this.isGranted())) return 0;
     const taken = Math.min(wanted, this.#bytes);
     this.#bytes -= taken;
     return taken;
--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -4,6 +4,7 @@
 export * from './PeerPool.js';
 export * from './PeerTraffic.js';
 export * from './RequestExecutor.js';
+export * from './StreamedBody.js';
 export * from './frame.js';
 export * from './frameCodec.js';
 export * from './runHedged.js';
