Peers: an unexpected error becomes the outcome of its request

Cause: three errors between nodes became rejected promises that nobody handled. An answer that could not be encoded left the request open at the peer and counted as running until the process ended; a request that could not be encoded was told as one that may have run; an error in handling a frame left the other requests of the connection without an outcome.

Change: the first is lost, the second refused as not sent (a frame is encoded before any of it is written), after the third the connection ends and its requests are settled. Each is one log line (`peer-fault`) at most.

Evidence: the three new tests of PeerPool.test fail on the sources before with the injected error, and pass now.

--- a/packages/peer-protocol/src/IncomingStream.ts
+++ b/packages/peer-protocol/src/IncomingStream.ts
@@ -1,5 +1,6 @@
 import type { Readable } from 'node:stream';
 
+import { discardBody } from './AnswerBody.js';
 import { BodyReceiver } from './BodyReceiver.js';
 import { CreditWindow, streamWindowBytes } from './flowControl.js';
 import { BodyMode, FrameType, type OpenFrame } from './frame.js';
@@ -34,7 +35,14 @@
 
   /** Runs the request and sends its outcome, straight down. */
   async run(executor: RequestExecutor): Promise<void> {
-    await this.#sendOutcome(await this.#execute(executor));
+    const outcome = await this.#execute(executor);
+    try {
+      await this.#sendOutcome(outcome);
+    } catch (error) {
+      // The request may have run, and the peer waits for its outcome.
+      if (outcome.type === 'answered') discardBody(outcome.body);
+      await this.#sendOutcome({ type: 'lost', cause: LossCause.connection, detail: String(error) });
+    }
     this.#connection.forget(this.#frame.stream);
     this.#requestBody?.destroy();
   }
--- a/packages/peer-protocol/src/PeerConnection.ts
+++ b/packages/peer-protocol/src/PeerConnection.ts
@@ -183,7 +183,14 @@
     this.#nextStream += 2;
     const stream = new OutgoingStream(this, number, head.idempotent);
     this.#outgoing.set(number, stream);
-    this.send(createOpenFrame(number, head, body));
+    try {
+      this.send(createOpenFrame(number, head, body));
+    } catch (error) {
+      // A frame is encoded before any of it is written.
+      this.#outgoing.delete(number);
+      this.#logFault(error);
+      return { type: 'refused', reason: 'not-sent', report: undefined };
+    }
     if (body.type === 'stream') stream.sendRequestBody(body.source);
     const onAbort = () => cancelAndConfirm(stream);
     signal.addEventListener('abort', onAbort, { once: true });
@@ -324,7 +331,7 @@
         this.#lastReceivedAt = clock.now();
         if (socket.closeReason === undefined) this.#handleSignOfLife();
         if (isEnded) return;
-        const reason = this.#handleBuffered() ?? socket.closeReason;
+        const reason = this.#tryHandleBuffered() ?? socket.closeReason;
         if (reason === undefined) return;
         isEnded = true;
         resolve(reason);
@@ -338,6 +345,23 @@
     });
   }
 
+  /** As `#handleBuffered`. After an unexpected error the connection cannot go on either. */
+  #tryHandleBuffered(): string | undefined {
+    try {
+      return this.#handleBuffered();
+    } catch (error) {
+      this.#logFault(error);
+      return `a fault of this node: ${String(error)}`;
+    }
+  }
+
+  #logFault(error: unknown): void {
+    this.#options.logger.error('peer-fault', 'handling a frame failed unexpectedly', {
+      peer: this.identity.nodeId,
+      detail: error instanceof Error ? (error.stack ?? error.message) : String(error),
+    });
+  }
+
   /** Handles the complete frames. Returns the reason if the connection cannot go on. */
   #handleBuffered(): string | undefined {
     const { socket } = this.#options;
--- a/packages/peer-protocol/src/__tests__/PeerPool.test.ts
+++ b/packages/peer-protocol/src/__tests__/PeerPool.test.ts
@@ -50,6 +50,7 @@
   readonly addresses: Map<string, SocketAddress>;
   readonly sharedKey?: string;
   readonly liveness?: PeerLiveness;
+  readonly onLoad?: () => void;
 }
 
 async function createPool(options: PoolOptions): Promise<PeerPool> {
@@ -63,6 +64,8 @@
     addressOf: (nodeId) => options.addresses.get(nodeId),
     executor: options.executor,
     ...(options.liveness === undefined ? {} : { liveness: options.liveness }),
+    ...(options.onLoad === undefined ? {} : { onLoad: options.onLoad }),
+    localLoad: () => report,
     clock: systemClock,
     logger: silentLogger,
   });
@@ -200,6 +203,69 @@
   await assert.rejects(buffer(toStream(outcome.body)), /broke off/);
 });
 
+test('guards against an answer that cannot be encoded and leaves its request open', async () => {
+  const addresses = new Map<string, SocketAddress>();
+  const head = {
+    headers: [],
+    get status(): number {
+      throw new Error('a fault');
+    },
+  };
+  const faulty: RequestExecutor = {
+    execute: async () => ({
+      type: 'answered',
+      head,
+      report,
+      body: { type: 'whole', data: Buffer.alloc(0) },
+    }),
+  };
+  await using first = await createPool({ nodeId: 'first', executor: echoing, addresses });
+  await using second = await createPool({ nodeId: 'second', executor: faulty, addresses });
+  const { signal } = new AbortController();
+  const outcome = await first.execute('second', createHead(), { type: 'none' }, signal);
+  assert.equal(outcome.type, 'lost');
+  assert.equal(second.runningRequests, 0);
+});
+
+test('guards against a request that cannot be encoded and counts as one that may have run', async () => {
+  const addresses = new Map<string, SocketAddress>();
+  await using first = await createPool({ nodeId: 'first', executor: echoing, addresses });
+  await using second = await createPool({ nodeId: 'second', executor: echoing, addresses });
+  assert.equal(second.size, 0);
+  const { signal } = new AbortController();
+  const head = Object.defineProperty(createHead(), 'target', {
+    get: () => {
+      throw new Error('a fault');
+    },
+  });
+  const outcome = await first.execute('second', head, { type: 'none' }, signal);
+  assert.deepEqual(outcome, { type: 'refused', reason: 'not-sent', report: undefined });
+});
+
+test('guards against a fault in handling a frame that leaves the requests of its connection open', async () => {
+  const addresses = new Map<string, SocketAddress>();
+  const onLoad = () => {
+    throw new Error('a fault');
+  };
+  const slow: RequestExecutor = {
+    execute: async () => {
+      await systemClock.sleep(5000);
+      return { type: 'refused', reason: 'leaving', report };
+    },
+  };
+  await using first = await createPool({ nodeId: 'first', executor: echoing, addresses, onLoad });
+  await using second = await createPool({ nodeId: 'second', executor: slow, addresses });
+  assert.equal(second.size, 0);
+  const { signal } = new AbortController();
+  const pending = first.execute('second', createHead(), { type: 'none' }, signal);
+  while (!first.requestLoad('second')) await systemClock.sleep(5);
+  const startedAt = systemClock.now();
+  assert.equal((await pending).type, 'lost');
+  assert.ok(systemClock.now() - startedAt < 1000, 'the request waited for the host');
+  const next = await first.call('second', 'anything', {}, 500);
+  assert.equal(next.ok === false && next.error.type, 'rejected');
+});
+
 test('a process without the shared key gets no connection', async () => {
   const addresses = new Map<string, SocketAddress>();
   const sharedKey = 'correct';
