An unexpected error in handling an answer concerns its request only

Cause: `BackendServerExchange` handles an answer in an event of the HTTP client, where an error is an uncaught exception and ended the node.

Change: the request is lost and its connection closed.

Evidence: the new test of BackendServerExchange.test fails on the sources before with the injected error, and passes now.

--- a/packages/host-node/src/__tests__/BackendServerExchange.test.ts
+++ b/packages/host-node/src/__tests__/BackendServerExchange.test.ts
@@ -22,6 +22,7 @@
   t: TestContext,
   answer: (request: IncomingMessage, response: ServerResponse) => void,
   body: ExchangeOptions['body'] = { type: 'none' },
+  onLoad: ExchangeOptions['onLoad'] = () => {},
 ) {
   const server = createServer(answer);
   server.listen(0, host);
@@ -53,7 +54,7 @@
     },
     body,
     clock: systemClock,
-    onLoad: () => {},
+    onLoad,
     onEnd: () => {},
   });
 }
@@ -97,4 +98,17 @@
     await sleep(50);
     assert.equal((await buffer(stream)).length, bodyBytes);
   });
+
+  it('guards against a fault in handling an answer that ends the process', async (t) => {
+    const answer = (_request: IncomingMessage, response: ServerResponse) => {
+      response.writeHead(200, { ...headers, 'server-load': '1,0,4,100' });
+      response.end('done');
+    };
+    const onLoad = () => {
+      throw new Error('a fault');
+    };
+    const exchange = await startExchange(t, answer, { type: 'none' }, onLoad);
+    const outcome = await exchange.outcome;
+    assert.equal(outcome.type, 'lost');
+  });
 });
--- a/packages/host-node/src/backend/BackendServerExchange.ts
+++ b/packages/host-node/src/backend/BackendServerExchange.ts
@@ -118,7 +118,13 @@
       if (socket.connecting) socket.once('connect', () => this.#handleConnect(outgoing));
       else this.#handleConnect(outgoing);
     });
-    outgoing.once('response', (answer) => this.#handleAnswer(answer));
+    outgoing.once('response', (answer) => {
+      try {
+        this.#handleAnswer(answer);
+      } catch (error) {
+        this.#reject(answer, `a fault of this node: ${String(error)}`);
+      }
+    });
     outgoing.on('error', (error) => {
       // Once the answer has started, onAnswerEnd reports whether it is complete.
       if (!this.#answerStarted) this.#fail(error.message);
