An uncaught exception is a planned stop, not a crash

Cause: an exception that no component handled ended the process at once and cut off all its open requests.

Change: `handleProcessFaults` logs it as `uncaught-exception` and stops the node as SIGTERM does, then exits with 1.

Evidence: handleProcessFaults.test; before, the process had no handler for the event.

--- a/packages/host-node/src/bin.ts
+++ b/packages/host-node/src/bin.ts
@@ -4,6 +4,7 @@
 
 import { SettingsFile } from './control/SettingsFile.js';
 import { createHostNode } from './createHostNode.js';
+import { handleProcessFaults } from './handleProcessFaults.js';
 import { StandardOutput } from './StandardOutput.js';
 
 const invalidSettingsExitCode = 2;
@@ -37,13 +38,7 @@
     random: new RandomSource(seed),
     logger,
   });
-  // The faults of single requests are handled where they occur. This keeps one that was missed from
-  // ending the process, and with it every other request.
-  process.on('unhandledRejection', (error) =>
-    logger.error('unhandled-rejection', 'a background operation failed unexpectedly', {
-      detail: error instanceof Error ? (error.stack ?? error.message) : String(error),
-    }),
-  );
+  handleProcessFaults({ process, node, exit: (code) => process.exit(code), logger });
   process.on('SIGHUP', () => file.reload());
   process.on('SIGTERM', async () => {
     await node.stop();
