A backend server that has left stays out of use after a planned restart

Cause: the stopping node removed the entry of its host, which alone said that the backend server had left; a started node that got the heartbeat before it had read the store overwrote such an entry as well.

Change: the entry is removed only if nothing listens at the backend server's address any more. A node applies a leaving entry of its own host whenever it finds one: in the list, or when its own write is refused.

Evidence: new tests of hostNode, BackendServerRegistry and HostRegistration fail on the sources before and pass now.

--- a/packages/host-node/src/HostNode.ts
+++ b/packages/host-node/src/HostNode.ts
@@ -5,6 +5,7 @@
 import type { Clock, Supervisor } from '@hickorybridge/utils';
 
 import type { BackendServerRegistry } from './backend/BackendServerRegistry.js';
+import { isListening } from './backend/isListening.js';
 import type { CallersListener } from './callers/CallersListener.js';
 import type { ReportsListener } from './control/ReportsListener.js';
 import type { SettingsSource } from './control/SettingsFile.js';
@@ -133,10 +134,8 @@
   }
 
   async #shutDown(): Promise<void> {
-    const { backendServers, callers, clock, logger, registration, settings, supervisor } =
-      this.#components;
-    // The backend server was shut down before the node, so the host leaves the directory at once.
-    if (backendServers.current?.leaving === true) registration.set(undefined);
+    const { callers, clock, logger, settings, supervisor } = this.#components;
+    this.#unregisterIfGone();
     const startedAt = clock.now();
     const { graceMilliseconds } = settings.current.bounds;
     const limit = graceMilliseconds - shutdownMarginMilliseconds;
@@ -172,6 +171,17 @@
     await Promise.race([release(), clock.sleep(remaining)]);
   }
 
+  /**
+   * Removes the entry of this host if its backend server has left and ended. While that still runs,
+   * the entry tells this node after a restart that it has left.
+   */
+  async #unregisterIfGone(): Promise<void> {
+    const { backendServers, directory, registration, settings } = this.#components;
+    const { backendServerAddress, nodeId } = settings.current;
+    const hasLeft = backendServers.current?.leaving ?? directory.entry(nodeId)?.leaving ?? false;
+    if (hasLeft && !(await isListening(backendServerAddress))) registration.set(undefined);
+  }
+
   /** Whether no request of a caller or a peer is open, and the backend server runs none. */
   #isIdle(): boolean {
     const { backendServers, callers, pool } = this.#components;
--- a/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
+++ b/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
@@ -1,5 +1,5 @@
 import { silentLogger } from '@hickorybridge/logger';
-import type { BackendServerReport } from '@hickorybridge/types';
+import type { BackendServerReport, HostEntry } from '@hickorybridge/types';
 import { HostSpeedModel, systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
 import { describe, it, type TestContext } from 'node:test';
@@ -18,6 +18,18 @@
   startedAt: 1000,
 };
 
+/** What the store holds after the backend server has announced that it leaves. */
+const storedEntry: HostEntry = {
+  nodeId: 'n1',
+  peerAddress: { host: '10.0.0.1', port: 7000 },
+  location: { region: 'r', failureDomain: 'd' },
+  service: 'desk',
+  backendServerId: 'b1',
+  slots: 4,
+  startedAt: 1000,
+  leaving: true,
+};
+
 /** A registry of a node that has just been started. */
 function startRegistry(t: TestContext, hasLeft = false): BackendServerRegistry {
   const registry = new BackendServerRegistry({
@@ -57,4 +69,15 @@
     registry.handleReport({ ...report, startedAt: 2000, sequence: 1 });
     assert.equal(isUsed(registry), true);
   });
+
+  it('guards against using a backend server that the store, read after its late report, knows as leaving', (t) => {
+    const registry = startRegistry(t);
+    registry.handleReport(report);
+    registry.handleStoredEntry({ ...storedEntry, startedAt: 999 });
+    assert.equal(isUsed(registry), true, 'the entry is that of an earlier incarnation');
+    registry.handleStoredEntry({ ...storedEntry, leaving: false });
+    assert.equal(isUsed(registry), true);
+    registry.handleStoredEntry(storedEntry);
+    assert.equal(isUsed(registry), false);
+  });
 });
--- a/packages/host-node/src/__tests__/fleet.ts
+++ b/packages/host-node/src/__tests__/fleet.ts
@@ -106,6 +106,13 @@
       retryWindowMilliseconds: 10_000,
     },
   };
+  const node = await startNode(t, settings);
+  t.after(() => backend[Symbol.asyncDispose]());
+  return { node, backend, settings };
+}
+
+/** Starts a node, for the first time or again after it was stopped. */
+export async function startNode(t: TestContext, settings: HostSettings): Promise<HostNode> {
   const source: SettingsSource = { current: settings, [Symbol.asyncDispose]: async () => {} };
   const node = createHostNode({
     settings: source,
@@ -114,11 +121,8 @@
     logger: silentLogger,
   });
   await node.start();
-  t.after(async () => {
-    await node.stop();
-    await backend[Symbol.asyncDispose]();
-  });
-  return { node, backend, settings };
+  t.after(() => node.stop());
+  return node;
 }
 
 /** Starts nodes with a common store; `storeOf` may replace its address, e.g. by that of a relay. */
--- a/packages/host-node/src/__tests__/hostNode.test.ts
+++ b/packages/host-node/src/__tests__/hostNode.test.ts
@@ -14,6 +14,7 @@
   skipSequence,
   startFleet,
   startMember,
+  startNode,
   waitUntil,
 } from './fleet.js';
 
@@ -96,6 +97,39 @@
     assert.deepEqual(one.backend.ran, ['a']);
   });
 
+  it('guards against a backend server that is used again after a restart of its node', async (t) => {
+    const { members, store } = await startFleet(t, ['one', 'two']);
+    const [one, two] = members;
+    assert.ok(one !== undefined && two !== undefined);
+    await sendReport(one, { state: 'draining' });
+    await one.node.stop();
+    assert.notEqual(store.specOf('hickorybridge-hosts', 'one'), undefined);
+    const restarted = await startNode(t, one.settings);
+    await waitUntil(() => restarted.ready && restarted.hostCount === 2);
+    // The last report from before the leave notice arrives late.
+    skipSequence(-2);
+    await sendReport(one);
+    skipSequence(2);
+    await sleep(500);
+    for (let number = 0; number < 6; number += 1) {
+      const member = number % 2 === 0 ? one : two;
+      const { port } = member.settings.listeners.callers;
+      const answer = await sendRequest(port, { path: `/reads/${number}`, id: `r${number}` });
+      assert.equal(answer.status, 200);
+    }
+    assert.deepEqual(one.backend.ran, []);
+  });
+
+  it('guards against the entry of a host whose backend server is gone', async (t) => {
+    const { members, store } = await startFleet(t, ['one', 'two']);
+    const [one] = members;
+    assert.ok(one !== undefined);
+    await sendReport(one, { state: 'draining' });
+    await one.backend[Symbol.asyncDispose]();
+    await one.node.stop();
+    assert.equal(store.specOf('hickorybridge-hosts', 'one'), undefined);
+  });
+
   it('guards against a shutdown that aborts a running request', async (t) => {
     const { members } = await startFleet(t, ['one']);
     const [one] = members;
--- a/packages/host-node/src/__tests__/plannedStop.test.ts
+++ b/packages/host-node/src/__tests__/plannedStop.test.ts
@@ -37,8 +37,9 @@
     },
   };
   const components = {
-    settings: { current: { bounds: { graceMilliseconds: 10_000 } } },
+    settings: { current: { nodeId: 'n1', bounds: { graceMilliseconds: 10_000 } } },
     backendServers: { current: undefined, load: () => undefined },
+    directory: { entry: () => undefined },
     callers,
     pool,
     supervisor: disposable('supervisor', supervisorMilliseconds),
--- a/packages/host-node/src/backend/BackendServerRegistry.ts
+++ b/packages/host-node/src/backend/BackendServerRegistry.ts
@@ -1,7 +1,7 @@
 import type { OccupancySummary } from '@hickorybridge/admission';
 import type { Logger } from '@hickorybridge/logger';
 import type { ExecutionOutcome, RequestBody, RequestExecutor } from '@hickorybridge/peer-protocol';
-import type { BackendServerReport, LoadReport, RequestHead } from '@hickorybridge/types';
+import type { BackendServerReport, HostEntry, LoadReport, RequestHead } from '@hickorybridge/types';
 import type { Clock, HostSpeedModel } from '@hickorybridge/utils';
 
 import { LocalBackendServer } from './LocalBackendServer.js';
@@ -89,6 +89,16 @@
     this.#markLeaving(backendServerId);
   }
 
+  /**
+   * Takes in what the store holds for this host. A restarted node may get a late report from before
+   * the backend server left, and may read the store only after that report.
+   */
+  handleStoredEntry({ backendServerId, leaving, startedAt = -1 }: HostEntry): void {
+    const incarnation = this.#incarnations.get(backendServerId);
+    if (!leaving || incarnation === undefined || startedAt < incarnation.startedAt) return;
+    this.#markLeaving(backendServerId);
+  }
+
   async execute(
     head: RequestHead,
     body: RequestBody,
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -227,12 +227,14 @@
     store,
     clock,
     random: random.fork(),
+    onFound: (entry) => backendServers.handleStoredEntry(entry),
     logger,
   });
   directory.onChange(() => {
     choice.removeUnlistedHosts();
     connectionManager.wake();
     const { entry, version } = directory.stored(nodeId);
+    if (entry !== undefined) backendServers.handleStoredEntry(entry);
     registration.seen(entry, version);
   });
   const maxExchangeAgeMilliseconds =
--- a/packages/membership/src/HostRegistration.ts
+++ b/packages/membership/src/HostRegistration.ts
@@ -3,12 +3,14 @@
 import type { HostEntry } from '@hickorybridge/types';
 import type { Clock, RandomSource } from '@hickorybridge/utils';
 
-import { encodeHostEntry, hostKey } from './hostEntryCodec.js';
+import { decodeHostEntry, encodeHostEntry, hostKey } from './hostEntryCodec.js';
 
 /** What the registration of this host needs. */
 export interface HostRegistrationOptions {
   readonly nodeId: string;
   readonly store: RemovingStore;
+  /** Called before an entry of this host that the node did not know of is overwritten. */
+  readonly onFound: (entry: HostEntry) => void;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
@@ -109,6 +111,11 @@
     return this.#takeOutcome(outcome, text);
   }
 
+  #reportFound(text: string): void {
+    const entry = decodeHostEntry(text);
+    if (entry !== undefined) this.#options.onFound(entry);
+  }
+
   #takeOutcome(outcome: WriteOutcome, text: string | undefined): boolean {
     switch (outcome.type) {
       case 'done':
@@ -122,6 +129,7 @@
           return false;
         }
         this.#written = { text: current.value, version: current.version };
+        this.#reportFound(current.value);
         return true;
       }
       default:
--- a/packages/membership/src/__tests__/HostRegistration.test.ts
+++ b/packages/membership/src/__tests__/HostRegistration.test.ts
@@ -7,6 +7,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { HostRegistration } from '../HostRegistration.js';
+import { encodeHostEntry } from '../hostEntryCodec.js';
 
 const entry: HostEntry = {
   nodeId: 'n1',
@@ -19,7 +20,11 @@
 };
 
 /** Starts a registration against a store that records its writes and answers as told. */
-function start(t: TestContext, answers: WriteOutcome[] = []) {
+function start(
+  t: TestContext,
+  answers: WriteOutcome[] = [],
+  onFound: (found: HostEntry) => void = () => {},
+) {
   const writes: string[] = [];
   const answer = (write: string): Promise<WriteOutcome> => {
     writes.push(write);
@@ -32,6 +37,7 @@
   const registration = new HostRegistration({
     nodeId: 'n1',
     store,
+    onFound,
     clock: systemClock,
     random: new RandomSource(2026),
     logger: silentLogger,
@@ -73,3 +79,16 @@
   await sleep(30);
   assert.deepEqual(writes, ['put 0', 'put 0']);
 });
+
+test('guards against a leave that is overwritten because the store was not read since the restart', async (t) => {
+  const current = { key: 'h', value: encodeHostEntry({ ...entry, leaving: true }), version: 5 };
+  const found: boolean[] = [];
+  const { registration, writes } = start(t, [{ type: 'refused', current }], ({ leaving }) => {
+    found.push(leaving);
+    registration.set({ ...entry, leaving: true });
+  });
+  registration.set(entry);
+  await sleep(30);
+  assert.deepEqual(found, [true]);
+  assert.deepEqual(writes, ['put 0'], 'the entry of the store stands');
+});
