An answer that nobody wants gives its slot back at once

Cause: when the reader of a long answer went away after the parser had read all of it, the rest stayed in the buffer of the paused answer. Neither its end nor its close came, so the exchange held a slot and a connection until the deadline.

Change: breaking off an exchange also destroys its answer, and the check is whether the answer was read to its end, not whether it was parsed.

--- a/packages/host-node/src/__tests__/BackendServerExchange.test.ts
+++ b/packages/host-node/src/__tests__/BackendServerExchange.test.ts
@@ -22,7 +22,7 @@
   t: TestContext,
   answer: (request: IncomingMessage, response: ServerResponse) => void,
   body: ExchangeOptions['body'] = { type: 'none' },
-  onLoad: ExchangeOptions['onLoad'] = () => {},
+  { onEnd = () => {}, onLoad = () => {} }: Partial<ExchangeOptions> = {},
 ) {
   const server = createServer(answer);
   server.listen(0, host);
@@ -55,7 +55,7 @@
     body,
     clock: systemClock,
     onLoad,
-    onEnd: () => {},
+    onEnd,
   });
 }
 
@@ -99,6 +99,19 @@
     assert.equal((await buffer(stream)).length, bodyBytes);
   });
 
+  it('guards against a slot that an answer holds until its deadline although nobody wants it', async (t) => {
+    let ends = 0;
+    const onEnd = () => {
+      ends += 1;
+    };
+    const exchange = await startExchange(t, answerWithLength, { type: 'none' }, { onEnd });
+    const stream = await streamOf(exchange);
+    await sleep(50);
+    stream.destroy();
+    await sleep(50);
+    assert.equal(ends, 1);
+  });
+
   it('guards against a fault in handling an answer that ends the process', async (t) => {
     const answer = (_request: IncomingMessage, response: ServerResponse) => {
       response.writeHead(200, { ...headers, 'server-load': '1,0,4,100' });
@@ -107,7 +120,7 @@
     const onLoad = () => {
       throw new Error('a fault');
     };
-    const exchange = await startExchange(t, answer, { type: 'none' }, onLoad);
+    const exchange = await startExchange(t, answer, { type: 'none' }, { onLoad });
     const outcome = await exchange.outcome;
     assert.equal(outcome.type, 'lost');
   });
--- a/packages/host-node/src/backend/BackendServerExchange.ts
+++ b/packages/host-node/src/backend/BackendServerExchange.ts
@@ -74,7 +74,7 @@
   /** True once bytes of the request may have reached the backend server. */
   #mayHaveSent = false;
 
-  #answerStarted = false;
+  #answer: IncomingMessage | undefined;
 
   #cancelCause: LossCause | undefined;
 
@@ -102,6 +102,8 @@
   #abort(reason: string): void {
     this.#aborted = true;
     this.#request.destroy(new Error(reason));
+    // Without this, an answer that is complete and paused would not end.
+    this.#answer?.destroy();
   }
 
   #start(): ClientRequest {
@@ -122,15 +124,15 @@
       try {
         this.#handleAnswer(answer);
       } catch (error) {
-        this.#reject(answer, `a fault of this node: ${String(error)}`);
+        this.#reject(`a fault of this node: ${String(error)}`);
       }
     });
     outgoing.on('error', (error) => {
       // Once the answer has started, onAnswerEnd reports whether it is complete.
-      if (!this.#answerStarted) this.#fail(error.message);
+      if (this.#answer === undefined) this.#fail(error.message);
     });
     outgoing.once('close', () => {
-      if (!this.#answerStarted) this.#fail('the connection was closed without an answer');
+      if (this.#answer === undefined) this.#fail('the connection was closed without an answer');
     });
     if (body.type !== 'stream') outgoing.end(body.type === 'buffered' ? body.data : undefined);
     return outgoing;
@@ -168,7 +170,7 @@
   #handleAnswer(answer: IncomingMessage): void {
     const { head, onLoad } = this.#options;
     const { headers } = answer;
-    this.#answerStarted = true;
+    this.#answer = answer;
     answer.on('error', () => {});
     const figures = decodeLoadFigures(firstValue(headers[HeaderNames.load]));
     if (figures !== undefined) onLoad(figures);
@@ -178,19 +180,19 @@
     const malformedName = findMalformedName(answer.rawHeaders);
     if (!answersThisRequest) {
       // Holds for rejections, too: one that is sent again must not vouch for this request.
-      this.#reject(answer, 'the answer belongs to another request');
+      this.#reject('the answer belongs to another request');
     } else if (malformedName !== undefined) {
-      this.#reject(answer, `the answer has a header with the malformed name "${malformedName}"`);
+      this.#reject(`the answer has a header with the malformed name "${malformedName}"`);
     } else if (status < minFinalStatus || status > maxFinalStatus) {
-      this.#reject(answer, `the answer has the status ${status}`);
+      this.#reject(`the answer has the status ${status}`);
     } else if (status === misdirectedStatus) {
       this.#settleNotRun(answer, NotRunReason.otherBackendServer);
     } else if (headers[HeaderNames.notRun] !== undefined) {
       this.#settleNotRun(answer, NotRunReason.shed);
     } else if (headers['content-encoding'] !== undefined) {
-      this.#reject(answer, 'the answer has an encoding that was not asked for');
+      this.#reject('the answer has an encoding that was not asked for');
     } else if (status < 300 && headers[HeaderNames.signature] === undefined) {
-      this.#reject(answer, 'the answer is not signed');
+      this.#reject('the answer is not signed');
     } else {
       this.#readBody(answer, status);
     }
@@ -206,8 +208,7 @@
     this.#settle({ type: 'not-run', reason });
   }
 
-  #reject(answer: IncomingMessage, detail: string): void {
-    answer.destroy();
+  #reject(detail: string): void {
     this.#abort(detail);
     this.#fail(detail);
   }
@@ -253,7 +254,7 @@
       this.#end(complete && head.status < minServerErrorStatus);
     });
     stream.once('close', () => {
-      if (!answer.complete) this.#abort('the answer is not wanted');
+      if (!answer.readableEnded) this.#abort('the answer is not wanted');
     });
     answer.pipe(stream, { end: false });
     this.#settle({ type: 'answered', head, body: { type: 'stream', stream } });
