A backend server whose clock has stepped back is heard when it leaves

Cause: incarnations were ordered by a start time from a wall clock alone, so reports of a start with an earlier time counted as late, though they were acknowledged. The same cause kept a backend server with a new id and an earlier start out of use for good.

Change: IncarnationHistory, without a network, decides what a report says. An unknown incarnation with an earlier start takes over after two reports in a row, and its leave notice holds at once; replaced incarnations stay known.

--- a/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
+++ b/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
@@ -81,3 +81,74 @@
     assert.equal(isUsed(registry), false);
   });
 });
+
+// The start of a backend server is read from a wall clock, which may step back between two starts.
+// These tests guard against a report of the later start that counts as outdated (DRAIN).
+describe('step of the clock: a backend server that starts again with an earlier start time', () => {
+  const earlier = { ...report, startedAt: 400 };
+
+  it('guards against requests to a backend server whose leave report counts as outdated', (t) => {
+    const registry = startRegistry(t);
+    registry.handleReport(report);
+    registry.handleReport({ ...earlier, draining: true, sequence: 1 });
+    assert.equal(isUsed(registry), false);
+  });
+
+  it('guards against requests to a backend server whose leave notice counts as outdated', (t) => {
+    const registry = startRegistry(t);
+    registry.handleReport(report);
+    registry.handleLeave('b1', 400);
+    assert.equal(isUsed(registry), false);
+  });
+
+  it('guards against a backend server that is never used because its reports count as outdated', (t) => {
+    for (const backendServerId of ['b1', 'b2']) {
+      const registry = startRegistry(t);
+      registry.handleReport(report);
+      registry.handleReport({ ...earlier, backendServerId, sequence: 1 });
+      registry.handleReport({ ...earlier, backendServerId, sequence: 2 });
+      assert.equal(registry.current?.report.startedAt, 400);
+      registry.handleReport({ ...earlier, backendServerId, sequence: 3, draining: true });
+      assert.equal(isUsed(registry), false);
+    }
+  });
+
+  it('guards against late reports of the start before, which the new one has replaced', (t) => {
+    const registry = startRegistry(t);
+    registry.handleReport(report);
+    registry.handleReport({ ...earlier, sequence: 1 });
+    registry.handleReport({ ...earlier, sequence: 2 });
+    registry.handleReport({ ...report, sequence: 8 });
+    registry.handleReport({ ...report, sequence: 9, draining: true });
+    registry.handleLeave('b1', 1000);
+    registry.handleStoredEntry(storedEntry);
+    assert.equal(registry.current?.report.startedAt, 400);
+    assert.equal(isUsed(registry), true);
+  });
+
+  it('guards against a late report of an earlier start that replaces a running backend server', (t) => {
+    const registry = startRegistry(t);
+    registry.handleReport(report);
+    registry.handleReport({ ...earlier, sequence: 90 });
+    registry.handleReport({ ...report, sequence: 8 });
+    registry.handleReport({ ...earlier, sequence: 91 });
+    assert.equal(registry.current?.report.startedAt, 1000);
+    assert.equal(isUsed(registry), true);
+  });
+
+  it('guards against losing a running backend server to a late leave of an unknown start', (t) => {
+    const leave: ((registry: BackendServerRegistry) => void)[] = [
+      (registry) => registry.handleLeave('b1', 400),
+      (registry) => registry.handleReport({ ...earlier, draining: true, sequence: 90 }),
+    ];
+    for (const handleLeave of leave) {
+      const registry = startRegistry(t);
+      registry.handleReport(report);
+      handleLeave(registry);
+      registry.handleReport({ ...report, sequence: 8 });
+      assert.equal(isUsed(registry), false, 'one report may be late');
+      registry.handleReport({ ...report, sequence: 9 });
+      assert.equal(isUsed(registry), true);
+    }
+  });
+});
--- a/packages/host-node/src/backend/BackendServerRegistry.ts
+++ b/packages/host-node/src/backend/BackendServerRegistry.ts
@@ -4,6 +4,7 @@
 import type { BackendServerReport, HostEntry, LoadReport, RequestHead } from '@hickorybridge/types';
 import type { Clock, HostSpeedModel } from '@hickorybridge/utils';
 
+import { IncarnationHistory, ReportVerdict } from './IncarnationHistory.js';
 import { LocalBackendServer } from './LocalBackendServer.js';
 
 export interface BackendServerRegistryOptions {
@@ -23,21 +24,11 @@
   readonly logger: Logger;
 }
 
-/** Latest state reported by one incarnation of a backend server. */
-interface IncarnationState {
-  readonly startedAt: number;
-  sequence: number;
-  leaving: boolean;
-}
-
-/** Incarnations that are tracked, so that delayed reports of earlier ones can be ignored. */
-const maxIncarnations = 64;
-
 /** Tracks the backend server of this host, solely from the reports that it sends. */
 export class BackendServerRegistry implements RequestExecutor, AsyncDisposable {
   readonly #options: BackendServerRegistryOptions;
 
-  readonly #incarnations = new Map<string, IncarnationState>();
+  readonly #history = new IncarnationHistory();
 
   #current: LocalBackendServer | undefined;
 
@@ -64,29 +55,29 @@
       );
       return;
     }
-    const incarnation = this.#incarnations.get(report.backendServerId);
-    if (incarnation !== undefined && incarnation.startedAt > report.startedAt) return;
-    if (incarnation === undefined || incarnation.startedAt < report.startedAt) {
-      const draining = report.draining || this.#options.hasLeft(report);
-      this.#trackIncarnation({ ...report, draining });
-      this.#replaceCurrent({ ...report, draining });
-      return;
+    switch (this.#history.record(report)) {
+      case ReportVerdict.newIncarnation: {
+        const hasLeft = this.#options.hasLeft(report);
+        if (hasLeft) this.#history.recordLeave(report.backendServerId, report.startedAt);
+        this.#replaceCurrent({ ...report, draining: report.draining || hasLeft });
+        break;
+      }
+      case ReportVerdict.takeover:
+        this.#replaceCurrent(report);
+        break;
+      case ReportVerdict.newest:
+        if (report.draining) this.handleLeave(report.backendServerId, report.startedAt);
+        break;
+      case ReportVerdict.leave:
+        this.#leaveCurrent();
+        break;
+      default:
     }
-    if (report.sequence <= incarnation.sequence) return;
-    incarnation.sequence = report.sequence;
-    if (report.draining) this.#markLeaving(report.backendServerId);
   }
 
   /** Handles a leave notice; `startedAt` is 0 when the notice names no incarnation. */
   handleLeave(backendServerId: string, startedAt: number): void {
-    const incarnation = this.#incarnations.get(backendServerId);
-    if (incarnation === undefined) {
-      // A late report of this incarnation must not bring it back.
-      this.#addIncarnation(backendServerId, { startedAt, sequence: Infinity, leaving: true });
-      return;
-    }
-    if (startedAt !== 0 && startedAt < incarnation.startedAt) return;
-    this.#markLeaving(backendServerId);
+    if (this.#history.recordLeave(backendServerId, startedAt)) this.#leaveCurrent();
   }
 
   /**
@@ -94,9 +85,9 @@
    * the backend server left, and may read the store only after that report.
    */
   handleStoredEntry({ backendServerId, leaving, startedAt = -1 }: HostEntry): void {
-    const incarnation = this.#incarnations.get(backendServerId);
-    if (!leaving || incarnation === undefined || startedAt < incarnation.startedAt) return;
-    this.#markLeaving(backendServerId);
+    if (leaving && this.#history.recordStoredLeave(backendServerId, startedAt)) {
+      this.#leaveCurrent();
+    }
   }
 
   async execute(
@@ -135,22 +126,9 @@
     await this.#current?.[Symbol.asyncDispose]();
   }
 
-  #trackIncarnation({ backendServerId, draining, sequence, startedAt }: BackendServerReport): void {
-    this.#addIncarnation(backendServerId, { startedAt, sequence, leaving: draining });
-  }
-
-  #addIncarnation(backendServerId: string, state: IncarnationState): void {
-    this.#incarnations.delete(backendServerId);
-    this.#incarnations.set(backendServerId, state);
-    const [oldest] = this.#incarnations.keys();
-    if (this.#incarnations.size > maxIncarnations && oldest !== undefined)
-      this.#incarnations.delete(oldest);
-  }
-
   #replaceCurrent(report: BackendServerReport): void {
     const { logger } = this.#options;
     const previous = this.#current;
-    if (previous !== undefined && previous.report.startedAt > report.startedAt) return;
     logger.info(
       'backend-server-joined',
       'received a report from a new backend server of this host',
@@ -178,20 +156,16 @@
     this.#options.onCurrentChanged();
   }
 
-  #markLeaving(backendServerId: string): void {
-    const incarnation = this.#incarnations.get(backendServerId);
-    if (incarnation === undefined || incarnation.leaving) return;
-    incarnation.leaving = true;
+  #leaveCurrent(): void {
+    const current = this.#current;
+    if (current === undefined) return;
+    const { backendServerId, sequence, startedAt } = current.report;
     this.#options.logger.info(
       'backend-server-leaving',
       'the backend server is leaving and takes no new requests',
-      {
-        backendServer: backendServerId,
-        sequence: incarnation.sequence,
-      },
+      { backendServer: backendServerId, startedAt, firstSequence: sequence },
     );
-    if (this.#current?.report.backendServerId !== backendServerId) return;
-    this.#current.leave();
+    current.leave();
     this.#options.onCurrentChanged();
   }
 
@@ -206,6 +180,7 @@
       },
     );
     backendServer.leave();
+    this.#history.recordEnd();
     this.#current = undefined;
     this.#options.onCurrentChanged();
   }
