Silent connections with the store are noticed by all watches

Cause: the watch that reads current data waits up to 26.5 s on a silent connection; the second watch notices within 4.5 s but told nobody.

Change: after a call without an answer in its time, idle connections are closed and waiting watches are sent again on new connections.

Measured: configuration.test "silent connections" failed on the former code (not in force after 5 s, bound 2 s) and passes; the stand-in store can silence connections and age stale reads.

--- a/packages/host-node/src/__tests__/configuration.test.ts
+++ b/packages/host-node/src/__tests__/configuration.test.ts
@@ -27,6 +27,20 @@
     assert.ok(milliseconds < bound, `in force after ${Math.round(milliseconds)} ms`);
   });
 
+  // Guards against the failure CONFIG: a watch waits on a connection that has gone silent.
+  it('silent connections: guards against a configuration that is in force too late', async (t) => {
+    const { members, store } = await startFleet(t, ['one', 'two', 'three']);
+    store.faults.staleMilliseconds = 4000;
+    store.silenceConnections();
+    await sleep(5000);
+    store.put('config', 'main', createConfiguration(2));
+    const sentAt = performance.now();
+    await waitUntil(() => members.every(({ node }) => node.configurationVersion === 2));
+    const milliseconds = performance.now() - sentAt;
+    const bound = members[0]?.settings.bounds.configurationMilliseconds ?? 0;
+    assert.ok(milliseconds < bound, `in force after ${Math.round(milliseconds)} ms`);
+  });
+
   // Guards against the failure CONFIG: an older version replaces the one in force.
   it('guards against an older configuration from a peer that missed a newer one', async (t) => {
     const relay = new LinkRelay({
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -81,9 +81,12 @@
   const { clock, logger, random, settings } = options;
   const { bounds, location, nodeId, store: storeAddress } = settings.current;
   const telemetry = new NodeTelemetry(logger);
-  const store = new ObjectStore(storeAddress, (operation, result) =>
-    telemetry.recordStoreCall(operation, result),
-  );
+  const followers: StoreFollower[] = [];
+  const store = new ObjectStore(storeAddress, {
+    count: (operation, result) => telemetry.recordStoreCall(operation, result),
+    // Connections go silent together, and a watch would notice it only at the end of its wait.
+    onSilent: () => followers.forEach((follower) => follower.renew()),
+  });
   const directory = new HostDirectory(logger);
   const speed = new HostSpeedModel();
   const subset = new HostSubset(nodeId, location, () => directory.list());
@@ -243,8 +246,18 @@
   const mustFollowStore = () =>
     watchers.includesSelf || exchange.ageMilliseconds > maxExchangeAgeMilliseconds;
   const untilMustFollowStore = () => maxExchangeAgeMilliseconds - exchange.ageMilliseconds;
-  const createFollower = (prefix: string, follower: StoreFollowerVariant) =>
-    new StoreFollower({ store, prefix, ...follower, clock, random: random.fork(), logger });
+  const createFollower = (prefix: string, variant: StoreFollowerVariant) => {
+    const follower = new StoreFollower({
+      store,
+      prefix,
+      ...variant,
+      clock,
+      random: random.fork(),
+      logger,
+    });
+    followers.push(follower);
+    return follower;
+  };
   configurationFollower = createFollower(configurationPrefix, {
     mayBeStale: false,
     waitMilliseconds: configurationWaitMilliseconds,
--- a/packages/membership/src/StoreFollower.ts
+++ b/packages/membership/src/StoreFollower.ts
@@ -48,6 +48,9 @@
 
   #failures = 0;
 
+  /** Cancels the call that is waiting for an answer. */
+  #cancellation: AbortController | undefined;
+
   #isWatching = false;
 
   /** When the store last answered, in monotonic milliseconds; `undefined` before the first time. */
@@ -68,6 +71,11 @@
     return this.#isWatching && this.#failures === 0 && this.#answeredAt !== undefined;
   }
 
+  /** Sends the call that is waiting for an answer again, since its connection may be silent. */
+  renew(): void {
+    this.#cancellation?.abort();
+  }
+
   async run(signal: AbortSignal): Promise<void> {
     const { clock, mayBeStale, pauseMilliseconds, prefix, store } = this.#options;
     let revision = 0;
@@ -102,19 +110,21 @@
     return Math.min(longestRestMilliseconds, Math.max(restMilliseconds, untilNeeded));
   }
 
-  /** Starts a call that is cancelled when the store has not to be followed any more. */
+  /** Starts a call that is cancelled by `renew`, or when the store need not be followed any more. */
   #startCall(signal: AbortSignal): { readonly signal: AbortSignal; readonly end: () => void } {
     const { isNeeded } = this.#options;
-    if (isNeeded === undefined) return { signal, end: () => {} };
     const cancellation = new AbortController();
     const cancel = () => cancellation.abort();
-    const timer = setInterval(() => {
-      if (!isNeeded()) cancel();
-    }, restMilliseconds);
+    this.#cancellation = cancellation;
+    const checkNeed = () => {
+      if (isNeeded?.() === false) cancel();
+    };
+    const timer = isNeeded === undefined ? undefined : setInterval(checkNeed, restMilliseconds);
     signal.addEventListener('abort', cancel, { once: true });
     return {
       signal: cancellation.signal,
       end: () => {
+        this.#cancellation = undefined;
         clearInterval(timer);
         signal.removeEventListener('abort', cancel);
       },
--- a/packages/stand-ins/src/objectStore/StandInObjectStore.ts
+++ b/packages/stand-ins/src/objectStore/StandInObjectStore.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 
 import { closeHttp, listenHttp, readJson, sendJson, urlOf } from '../httpListener.js';
 
@@ -13,6 +14,8 @@
   readonly rev: number;
   readonly deleted: boolean;
   readonly object: PlatformObject;
+  /** Monotonic milliseconds. */
+  readonly at: number;
 }
 
 /** Faults of the stand-in. */
@@ -25,10 +28,13 @@
   silentWatches: boolean;
   /** Number of next writes that take effect but are not answered. */
   loseWriteAnswers: number;
+  /** Age of what watches deliver that accept stale data, in milliseconds. */
+  staleMilliseconds: number;
 }
 
 const objectPath = /^\/v1\/objects\/([^/?]+)(?:\/([^/?]+))?$/;
 const pageSize = 50;
+const stalePollMilliseconds = 50;
 
 /** Stand-in for the platform's object store, as its published protocol describes it. */
 export class StandInObjectStore implements AsyncDisposable {
@@ -37,6 +43,7 @@
     down: false,
     silentWatches: false,
     loseWriteAnswers: 0,
+    staleMilliseconds: 0,
   };
 
   calls = 0;
@@ -55,6 +62,10 @@
 
   readonly #waiting = new Set<() => void>();
 
+  readonly #connections = new Set<Socket>();
+
+  readonly #silentConnections = new WeakSet<Socket>();
+
   #server: Server | undefined;
 
   get port(): number {
@@ -85,17 +96,25 @@
     for (const wake of this.#waiting) wake();
   }
 
+  /** Answers nothing more on the connections that are open, which stay open. */
+  silenceConnections(): void {
+    for (const connection of this.#connections) this.#silentConnections.add(connection);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     if (this.#server !== undefined) await closeHttp(this.#server);
   }
 
-  #publish(event: Event): void {
-    this.#events.push(event);
+  #publish(event: Omit<Event, 'at'>): void {
+    this.#events.push({ ...event, at: performance.now() });
     for (const wake of this.#waiting) wake();
   }
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.calls += 1;
+    this.#connections.add(request.socket);
+    request.socket.once('close', () => this.#connections.delete(request.socket));
+    if (this.#silentConnections.has(request.socket)) return;
     if (this.faults.down) {
       response.destroy();
       return;
@@ -147,10 +166,20 @@
     response: ServerResponse,
   ): Promise<void> {
     if (!parameters.has('allow_stale')) this.currentWatches += 1;
-    const since = () => this.#events.filter((each) => each.kind === kind && each.rev > revision);
-    if (since().length === 0 && revision >= this.#historyFrom) {
-      await this.#sleep(Number(parameters.get('wait_ms')));
+    const { staleMilliseconds } = this.faults;
+    const age = parameters.has('allow_stale') ? staleMilliseconds : 0;
+    const since = () =>
+      this.#events.filter(
+        ({ at, kind: eventKind, rev }) =>
+          eventKind === kind && rev > revision && at <= performance.now() - age,
+      );
+    const endsAt = performance.now() + Number(parameters.get('wait_ms'));
+    while (since().length === 0 && revision >= this.#historyFrom && performance.now() < endsAt) {
+      await this.#sleep(
+        Math.min(endsAt - performance.now(), age > 0 ? stalePollMilliseconds : Infinity),
+      );
     }
+    if (response.socket !== null && this.#silentConnections.has(response.socket)) return;
     if (this.faults.silentWatches && parameters.get('allow_stale') !== '1') return;
     if (revision < this.#historyFrom) {
       sendJson(response, {}, 410);
