Soak: real node processes under signals and faults, checked from outside

The stand-ins get a backend server with slots, its heartbeats, and a store that can stop and start again.

--- /dev/null
+++ b/packages/soak/src/disturbances/Profile.ts
@@ -0,0 +1,9 @@
+/** Kinds of runs. */
+export const Profile = {
+  planned: 'planned',
+  faults: 'faults',
+  overload: 'overload',
+  starts: 'starts',
+} as const;
+
+export type Profile = (typeof Profile)[keyof typeof Profile];
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -9,4 +9,6 @@
 export * from './link/LinkRelay.js';
 export * from './store/StandInStore.js';
 export * from './objectStore/StandInObjectStore.js';
+export * from './platformBackend/BackendReporter.js';
 export * from './platformBackend/StandInPlatformBackend.js';
+export * from './platformBackend/StandInSlotBackend.js';
--- a/packages/stand-ins/src/objectStore/StandInObjectStore.ts
+++ b/packages/stand-ins/src/objectStore/StandInObjectStore.ts
@@ -1,6 +1,13 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
-import { closeHttp, listenHttp, readJson, sendJson, urlOf } from '../httpListener.js';
+import {
+  closeHttp,
+  listenHttp,
+  readJson,
+  sendJson,
+  urlOf,
+  type ListenOptions,
+} from '../httpListener.js';
 
 /** An object as the platform's store keeps it. */
 interface PlatformObject {
@@ -62,8 +69,22 @@
     return Number(new URL(urlOf(this.#server)).port);
   }
 
-  async start(): Promise<void> {
-    this.#server = await listenHttp((request, response) => this.#handle(request, response));
+  get listening(): boolean {
+    return this.#server !== undefined;
+  }
+
+  async start(options: ListenOptions = {}): Promise<void> {
+    this.#server = await listenHttp(
+      (request, response) => this.#handle(request, response),
+      options,
+    );
+  }
+
+  /** Closes the listener and all connections; the objects stay for the next start. */
+  async stop(): Promise<void> {
+    const server = this.#server;
+    this.#server = undefined;
+    if (server !== undefined) await closeHttp(server);
   }
 
   /** Writes an object as the operator does. */
@@ -86,7 +107,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    if (this.#server !== undefined) await closeHttp(this.#server);
+    await this.stop();
   }
 
   #publish(event: Event): void {
