--- a/packages/soak/src/callers/MeshBackendService.ts
+++ b/packages/soak/src/callers/MeshBackendService.ts
@@ -8,22 +8,16 @@
 import type { Agent } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { routeOf, routes, type MeshRoute } from '../mesh/meshShape.js';
-import type { EventRecord } from '../record/EventRecord.js';
+import { routes, type MeshRoute } from '../mesh/meshShape.js';
+import type { MeshHostContext } from '../mesh/MeshHost.js';
 import { RequestEnd } from '../record/SoakEvent.js';
-import type { ArrivalCounter } from './ArrivalCounter.js';
-import type { RequestSender, SendTarget } from './RequestSender.js';
-import type { RouteTimeouts } from './RouteTimeouts.js';
+import type { SendTarget } from './RequestSender.js';
 
 /** What the runs of one backend server need. */
-export interface MeshBackendServiceOptions {
+export interface MeshBackendServiceOptions extends MeshHostContext {
   readonly backend: string;
   readonly service: string;
   readonly target: SendTarget;
-  readonly record: EventRecord;
-  readonly sender: RequestSender;
-  readonly timeouts: RouteTimeouts;
-  readonly arrivals: ArrivalCounter;
   readonly random: RandomSource;
   readonly agent: Agent;
 }
@@ -85,8 +79,8 @@
   /** Makes the calls of a run; gives whether all succeeded. */
   async #makeCalls({ calls }: MeshRoute, run: BackendRun, end: number): Promise<boolean> {
     const { agent, random, sender, target, timeouts } = this.#options;
-    if (calls === undefined || random.next() >= calls.share) return true;
-    const route = routeOf(calls.route);
+    const route = routes.find(({ name }) => name === calls?.route);
+    if (calls === undefined || route === undefined || random.next() >= calls.share) return true;
     for (let made = 0; made < calls.times && !run.signal.aborted; made += 1) {
       const left = end - performance.now();
       if (left < 1) return false;
--- a/packages/soak/src/callers/RequestSender.ts
+++ b/packages/soak/src/callers/RequestSender.ts
@@ -4,7 +4,7 @@
 import { loopback } from '../mesh/meshFiles.js';
 import type { MeshRoute } from '../mesh/meshShape.js';
 import type { EventRecord } from '../record/EventRecord.js';
-import { RequestEnd, type RequestEnded } from '../record/SoakEvent.js';
+import { RequestEnd, type EventFields, type SoakOccurrence } from '../record/SoakEvent.js';
 
 /** Where a request goes. */
 export interface SendTarget {
@@ -32,11 +32,11 @@
 
 /** How a request ended, with the answer's time to wait before a repeat. */
 export interface SendOutcome {
-  readonly ended: RequestEnded;
+  readonly ended: Extract<SoakOccurrence, { type: 'ended' }>;
   readonly retryAfterMilliseconds?: number;
 }
 
-type EndDetails = Partial<Pick<RequestEnded, 'status' | 'signed' | 'detail'>>;
+type EndDetails = Partial<Pick<EventFields['ended'], 'status' | 'signed' | 'detail'>>;
 
 const slowParts = 3;
 
--- a/packages/soak/src/checks/LossJudge.ts
+++ b/packages/soak/src/checks/LossJudge.ts
@@ -1,5 +1,5 @@
 import type { MeshBounds } from '../mesh/meshShape.js';
-import { eventsOf, RequestEnd, RunEnd } from '../record/SoakEvent.js';
+import { eventsOf, RequestEnd } from '../record/SoakEvent.js';
 import type { Breach } from './Breach.js';
 import { isInTouch, type Disruptions } from './disruptions.js';
 import { lifeAt, type RequestTrace, type RunIndex } from './RunIndex.js';
@@ -61,7 +61,7 @@
     if (ended.end === RequestEnd.answered && stopping !== true) return Judgement.ownAnswer;
     const crossed = ended.at - ended.sentAt <= this.#bounds.lossSlack;
     if (arrivals.length === 0 && crossed) return Judgement.crossedClose;
-    if (runEnds.some(({ end }) => end === RunEnd.brokeOff)) return Judgement.backendBrokeOff;
+    if (runEnds.some(({ end }) => end === 'broke-off')) return Judgement.backendBrokeOff;
     const limit = Math.min(sent.deadlineMilliseconds, sent.timeoutMilliseconds);
     if (ended.at - sent.at >= limit - timerSlackMilliseconds) return Judgement.timeReached;
     if (overlaps(this.#disruptions.rig, sent.at, ended.at)) return Judgement.rigStalled;
@@ -92,7 +92,8 @@
       if (endedAt > stop + grace + afterGraceMilliseconds) return Judgement.gracePassed;
       const lastSixth = stop + (grace * 5) / 6;
       const early = sent.at <= stop + lateRequestMilliseconds;
-      return early && wasAtWork(request, lastSixth) ? Judgement.endOfGrace : Judgement.breach;
+      const excused = early && endedAt >= lastSixth && wasAtWork(request, lastSixth);
+      return excused ? Judgement.endOfGrace : Judgement.breach;
     }
     const reloaded = signals.some(
       ({ at, signal }) => signal === 'SIGHUP' && sent.at <= at + configuration && endedAt >= at,
--- a/packages/soak/src/checks/RunIndex.ts
+++ b/packages/soak/src/checks/RunIndex.ts
@@ -1,30 +1,20 @@
-import {
-  eventsOf,
-  type RequestArrived,
-  type RequestEnded,
-  type RequestSent,
-  type RunEnded,
-  type SignalSent,
-  type SoakEvent,
-} from '../record/SoakEvent.js';
-
-type Timed<Event> = Event & { readonly at: number };
+import { eventsOf, type EventOf, type SoakEvent } from '../record/SoakEvent.js';
 
 /** One process of a node, from its start to its end. */
 export interface NodeLife {
   readonly node: string;
   readonly startedAt: number;
-  readonly signals: Timed<SignalSent>[];
+  readonly signals: EventOf<'signal'>[];
   readyAt?: number;
-  end?: { readonly at: number; readonly code: number | null; readonly signal: string | null };
+  end?: EventOf<'node-ended'>;
 }
 
 /** Everything about one request. */
 export interface RequestTrace {
-  readonly sent: Timed<RequestSent>;
-  readonly arrivals: Timed<RequestArrived>[];
-  readonly runEnds: Timed<RunEnded>[];
-  ended?: Timed<RequestEnded>;
+  readonly sent: EventOf<'sent'>;
+  readonly arrivals: EventOf<'arrived'>[];
+  readonly runEnds: EventOf<'run-ended'>[];
+  ended?: EventOf<'ended'>;
 }
 
 /** The events of a run, by node and by request. */
--- a/packages/soak/src/checks/findBudgetBreaches.ts
+++ b/packages/soak/src/checks/findBudgetBreaches.ts
@@ -1,5 +1,4 @@
 import type { MeshBounds } from '../mesh/meshShape.js';
-import { RunEnd } from '../record/SoakEvent.js';
 import { Rule, type Breach, type CheckResult } from './Breach.js';
 import { isInTouch, type Disruptions } from './disruptions.js';
 import type { RequestTrace, RunIndex } from './RunIndex.js';
@@ -82,7 +81,7 @@
       arrivals
         .filter(({ accepted, at, backend }) => {
           const unused = runEnds.some(
-            (each) => each.backend === backend && each.end === RunEnd.notExecuted,
+            (each) => each.backend === backend && each.end === 'not-executed',
           );
           return accepted && !unused && !overlaps(backends.get(backend) ?? [], at, at);
         })
--- a/packages/soak/src/checks/findLost.ts
+++ b/packages/soak/src/checks/findLost.ts
@@ -1,5 +1,5 @@
 import type { MeshBounds } from '../mesh/meshShape.js';
-import { RequestEnd, RunEnd } from '../record/SoakEvent.js';
+import { RequestEnd } from '../record/SoakEvent.js';
 import { Rule, type Breach, type CheckResult } from './Breach.js';
 import type { Disruptions } from './disruptions.js';
 import { Judgement, LossJudge } from './LossJudge.js';
@@ -52,7 +52,7 @@
   }
   if (ended.end !== RequestEnd.answered || ended.signed === true) return undefined;
   const openRuns = arrivals.filter(({ accepted }) => accepted).length - runEnds.length;
-  const dropped = runEnds.some(({ at, end }) => end === RunEnd.dropped && at >= ended.at - 5);
+  const dropped = runEnds.some(({ at, end }) => end === 'dropped' && at >= ended.at - 5);
   const atWork = openRuns > 0 || dropped || runEnds.some(({ at }) => at > ended.at);
   if (!atWork || (ended.status ?? 0) < 400) return undefined;
   return `${what} answered ${ended.status} after ${after} ms while a backend server was at work`;
--- a/packages/soak/src/disturbances/DisturbanceDriver.ts
+++ b/packages/soak/src/disturbances/DisturbanceDriver.ts
@@ -6,9 +6,9 @@
 import { loopback } from '../mesh/meshFiles.js';
 import type { MeshHost } from '../mesh/MeshHost.js';
 import type { MeshStore } from '../mesh/MeshStore.js';
-import { meshBounds } from '../mesh/meshShape.js';
+import { meshBounds, slots } from '../mesh/meshShape.js';
 import type { EventRecord } from '../record/EventRecord.js';
-import type { Disturbance } from './Disturbance.js';
+import type { Disturbance, HoldPort, Restart } from './Disturbance.js';
 import { replaceSettings } from './replaceSettings.js';
 
 /** What disturbances act on. */
@@ -20,7 +20,6 @@
   readonly readiness: ReadinessPoller;
 }
 
-const usualSlots = 6;
 /** Until the node has ended, at the latest when its grace time has passed. */
 const portTries = 1400;
 const portTryMilliseconds = 5;
@@ -60,110 +59,112 @@
 
   async #carryOut(disturbance: Disturbance): Promise<void> {
     const { callers, record, store } = this.#options;
+    if ('host' in disturbance) {
+      const host = this.#options.hosts[disturbance.host];
+      if (host !== undefined) await this.#carryOutOnHost(disturbance, host);
+      return;
+    }
     switch (disturbance.type) {
-      case 'stop':
-        // Signals in the first moments of a process are the matter of `restart`.
-        if (!this.#isStarted(disturbance.host)) return;
-        this.#host(disturbance.host).process.stop(meshBounds.grace, disturbance.absentMilliseconds);
-        return;
-      case 'reload':
-        if (this.#isStarted(disturbance.host)) await this.#reload(disturbance.host);
-        return;
-      case 'kill':
-        for (const host of disturbance.hosts) this.#host(host).process.signal('SIGKILL');
-        return;
-      case 'pause':
-        await this.#pause(disturbance.host, disturbance.milliseconds);
-        return;
       case 'configure':
         store.configure(disturbance.timeoutFactor, disturbance.extraRoutes);
-        return;
-      case 'drain':
-        await this.#host(disturbance.host).replaceBackend(disturbance.absentMilliseconds);
-        return;
-      case 'backend-mode':
-        this.#host(disturbance.host).setMode(disturbance.mode);
-        await sleep(disturbance.milliseconds);
-        this.#host(disturbance.host).setMode('normal');
-        return;
-      case 'slots':
-        this.#host(disturbance.host).setSlots(disturbance.slots);
-        await sleep(disturbance.milliseconds);
-        this.#host(disturbance.host).setSlots(usualSlots);
-        return;
+        break;
       case 'store':
         await store.disturb(disturbance.state, disturbance.milliseconds);
-        return;
+        break;
       case 'load':
         record.add({ type: 'load', factor: disturbance.factor });
         callers.loadFactor = disturbance.factor;
         await sleep(disturbance.milliseconds);
         callers.loadFactor = 1;
         record.add({ type: 'load', factor: 1 });
-        return;
+        break;
       case 'hasty-callers':
         callers.hasty = true;
         await sleep(disturbance.milliseconds);
         callers.hasty = false;
-        return;
-      case 'restart':
-        this.#restart(disturbance);
-        return;
-      case 'hold-port':
-        this.#restart({ ...disturbance, type: 'restart', signals: [] });
-        await this.#holdPort(disturbance);
+        break;
     }
   }
 
-  #host(index: number): MeshHost {
-    return this.#options.hosts[index] as MeshHost;
-  }
-
-  #isStarted(index: number): boolean {
-    return this.#options.readiness.isStarted(this.#host(index).node);
-  }
-
-  async #reload(index: number): Promise<void> {
-    await this.#replaceSettings(index, true);
-    this.#host(index).process.signal('SIGHUP');
+  async #carryOutOnHost(
+    disturbance: Extract<Disturbance, { host: number }>,
+    host: MeshHost,
+  ): Promise<void> {
+    const { process } = host;
+    // Signals in the first moments of a process are the matter of `restart`.
+    const started = this.#options.readiness.isStarted(host.node);
+    switch (disturbance.type) {
+      case 'stop':
+        if (started) process.stop(meshBounds.grace, disturbance.absentMilliseconds);
+        break;
+      case 'reload':
+        if (!started) break;
+        await this.#replaceSettings(host, true);
+        process.signal('SIGHUP');
+        break;
+      case 'kill':
+        process.signal('SIGKILL');
+        break;
+      case 'pause':
+        process.signal('SIGSTOP');
+        await sleep(disturbance.milliseconds);
+        process.signal('SIGCONT');
+        break;
+      case 'drain':
+        await host.replaceBackend(disturbance.absentMilliseconds);
+        break;
+      case 'backend-mode':
+        host.setMode(disturbance.mode);
+        await sleep(disturbance.milliseconds);
+        host.setMode('normal');
+        break;
+      case 'slots':
+        host.setSlots(disturbance.slots);
+        await sleep(disturbance.milliseconds);
+        host.setSlots(slots);
+        break;
+      case 'restart':
+        this.#restart(host, disturbance);
+        break;
+      case 'hold-port':
+        this.#restart(host, { signals: [] });
+        await this.#holdPort(host, disturbance);
+        break;
+    }
   }
 
-  async #replaceSettings(index: number, atomically: boolean): Promise<void> {
-    const { settingsFile, settingsText } = this.#host(index).options;
-    const { node } = this.#host(index);
-    this.#options.record.add({ type: 'settings-replaced', node, atomically });
+  async #replaceSettings(host: MeshHost, atomically: boolean): Promise<void> {
+    const { settingsFile, settingsText } = host.options;
+    this.#options.record.add({ type: 'settings-replaced', node: host.node, atomically });
     await replaceSettings(settingsFile, settingsText, atomically);
   }
 
-  async #pause(index: number, milliseconds: number): Promise<void> {
-    const { process } = this.#host(index);
-    process.signal('SIGSTOP');
-    await sleep(milliseconds);
-    process.signal('SIGCONT');
-  }
-
-  #restart({ host, settings, signals }: Extract<Disturbance, { type: 'restart' }>): void {
-    const { process } = this.#host(host);
+  #restart(host: MeshHost, { settings, signals }: Pick<Restart, 'settings' | 'signals'>): void {
+    const { process } = host;
     process.onceStarted(() => {
       for (const { afterMilliseconds, signal } of signals) {
-        setTimeout(() => {
-          if (this.#stopped) return;
+        this.#later(afterMilliseconds, () => {
           if (signal === 'SIGTERM') process.stop(meshBounds.grace);
           else process.signal(signal);
-        }, afterMilliseconds);
+        });
       }
       if (settings === undefined) return;
       const { afterMilliseconds, atomically } = settings;
-      setTimeout(() => this.#replaceSettings(host, atomically), afterMilliseconds);
+      this.#later(afterMilliseconds, () => this.#replaceSettings(host, atomically));
     });
     // A node that has not started yet is killed, so that only the plan sends it signals then.
-    if (this.#isStarted(host)) process.stop(meshBounds.grace);
+    if (this.#options.readiness.isStarted(host.node)) process.stop(meshBounds.grace);
     else process.signal('SIGKILL');
   }
 
+  #later(milliseconds: number, action: () => void): void {
+    setTimeout(() => {
+      if (!this.#stopped) action();
+    }, milliseconds);
+  }
+
   /** Takes a port as soon as the node has left it. */
-  async #holdPort(disturbance: Extract<Disturbance, { type: 'hold-port' }>): Promise<void> {
-    const { node, options } = this.#host(disturbance.host);
+  async #holdPort({ node, options }: MeshHost, disturbance: HoldPort): Promise<void> {
     const port = options.ports[disturbance.listener];
     const server = await this.#listen(port);
     if (server === undefined) return;
--- a/packages/soak/src/disturbances/SeriesPlanner.ts
+++ b/packages/soak/src/disturbances/SeriesPlanner.ts
@@ -3,51 +3,34 @@
 import type { Disturbance, EarlySignal } from './Disturbance.js';
 import { Profile } from './Profile.js';
 
-/** What a plan is drawn for. */
-export interface PlanOptions {
-  readonly profile: Profile;
-  readonly hosts: number;
-  readonly seconds: number;
-  readonly random: RandomSource;
-}
-
-type SeriesMaker = (at: number) => Disturbance[];
+/** Makes a series of disturbances that begins at a time. */
+export type SeriesMaker = (at: number) => Disturbance[];
 
-/** Draws the series of each kind. */
+/** Draws series of disturbances. */
 export class SeriesPlanner {
   readonly #hosts: number;
 
   readonly #random: RandomSource;
 
-  constructor({ hosts, random }: PlanOptions) {
+  constructor(hosts: number, random: RandomSource) {
     this.#hosts = hosts;
     this.#random = random;
   }
 
+  /** Gives the kinds of series of a profile; one that is named twice is drawn twice as often. */
   makersOf(profile: Profile): readonly SeriesMaker[] {
+    const stops = this.#stops;
+    const restarts = this.#restarts;
+    const configurations = this.#configurations;
     switch (profile) {
       case Profile.planned:
-        return [this.#stops, this.#stops, this.#reloads, this.#configurations, this.#drains];
+        return [stops, stops, this.#reloads, configurations, this.#drains];
       case Profile.faults:
-        return [
-          this.#kills,
-          this.#pauses,
-          this.#backendFaults,
-          this.#storeFault,
-          this.#stops,
-          this.#configurations,
-        ];
+        return [this.#kills, this.#pauses, this.#backendFaults, this.#store, stops, configurations];
       case Profile.overload:
-        return [this.#bursts, this.#slowBackends, this.#fewSlots, this.#hastyCallers, this.#kills];
+        return [this.#burst, this.#slowBackends, this.#fewSlots, this.#hastyCallers, this.#kills];
       case Profile.starts:
-        return [
-          this.#restarts,
-          this.#restarts,
-          this.#restarts,
-          this.#heldPorts,
-          this.#manyStarts,
-          this.#absentStore,
-        ];
+        return [restarts, restarts, restarts, this.#heldPorts, this.#manyStarts, this.#absentStore];
     }
   }
 
@@ -58,53 +41,50 @@
       const absentMilliseconds = this.#between(100, 1500);
       const stop = { at: time, type: 'stop', host, absentMilliseconds } as const;
       // A reload or a second stop that arrives within the grace time.
-      const further = this.#random.next();
       const later = time + this.#between(5, 1500);
-      if (further < 0.2) return [stop, { at: later, type: 'reload', host }];
-      return further < 0.4 ? [stop, { ...stop, at: later }] : [stop];
+      if (this.#chance(0.2)) return [stop, { at: later, type: 'reload', host }];
+      return this.#chance(0.25) ? [stop, { ...stop, at: later }] : [stop];
     });
   };
 
-  readonly #reloads: SeriesMaker = (at) => {
-    const count = 2 + this.#random.integerBelow(8);
-    return Array.from({ length: count }, (_, index) => ({
+  readonly #reloads: SeriesMaker = (at) =>
+    this.#times(2, 9).map((index) => ({
       at: at + index * this.#between(5, 400),
-      type: 'reload' as const,
-      host: this.#host(),
+      type: 'reload',
+      host: this.#random.integerBelow(this.#hosts),
     }));
-  };
 
   readonly #configurations: SeriesMaker = (at) => {
-    const count = 1 + this.#random.integerBelow(6);
     const gap = this.#between(100, 800);
-    return Array.from({ length: count }, (_, index) => ({
+    return this.#times(1, 6).map((index) => ({
       at: at + index * gap,
-      type: 'configure' as const,
-      timeoutFactor: 0.8 + 0.4 * this.#random.next(),
-      extraRoutes: this.#random.next() < 0.2 ? 300 : this.#random.integerBelow(10),
+      type: 'configure',
+      timeoutFactor: this.#between(80, 120) / 100,
+      extraRoutes: this.#chance(0.2) ? 300 : this.#between(0, 10),
     }));
   };
 
   readonly #drains: SeriesMaker = (at) =>
     this.#someHosts(1, 3).map((host, index) => ({
       at: at + index * this.#between(100, 1500),
-      type: 'drain' as const,
+      type: 'drain',
       host,
       absentMilliseconds: this.#between(500, 3000),
     }));
 
   readonly #kills: SeriesMaker = (at) => {
-    const together = this.#random.next() < 0.3;
-    const hosts = this.#someHosts(1, 4);
-    if (together) return [{ at, type: 'kill', hosts }];
-    const gap = this.#between(50, 1200);
-    return hosts.map((host, index) => ({ at: at + index * gap, type: 'kill', hosts: [host] }));
+    const gap = this.#chance(0.3) ? 0 : this.#between(50, 1200);
+    return this.#someHosts(1, 4).map((host, index) => ({
+      at: at + index * gap,
+      type: 'kill',
+      host,
+    }));
   };
 
   readonly #pauses: SeriesMaker = (at) =>
     this.#someHosts(1, 3).map((host) => ({
       at: at + this.#between(0, 1000),
-      type: 'pause' as const,
+      type: 'pause',
       host,
       milliseconds: this.#between(300, 4000),
     }));
@@ -112,45 +92,37 @@
   readonly #backendFaults: SeriesMaker = (at) =>
     this.#someHosts(1, 3).map((host) => ({
       at: at + this.#between(0, 1000),
-      type: 'backend-mode' as const,
+      type: 'backend-mode',
       host,
-      mode: (['slow', 'failing', 'breaking-off'] as const)[this.#random.integerBelow(3)] ?? 'slow',
+      mode: this.#oneOf(['slow', 'failing', 'breaking-off']),
       milliseconds: this.#between(2000, 6000),
     }));
 
-  readonly #storeFault: SeriesMaker = (at) => [
-    {
-      at,
-      type: 'store',
-      state: (['absent', 'down', 'refusing'] as const)[this.#random.integerBelow(3)] ?? 'down',
-      milliseconds: this.#between(1000, 5000),
-    },
-  ];
+  readonly #store: SeriesMaker = (at) => {
+    const state = this.#oneOf(['absent', 'down', 'refusing'] as const);
+    return [{ at, type: 'store', state, milliseconds: this.#between(1000, 5000) }];
+  };
 
-  readonly #bursts: SeriesMaker = (at) => [
-    {
-      at,
-      type: 'load',
-      factor: 1.5 + 2.5 * this.#random.next(),
-      milliseconds: this.#between(2000, 5000),
-    },
-  ];
+  readonly #burst: SeriesMaker = (at) => {
+    const factor = this.#between(15, 40) / 10;
+    return [{ at, type: 'load', factor, milliseconds: this.#between(2000, 5000) }];
+  };
 
   readonly #slowBackends: SeriesMaker = (at) =>
     this.#someHosts(2, 5).map((host) => ({
       at: at + this.#between(0, 500),
-      type: 'backend-mode' as const,
+      type: 'backend-mode',
       host,
-      mode: this.#random.next() < 0.7 ? ('slow' as const) : ('failing' as const),
+      mode: this.#oneOf(['slow', 'slow', 'failing']),
       milliseconds: this.#between(3000, 6000),
     }));
 
   readonly #fewSlots: SeriesMaker = (at) =>
     this.#someHosts(3, this.#hosts).map((host) => ({
       at,
-      type: 'slots' as const,
+      type: 'slots',
       host,
-      slots: 1 + this.#random.integerBelow(2),
+      slots: this.#between(1, 2),
       milliseconds: this.#between(2000, 6000),
     }));
 
@@ -161,16 +133,14 @@
   readonly #restarts: SeriesMaker = (at) => {
     const gap = this.#between(50, 700);
     return this.#someHosts(2, 5).map((host, index) => {
-      const settings = {
-        afterMilliseconds: this.#between(0, 150),
-        atomically: this.#random.next() < 0.7,
-      };
+      const atomically = this.#chance(0.7);
+      const settings = { afterMilliseconds: this.#between(0, 150), atomically };
       return {
         at: at + index * gap,
-        type: 'restart' as const,
+        type: 'restart',
         host,
         signals: this.#earlySignals(),
-        ...(this.#random.next() < 0.3 ? { settings } : {}),
+        ...(this.#chance(0.3) ? { settings } : {}),
       };
     });
   };
@@ -178,7 +148,7 @@
   readonly #manyStarts: SeriesMaker = (at) =>
     this.#someHosts(Math.ceil(this.#hosts / 2), this.#hosts).map((host) => ({
       at,
-      type: 'restart' as const,
+      type: 'restart',
       host,
       signals: [],
     }));
@@ -186,11 +156,9 @@
   readonly #heldPorts: SeriesMaker = (at) =>
     this.#someHosts(1, 2).map((host) => ({
       at,
-      type: 'hold-port' as const,
+      type: 'hold-port',
       host,
-      listener:
-        (['callers', 'reports', 'readiness', 'peers'] as const)[this.#random.integerBelow(4)] ??
-        'callers',
+      listener: this.#oneOf(['callers', 'reports', 'readiness', 'peers']),
       milliseconds: this.#between(500, 3000),
     }));
 
@@ -206,32 +174,39 @@
 
   #earlySignals(): EarlySignal[] {
     const signals: EarlySignal[] = [];
-    while (signals.length < 3 && this.#random.next() < 0.6) {
+    while (signals.length < 3 && this.#chance(0.6)) {
       signals.push({
         afterMilliseconds: this.#between(0, 300),
-        signal: this.#random.next() < 0.7 ? 'SIGHUP' : 'SIGTERM',
+        signal: this.#chance(0.7) ? 'SIGHUP' : 'SIGTERM',
       });
     }
     return signals;
   }
 
+  #chance(probability: number): boolean {
+    return this.#random.next() < probability;
+  }
+
   #between(least: number, most: number): number {
     return Math.round(least + this.#random.next() * (most - least));
   }
 
-  #host(): number {
-    return this.#random.integerBelow(this.#hosts);
+  #oneOf<Value>(values: readonly [Value, ...Value[]]): Value {
+    return values[this.#random.integerBelow(values.length)] ?? values[0];
+  }
+
+  /** Gives the places of a series whose length is drawn. */
+  #times(least: number, most: number): number[] {
+    return Array.from({ length: this.#between(least, most) }, (_, index) => index);
   }
 
   /** Draws different hosts, at least `least` and at most `most` where there are so many. */
   #someHosts(least: number, most: number): number[] {
-    const highest = Math.min(most, this.#hosts);
-    const lowest = Math.min(least, highest);
-    const count = lowest + this.#random.integerBelow(highest - lowest + 1);
     const hosts = Array.from({ length: this.#hosts }, (_, index) => index);
-    return Array.from(
-      { length: count },
-      () => hosts.splice(this.#random.integerBelow(hosts.length), 1)[0] as number,
-    );
+    const count = this.#between(Math.min(least, this.#hosts), Math.min(most, this.#hosts));
+    return Array.from({ length: count }, () => {
+      const [host = 0] = hosts.splice(this.#random.integerBelow(hosts.length), 1);
+      return host;
+    });
   }
 }
--- a/packages/soak/src/disturbances/planDisturbances.ts
+++ b/packages/soak/src/disturbances/planDisturbances.ts
@@ -1,5 +1,16 @@
+import type { RandomSource } from '@hickorybridge/utils';
+
 import type { Disturbance } from './Disturbance.js';
-import { SeriesPlanner, type PlanOptions } from './SeriesPlanner.js';
+import { SeriesPlanner } from './SeriesPlanner.js';
+import type { Profile } from './Profile.js';
+
+/** What a plan is drawn for. */
+export interface PlanOptions {
+  readonly profile: Profile;
+  readonly hosts: number;
+  readonly seconds: number;
+  readonly random: RandomSource;
+}
 
 /** Nodes have to be in touch before the first disturbance, where the profile has calm phases. */
 const firstMilliseconds = { planned: 4500, faults: 4500, overload: 3000, starts: 500 } as const;
@@ -11,16 +22,13 @@
 } as const;
 
 /** Draws series of disturbances that overlap, in order of time. */
-export function planDisturbances(options: PlanOptions): Disturbance[] {
-  const { profile, random, seconds } = options;
-  const series = new SeriesPlanner(options);
-  const makers = series.makersOf(profile);
+export function planDisturbances({ hosts, profile, random, seconds }: PlanOptions): Disturbance[] {
+  const makers = new SeriesPlanner(hosts, random).makersOf(profile);
   const { least, most } = gapMilliseconds[profile];
   const plan: Disturbance[] = [];
   let at: number = firstMilliseconds[profile];
   while (at < seconds * 1000) {
-    const make = makers[random.integerBelow(makers.length)];
-    plan.push(...(make?.(at) ?? []));
+    plan.push(...(makers[random.integerBelow(makers.length)]?.(at) ?? []));
     at += least + random.next() * (most - least);
   }
   return plan
--- a/packages/soak/src/mesh/MeshHost.ts
+++ b/packages/soak/src/mesh/MeshHost.ts
@@ -8,7 +8,7 @@
 import type { RequestSender } from '../callers/RequestSender.js';
 import type { RouteTimeouts } from '../callers/RouteTimeouts.js';
 import type { EventRecord } from '../record/EventRecord.js';
-import type { BackendChanged } from '../record/SoakEvent.js';
+import type { EventFields } from '../record/SoakEvent.js';
 import { failureDomainOf, loopback, serviceOf, type HostPorts } from './meshFiles.js';
 import { meshBounds, queueLength, slots } from './meshShape.js';
 import type { NodeProcess } from './NodeProcess.js';
@@ -35,7 +35,7 @@
 
 /** How a backend server behaves. */
 export type BackendMode = Extract<
-  BackendChanged['state'],
+  EventFields['backend']['state'],
   'slow' | 'failing' | 'breaking-off' | 'normal'
 >;
 
@@ -157,7 +157,7 @@
     await backend.server[Symbol.asyncDispose]();
   }
 
-  #note(state: BackendChanged['state']): void {
+  #note(state: EventFields['backend']['state']): void {
     const backend = this.#backend?.server.id ?? '';
     this.#context.record.add({ type: 'backend', backend, node: this.node, state });
   }
--- a/packages/soak/src/mesh/NodeProcess.ts
+++ b/packages/soak/src/mesh/NodeProcess.ts
@@ -2,7 +2,7 @@
 import { closeSync, openSync } from 'node:fs';
 
 import type { EventRecord } from '../record/EventRecord.js';
-import type { SignalSent } from '../record/SoakEvent.js';
+import type { EventFields } from '../record/SoakEvent.js';
 
 /** How a node is started. */
 export interface NodeProcessOptions {
@@ -90,7 +90,7 @@
     for (const listener of listeners) listener();
   }
 
-  signal(signal: SignalSent['signal'], afterGrace?: boolean): void {
+  signal(signal: EventFields['signal']['signal'], afterGrace?: boolean): void {
     const { name, record } = this.#options;
     if (this.#child?.kill(signal) !== true) return;
     record.add({ type: 'signal', node: name, signal, ...(afterGrace ? { afterGrace } : {}) });
--- a/packages/soak/src/mesh/meshFiles.ts
+++ b/packages/soak/src/mesh/meshFiles.ts
@@ -44,7 +44,7 @@
 port_range = [${ports.peers},${ports.peers + 2}]
 bootstrap = true
 heartbeat = "1500ms"
-bounds = ${JSON.stringify(settingsBounds)}
+bounds = ${JSON.stringify(settingsBounds.split(' '))}
 app_addr = ${at(ports.backendServer)}
 service = "${serviceOf(index)}"
 [listen_addrs]
@@ -89,17 +89,10 @@
   return {
     version,
     routes: {
-      columns: [
-        'name',
-        'host',
-        'path_prefix',
-        'kind',
-        'timeout',
-        'target_latency',
-        'priority',
-        'service',
-        'max_attempts',
-      ],
+      columns:
+        'name host path_prefix kind timeout target_latency priority service max_attempts'.split(
+          ' ',
+        ),
       rows: [...routes.map((route) => row(route.name, route)), ...extra],
     },
     services: {
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -64,7 +64,11 @@
   await using record = new EventRecord(path.join(directory, eventsFile));
   await using stalls = new StallMonitor(record);
   await using parts = await createSoak({ ...options, program, directory, record, random });
+  // Also when this program ends by an error, no node outlives it.
+  const killNodes = () => parts.hosts.forEach((host) => host.process.killNow());
+  process.once('exit', killNodes);
   await Promise.race([playPhases(options, parts, random, planRandom), waitForAbort(options)]);
+  process.removeListener('exit', killNodes);
   const result = checkRun(record.events);
   return { ...result, directory, rig: stalls.describe(), loadAverage: loadavg()[0] ?? 0 };
 }
