--- a/packages/soak/src/__tests__/findLost.test.ts
+++ b/packages/soak/src/__tests__/findLost.test.ts
@@ -103,6 +103,14 @@
     assert.deepEqual(lostIn(record), []);
   });
 
+  it('blames no node for connections that another listener on its port took', () => {
+    const record = stopping()
+      .add(20_050, { type: 'port-held', node: 'a', port: 1 })
+      .send(20_100, 'r')
+      .close(20_600, 'r', 20_101);
+    assert.deepEqual(lostIn(record), []);
+  });
+
   it('blames no node while the soak itself is late', () => {
     const record = stopping()
       .send(20_100, 'r')
--- a/packages/soak/src/checks/LossJudge.ts
+++ b/packages/soak/src/checks/LossJudge.ts
@@ -12,6 +12,8 @@
   /** It crossed the node's close, and was not passed on. */
   crossedClose: 'crossedClose',
   backendBrokeOff: 'backendBrokeOff',
+  /** Another listener held the port, and may have taken the connection. */
+  portHeld: 'portHeld',
   timeReached: 'timeReached',
   endOfGrace: 'endOfGrace',
   gracePassed: 'gracePassed',
@@ -62,6 +64,8 @@
     const crossed = ended.at - ended.sentAt <= this.#bounds.lossSlack;
     if (arrivals.length === 0 && crossed) return Judgement.crossedClose;
     if (runEnds.some(({ end }) => end === 'broke-off')) return Judgement.backendBrokeOff;
+    const held = this.#disruptions.heldPorts.get(sent.node) ?? [];
+    if (overlaps(held, sent.at, ended.at)) return Judgement.portHeld;
     const limit = Math.min(sent.deadlineMilliseconds, sent.timeoutMilliseconds);
     if (ended.at - sent.at >= limit - timerSlackMilliseconds) return Judgement.timeReached;
     if (overlaps(this.#disruptions.rig, sent.at, ended.at)) return Judgement.rigStalled;
--- a/packages/soak/src/checks/disruptions.ts
+++ b/packages/soak/src/checks/disruptions.ts
@@ -11,6 +11,8 @@
   readonly all: ReadonlyMap<string, readonly Span[]>;
   /** Faults of a backend server, by its id. */
   readonly backends: ReadonlyMap<string, readonly Span[]>;
+  /** Times in which another listener held a port of a node. */
+  readonly heldPorts: ReadonlyMap<string, readonly Span[]>;
   readonly store: readonly Span[];
   /** Times in which this program itself was late. */
   readonly rig: readonly Span[];
@@ -51,6 +53,7 @@
     unplanned,
     all,
     backends: findBackendFaults(events),
+    heldPorts: findHeldPorts(index),
     store: spansBetween(
       eventsOf(events, 'store'),
       ({ state }) => state !== 'up',
@@ -91,3 +94,17 @@
   }
   return spans;
 }
+
+function findHeldPorts({ events, lives }: RunIndex): ReadonlyMap<string, readonly Span[]> {
+  const spans = new Map<string, readonly Span[]>();
+  for (const node of new Set(lives.map((life) => life.node))) {
+    const own = events.filter((event) => 'node' in event && event.node === node);
+    const held = spansBetween(
+      own,
+      ({ type }) => type === 'port-held',
+      ({ type }) => type === 'port-freed',
+    );
+    spans.set(node, held);
+  }
+  return spans;
+}
