A planned stop leaves the connections of callers open until the end

What callers saw: an answer was cut when the stop began to refuse new requests, if its caller had not taken all of it yet; and a request that reached the node on a kept connection in that moment was reset without an answer.

Cause: `Server.close` of Node.js (since version 19), and `closeIdleConnections`, close every connection whose last request has been parsed and whose answer has ended. An answer has ended as soon as its last byte was handed to the response, also while that byte waits in the node for a slow caller; and bytes in the socket that were not read yet do not count.

Evidence: `stoppingConnections.test`, three tests. Before the change two of them failed: 3,919,743 of 8,388,608 bytes arrived, and the request on a kept connection got no byte. The third (half received requests) held before.

The server for callers now stops listening and leaves its connections as they are. A request that still comes on one of them gets a 503 with `Connection: close`, and the connections are closed last, right before the process ends.

--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -3,12 +3,13 @@
 import { maxWholeBodyBytes, type RequestBody } from '@hickorybridge/peer-protocol';
 import type { CallerLimits, Route, SocketAddress } from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
 import { endToEndHeaders, findMalformedName } from '../headers.js';
 import { listen } from '../listen.js';
 import { FailureReason, type CallerOutcome, type CallerRequest } from '../routing/CallerRequest.js';
 import type { RequestRouter } from '../routing/RequestRouter.js';
+import { createCallersServer } from './createCallersServer.js';
 import { readBody } from './readBody.js';
 import { abortAnswer, sendOutcome } from './sendOutcome.js';
 
@@ -72,7 +73,7 @@
 
   constructor(options: CallersListenerOptions) {
     this.#options = options;
-    this.#server = createServer({ maxHeaderSize: maxParsedHeaderBytes, noDelay: true });
+    this.#server = createCallersServer({ maxHeaderSize: maxParsedHeaderBytes, noDelay: true });
     this.#server.keepAliveTimeout = defaultIdleMilliseconds + idleMarginMilliseconds;
     this.#server.requestTimeout = 0;
     this.#server.on('request', (request, response) => this.#answer(request, response));
@@ -99,7 +100,6 @@
     if (this.#stoppedAccepting) return;
     this.#stoppedAccepting = true;
     this.#server.close();
-    this.#server.closeIdleConnections();
   }
 
   /**
@@ -115,7 +115,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.#server.close();
-    this.#server.closeIdleConnections();
+    this.#server.closeAllConnections();
   }
 
   /** Handles a request. Every request is answered, also when an operation fails unexpectedly. */
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -320,7 +320,6 @@
     metrics,
     supervisor,
     disposables: [
-      callers,
       occupancyReporter,
       pool,
       backendServers,
@@ -329,6 +328,8 @@
       metrics,
       store,
       settings,
+      // Last, so that requests on connections that are still open get a refusal until the end.
+      callers,
     ],
     clock,
     logger,
