Each answer during a planned stop says that its connection closes

What callers saw: a request that came before SIGTERM and was answered after it got `Connection: keep-alive`. Its caller sent the next request on that connection, where it met the refusals of the stop or the end of the process.

Cause: whether the connection stays open was decided when a request came, not when its answer was sent.

Evidence: `stoppingConnections.test`, "an answer during the stop that keeps its connection open"; before the change the answer said `keep-alive`.

The decision is now made right before an answer is sent.

--- a/packages/host-node/src/__tests__/stoppingConnections.test.ts
+++ b/packages/host-node/src/__tests__/stoppingConnections.test.ts
@@ -92,6 +92,21 @@
     await waitUntil(() => listener.open === 0);
   });
 
+  // The request that a caller sends next on such a connection crosses the end of the process.
+  it('guards against an answer during the stop that keeps its connection open', async (t) => {
+    let settle: (outcome: CallerOutcome) => void = () => {};
+    const outcome = new Promise<CallerOutcome>((resolve) => {
+      settle = resolve;
+    });
+    const { listener, open, stop } = await startListener(t, () => outcome);
+    const socket = await open();
+    socket.write(headOf('q1'));
+    await waitUntil(() => listener.open === 1);
+    stop();
+    settle(answer(10));
+    assert.match(await readUntil(socket, (read) => read.endsWith('aaa')), /connection: close/i);
+  });
+
   it('guards against a request that is half received when the stop begins and gets no answer', async (t) => {
     const { listener, open, stop } = await startListener(t, () => Promise.resolve(answer(10)));
     const halves = ['GET /reads/1 HTTP/1.1\r\nhost: a.ex', 'ample\r\nrequest-id: q1\r\n\r\n'];
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -129,7 +129,6 @@
       // Most responses are complete, and an abort is expensive.
       if (!response.writableFinished) cancellation.abort();
     });
-    if (endsAt() !== undefined) response.shouldKeepAlive = false;
     const requestId = singleHeader(request, HeaderNames.requestId) ?? '';
     let found: RouteMatch | undefined;
     let outcome: CallerOutcome;
@@ -150,6 +149,7 @@
       this.#logFault(requestId, error);
       outcome = nodeFault;
     }
+    if (endsAt() !== undefined) response.shouldKeepAlive = false;
     const sent = sendOutcome(request, response, outcome);
     if (sent !== outcome) this.#logNotSendable(requestId, sent);
     onFinished({
