Bound the retries of all nodes together in any window

Cause: the part of a node was fixed at its first request for a service, by the hosts that it knew then. Nodes that start together know few others at that moment, so that each kept up to the whole slack of the fleet for its life. Each life of a process began with a part of its own. Each node of a large fleet saved up one whole retry. A hedged request that was not sent gave its retry back with a new life.

SharedRetryBudget reads the number of nodes at each use, lets retries of first attempts expire after a window, and earns the slack over time from zero. A node that the store did not list before starts with what it may save, so that the first failed request of a new fleet is retried.

--- a/packages/coordination/src/RetryBudget.ts
+++ b/packages/coordination/src/RetryBudget.ts
@@ -1,5 +1,7 @@
 import type { Clock } from '@hickorybridge/utils';
 
+import type { RetryAllowance } from './RetryAllowance.js';
+
 /** Options of {@link RetryBudget}. */
 export interface RetryBudgetOptions {
   /** Retries permitted as a share of first attempts, from 0 to 1. */
@@ -14,7 +16,7 @@
 }
 
 /** Limits retries to a share of first attempts, so that retries can't amplify an overload. */
-export class RetryBudget {
+export class RetryBudget implements RetryAllowance {
   readonly #options: RetryBudgetOptions;
 
   #tokens: number;
@@ -31,7 +33,7 @@
   /** Number of retries permitted now. */
   get available(): number {
     this.#refill();
-    return Math.floor(this.#tokens);
+    return Math.max(0, Math.floor(this.#tokens));
   }
 
   /** Counts the first attempt of a request, which adds `share` retries to the budget. */
@@ -47,6 +49,11 @@
     return true;
   }
 
+  recordRetry(): void {
+    this.#refill();
+    this.#tokens = Math.max(-this.#options.burst, this.#tokens - 1);
+  }
+
   /** Returns an unused retry to the budget. */
   returnRetry(): void {
     this.#add(1);
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -164,11 +164,20 @@
     peer === nodeId
       ? backendServers.execute(head, body, signal)
       : pool.execute(peer, head, body, signal);
+  const registration = new HostRegistration({
+    nodeId,
+    store,
+    clock,
+    random: random.fork(),
+    onFound: (entry) => backendServers.handleStoredEntry(entry),
+    logger,
+  });
   router = new RequestRouter({
     hosts: choice,
     send,
     bounds,
     nodeCount: () => directory.size,
+    isNewNode: () => registration.isNew,
     routeWorkEstimator,
     clock,
     random: random.fork(),
@@ -222,14 +231,6 @@
         detail,
       }),
   });
-  const registration = new HostRegistration({
-    nodeId,
-    store,
-    clock,
-    random: random.fork(),
-    onFound: (entry) => backendServers.handleStoredEntry(entry),
-    logger,
-  });
   directory.onChange(() => {
     choice.removeUnlistedHosts();
     connectionManager.wake();
--- a/packages/host-node/src/routing/RequestRouter.ts
+++ b/packages/host-node/src/routing/RequestRouter.ts
@@ -1,4 +1,4 @@
-import { RetryBudget } from '@hickorybridge/coordination';
+import { SharedRetryBudget } from '@hickorybridge/coordination';
 import {
   CallerTimeoutEstimator,
   RouteTable,
@@ -12,8 +12,10 @@
 
 export interface RequestRouterOptions extends Omit<RequestRunOptions, 'retryBudgetFor'> {
   readonly bounds: HostBounds;
-  /** Number of nodes that share the retry budget. */
+  /** Number of nodes known to share the retry budget, this one included; 0 before any is known. */
   readonly nodeCount: () => number;
+  /** Whether this node has joined the others in this life of its process. */
+  readonly isNewNode: () => boolean;
 }
 
 /**
@@ -28,7 +30,7 @@
 
   readonly callerTimeoutEstimator = new CallerTimeoutEstimator();
 
-  readonly #retryBudgets = new Map<string, RetryBudget>();
+  readonly #retryBudgets = new Map<string, SharedRetryBudget>();
 
   #configuration: RouteConfiguration | undefined;
 
@@ -83,16 +85,16 @@
     return new RequestRun({ ...this.#options, retryBudgetFor }, request).run();
   }
 
-  #retryBudgetFor(service: string): RetryBudget {
+  #retryBudgetFor(service: string): SharedRetryBudget {
     const known = this.#retryBudgets.get(service);
     if (known !== undefined) return known;
-    const { bounds, clock, nodeCount } = this.#options;
-    const slack = (bounds.retrySlack * retryBudgetShare) / Math.max(1, nodeCount());
-    const budget = new RetryBudget({
+    const { bounds, clock, isNewNode, nodeCount } = this.#options;
+    const budget = new SharedRetryBudget({
       share: bounds.retryShare * retryBudgetShare,
-      minimumPerSecond: slack / 2 / (bounds.retryWindowMilliseconds / 1000),
-      burst: Math.max(1, slack / 2),
-      initial: Math.max(1, slack / 2),
+      slack: bounds.retrySlack * retryBudgetShare,
+      windowMilliseconds: bounds.retryWindowMilliseconds,
+      memberCount: nodeCount,
+      isNewMember: isNewNode,
       clock,
     });
     this.#retryBudgets.set(service, budget);
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -6,7 +6,7 @@
   type ExecutionOutcome,
   type RequestBody,
 } from '@hickorybridge/peer-protocol';
-import type { RetryBudget } from '@hickorybridge/coordination';
+import type { RetryAllowance } from '@hickorybridge/coordination';
 import type { Logger } from '@hickorybridge/logger';
 import {
   computeRetryAfter,
@@ -32,7 +32,7 @@
 export interface RequestRunOptions {
   readonly hosts: HostChoice;
   readonly send: SendToHost;
-  readonly retryBudgetFor: (service: string) => RetryBudget;
+  readonly retryBudgetFor: (service: string) => RetryAllowance;
   readonly routeWorkEstimator: RouteWorkEstimator;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -169,15 +169,12 @@
 
   /** Sends the request to a second host, if one is free and the retry budget allows it. */
   async #startHedge(): Promise<HostAttempt | undefined> {
-    const { retryBudgetFor, hosts } = this.#options;
-    if (this.#cancellation.signal.aborted || !this.#tryTakeRetry()) return undefined;
+    const { hosts } = this.#options;
+    if (this.#cancellation.signal.aborted || !this.#mayRepeat()) return undefined;
     const candidate = await hosts.chooseFree(this.#request, this.#attemptedHosts);
     // The first attempt may have ended while the hosts were probed.
     const isWanted = this.#runningAttempts.size > 0 && !this.#cancellation.signal.aborted;
-    if (candidate === undefined || !isWanted) {
-      retryBudgetFor(this.#request.service).returnRetry();
-      return undefined;
-    }
+    if (candidate === undefined || !isWanted || !this.#tryTakeRetry()) return undefined;
     this.#logRetry(candidate.entry.nodeId, 'the first host is late');
     return this.#startAttempt(candidate);
   }
@@ -307,18 +304,20 @@
     return this.#errorAnswer.take() ?? this.#fail(reason, detail);
   }
 
-  /**
-   * Whether the request may be sent to one more backend server. If so, this takes a retry from the
-   * budget.
-   */
+  /** Takes a retry from the budget if the request may be sent to one more backend server. */
   #tryTakeRetry(): boolean {
-    const { retryBudgetFor, clock, routeWorkEstimator } = this.#options;
-    const { body, deadline, route, service } = this.#request;
+    const { retryBudgetFor } = this.#options;
+    return this.#mayRepeat() && retryBudgetFor(this.#request.service).tryAcquireRetry();
+  }
+
+  /** Whether the request allows one more attempt, whatever the budget has left. */
+  #mayRepeat(): boolean {
+    const { clock, routeWorkEstimator } = this.#options;
+    const { body, deadline, route } = this.#request;
     if (this.#possibleRuns > 0 && !route.idempotent) return false;
     if (this.#backendAttempts >= route.maxAttempts || !canSendBody(body)) return false;
     const expected = routeWorkEstimator.expectedWork(route.name, route.targetMilliseconds);
-    if (clock.now() + expected * minimumRetryShare > deadline) return false;
-    return retryBudgetFor(service).tryAcquireRetry();
+    return clock.now() + expected * minimumRetryShare <= deadline;
   }
 
   #logRetry(host: string, detail: string): void {
--- a/packages/membership/src/HostRegistration.ts
+++ b/packages/membership/src/HostRegistration.ts
@@ -32,12 +32,20 @@
   /** What it was last seen to hold: the text and its version. */
   #written: { readonly text: string | undefined; readonly version: number } | undefined;
 
+  /** Whether the first write created the entry; `undefined` before that write. */
+  #created: boolean | undefined;
+
   #wake = new AbortController();
 
   constructor(options: HostRegistrationOptions) {
     this.#options = options;
   }
 
+  /** Whether this host was not registered before; false while that is not known. */
+  get isNew(): boolean {
+    return this.#created ?? false;
+  }
+
   /** Changes the entry. The write follows in the background. */
   set(entry: HostEntry | undefined): void {
     this.#wanted = entry;
@@ -108,6 +116,7 @@
       version: outcome.type === 'done' ? outcome.version : version,
       removed: text === undefined,
     });
+    this.#created ??= outcome.type === 'done' && text !== undefined && version === 0;
     return this.#takeOutcome(outcome, text);
   }
 
--- a/packages/membership/src/__tests__/HostRegistration.test.ts
+++ b/packages/membership/src/__tests__/HostRegistration.test.ts
@@ -61,6 +61,22 @@
   assert.deepEqual(writes, [], 'an entry that stands already is not written again');
 });
 
+test('guards against a restarted node that takes itself for a new one', async (t) => {
+  const created = start(t);
+  assert.equal(created.registration.isNew, false, 'nothing is written yet');
+  created.registration.set(entry);
+  const current = { key: 'hosts/n1', value: encodeHostEntry(entry), version: 5 };
+  const found = start(t, [{ type: 'refused', current }]);
+  found.registration.set(entry);
+  const unknown = start(t, [{ type: 'unknown', detail: 'lost' }]);
+  unknown.registration.set(entry);
+  await sleep(300);
+  assert.equal(created.registration.isNew, true);
+  assert.equal(found.registration.isNew, false);
+  assert.deepEqual(unknown.writes, ['put 0', 'put 0']);
+  assert.equal(unknown.registration.isNew, false);
+});
+
 test('guards against an entry that stays away after a write was refused or lost', async (t) => {
   const { registration, writes } = start(t, [
     { type: 'unknown', detail: 'lost' },
