Count the repeat of a request that got 421 as a retry

Cause: the exchange reported 421 with the same reason as a node that knows of the replacement and sends nothing, and refusals by a node are repeated freely. Such an arrival counts, although the request has not run.

The reason is now `misdirected`, which is treated like a backend server that sheds: the attempt stays counted and the repeat takes a retry. A node that refuses without sending still costs nothing.

--- a/packages/host-node/src/__tests__/retryAllowance.test.ts
+++ b/packages/host-node/src/__tests__/retryAllowance.test.ts
@@ -34,11 +34,11 @@
   body: { type: 'whole', data: Buffer.alloc(0) },
 };
 
-const refused: ExecutionOutcome = {
+const refuse = (reason: 'misdirected' | 'no-such-backend-server'): ExecutionOutcome => ({
   type: 'refused',
-  reason: 'no-such-backend-server',
+  reason,
   report: undefined,
-};
+});
 
 function candidateOf(nodeId: string): HostCandidate {
   return {
@@ -135,9 +135,16 @@
     assert.ok(retries > 0, 'no request was retried');
   });
 
+  it('guards against repeats after 421 that take nothing from the allowance', async () => {
+    const { sendRequests, state } = createRouter({ send: async () => refuse('misdirected') });
+    await sendRequests(100);
+    // A tenth of the requests, and the slack of one node.
+    assert.ok(state.sent <= 100 + 0.1 * 100 + retrySlack / nodes, `${state.sent} arrivals`);
+  });
+
   it('guards against a request that a node refused and that is sent to no other host', async () => {
     const { sendRequests, state } = createRouter({
-      send: async (nodeId) => (nodeId === 'one' ? refused : serverError),
+      send: async (nodeId) => (nodeId === 'one' ? refuse('no-such-backend-server') : serverError),
     });
     await sendRequests(1);
     assert.ok(state.sent >= 2, `${state.sent} attempts`);
--- a/packages/host-node/src/backend/BackendServerExchange.ts
+++ b/packages/host-node/src/backend/BackendServerExchange.ts
@@ -26,7 +26,7 @@
 export const NotRunReason = {
   connectionRefused: 'connection-refused',
   shed: 'backend-server-shed',
-  otherBackendServer: 'no-such-backend-server',
+  misdirected: 'misdirected',
   cancelled: 'cancelled',
   notSendable: 'not-sent',
 } as const;
@@ -186,7 +186,7 @@
     } else if (status < minFinalStatus || status > maxFinalStatus) {
       this.#reject(`the answer has the status ${status}`);
     } else if (status === misdirectedStatus) {
-      this.#settleNotRun(answer, NotRunReason.otherBackendServer);
+      this.#settleNotRun(answer, NotRunReason.misdirected);
     } else if (headers[HeaderNames.notRun] !== undefined) {
       this.#settleNotRun(answer, NotRunReason.shed);
     } else if (headers['content-encoding'] !== undefined) {
--- a/packages/host-node/src/backend/LocalBackendServer.ts
+++ b/packages/host-node/src/backend/LocalBackendServer.ts
@@ -253,7 +253,7 @@
       case 'answered':
         return { ...outcome, report: this.#admission.report(Math.max(0, work)) };
       case 'not-run':
-        if (outcome.reason === NotRunReason.otherBackendServer) this.#options.onReplaced();
+        if (outcome.reason === NotRunReason.misdirected) this.#options.onReplaced();
         return { type: 'refused', reason: outcome.reason, report: this.load() };
       default:
         return outcome;
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -201,7 +201,7 @@
     const now = clock.now();
     if (outcome.type === 'refused') {
       this.#possibleRuns -= 1;
-      if (outcome.reason !== 'backend-server-shed') this.#backendAttempts -= 1;
+      if (!hasArrived(outcome.reason)) this.#backendAttempts -= 1;
     }
     if (outcome.type !== 'lost' && outcome.report !== undefined)
       load.recordReport(outcome.report, now);
@@ -282,10 +282,9 @@
       inFlight: report?.inFlight,
       queued: report?.queued,
     });
-    const isRetried =
-      reason === 'backend-server-shed'
-        ? this.#tryTakeRetry()
-        : this.#refusals < maxRefusals && canSendBody(body);
+    const isRetried = hasArrived(reason)
+      ? this.#tryTakeRetry()
+      : this.#refusals < maxRefusals && canSendBody(body);
     if (isRetried) return undefined;
     return this.#errorAnswer.take() ?? this.#overloaded(reason);
   }
@@ -375,12 +374,18 @@
   }
 }
 
+/** Whether a backend server rejected the request. Such an arrival counts although it did not run. */
+function hasArrived(reason: RefusalReason): boolean {
+  return reason === 'backend-server-shed' || reason === 'misdirected';
+}
+
 /** How long a host that refused a request is avoided, in milliseconds. */
 function avoidMillisecondsAfter(reason: RefusalReason): number {
   switch (reason) {
     case 'leaving':
       return avoidLeavingMilliseconds;
     case 'connection-refused':
+    case 'misdirected':
     case 'not-ready':
     case 'not-sent':
     case 'no-such-backend-server':
--- a/packages/types/src/requestHead.ts
+++ b/packages/types/src/requestHead.ts
@@ -48,6 +48,8 @@
   shed: 'shed',
   leaving: 'leaving',
   noSuchBackendServer: 'no-such-backend-server',
+  /** Another backend server, which answers at the same address, has rejected the request. */
+  misdirected: 'misdirected',
   staleIncarnation: 'stale-incarnation',
   connectionRefused: 'connection-refused',
   backendServerShed: 'backend-server-shed',
