--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -6,7 +6,7 @@
   type ExecutionOutcome,
   type RequestBody,
 } from '@hickorybridge/peer-protocol';
-import type { RetryBudget } from '@hickorybridge/coordination';
+import type { RetryAllowance } from '@hickorybridge/coordination';
 import type { Logger } from '@hickorybridge/logger';
 import {
   computeRetryAfter,
@@ -32,7 +32,7 @@
 export interface RequestRunOptions {
   readonly hosts: HostChoice;
   readonly send: SendToHost;
-  readonly retryBudgetFor: (service: string) => RetryBudget;
+  readonly retryBudgetFor: (service: string) => RetryAllowance;
   readonly routeWorkEstimator: RouteWorkEstimator;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -169,15 +169,12 @@
 
   /** Sends the request to a second host, if one is free and the retry budget allows it. */
   async #startHedge(): Promise<HostAttempt | undefined> {
-    const { retryBudgetFor, hosts } = this.#options;
-    if (this.#cancellation.signal.aborted || !this.#tryTakeRetry()) return undefined;
+    const { hosts } = this.#options;
+    if (this.#cancellation.signal.aborted || !this.#mayRepeat()) return undefined;
     const candidate = await hosts.chooseFree(this.#request, this.#attemptedHosts);
     // The first attempt may have ended while the hosts were probed.
     const isWanted = this.#runningAttempts.size > 0 && !this.#cancellation.signal.aborted;
-    if (candidate === undefined || !isWanted) {
-      retryBudgetFor(this.#request.service).returnRetry();
-      return undefined;
-    }
+    if (candidate === undefined || !isWanted || !this.#tryTakeRetry()) return undefined;
     this.#logRetry(candidate.entry.nodeId, 'the first host is late');
     return this.#startAttempt(candidate);
   }
@@ -204,7 +201,7 @@
     const now = clock.now();
     if (outcome.type === 'refused') {
       this.#possibleRuns -= 1;
-      if (outcome.reason !== 'backend-server-shed') this.#backendAttempts -= 1;
+      if (!hasArrived(outcome.reason)) this.#backendAttempts -= 1;
     }
     if (outcome.type !== 'lost' && outcome.report !== undefined)
       load.recordReport(outcome.report, now);
@@ -285,10 +282,9 @@
       inFlight: report?.inFlight,
       queued: report?.queued,
     });
-    const isRetried =
-      reason === 'backend-server-shed'
-        ? this.#tryTakeRetry()
-        : this.#refusals < maxRefusals && canSendBody(body);
+    const isRetried = hasArrived(reason)
+      ? this.#tryTakeRetry()
+      : this.#refusals < maxRefusals && canSendBody(body);
     if (isRetried) return undefined;
     return this.#errorAnswer.take() ?? this.#overloaded(reason);
   }
@@ -307,18 +303,20 @@
     return this.#errorAnswer.take() ?? this.#fail(reason, detail);
   }
 
-  /**
-   * Whether the request may be sent to one more backend server. If so, this takes a retry from the
-   * budget.
-   */
+  /** Takes a retry from the budget if the request may be sent to one more backend server. */
   #tryTakeRetry(): boolean {
-    const { retryBudgetFor, clock, routeWorkEstimator } = this.#options;
-    const { body, deadline, route, service } = this.#request;
+    const { retryBudgetFor } = this.#options;
+    return this.#mayRepeat() && retryBudgetFor(this.#request.service).tryAcquireRetry();
+  }
+
+  /** Whether the request allows one more attempt, whatever the budget has left. */
+  #mayRepeat(): boolean {
+    const { clock, routeWorkEstimator } = this.#options;
+    const { body, deadline, route } = this.#request;
     if (this.#possibleRuns > 0 && !route.idempotent) return false;
     if (this.#backendAttempts >= route.maxAttempts || !canSendBody(body)) return false;
     const expected = routeWorkEstimator.expectedWork(route.name, route.targetMilliseconds);
-    if (clock.now() + expected * minimumRetryShare > deadline) return false;
-    return retryBudgetFor(service).tryAcquireRetry();
+    return clock.now() + expected * minimumRetryShare <= deadline;
   }
 
   #logRetry(host: string, detail: string): void {
@@ -376,12 +374,18 @@
   }
 }
 
+/** Whether a backend server rejected the request. Such an arrival counts although it did not run. */
+function hasArrived(reason: RefusalReason): boolean {
+  return reason === 'backend-server-shed' || reason === 'misdirected';
+}
+
 /** How long a host that refused a request is avoided, in milliseconds. */
 function avoidMillisecondsAfter(reason: RefusalReason): number {
   switch (reason) {
     case 'leaving':
       return avoidLeavingMilliseconds;
     case 'connection-refused':
+    case 'misdirected':
     case 'not-ready':
     case 'not-sent':
     case 'no-such-backend-server':
