A signal that reaches a process while it starts no longer ends it

SIGTERM in the same time ended it by the signal, not with 0.

Cause: `bin.ts` installed its handlers after all modules were loaded, the settings were read and the node was created. Until then the default action of the signal applied. SIGINT never had a handler.

A reload that comes before the settings are read is done afterwards; a stop that comes before the node exists ends the process with 0. The event loop gets a turn before the node is created, so that such a stop finds nothing open. Later signals of a stopping process change nothing.

--- a/packages/host-node/src/bin.ts
+++ b/packages/host-node/src/bin.ts
@@ -1,55 +1,10 @@
-import { createLogger } from '@hickorybridge/logger';
-import { defaultSettingsPath, loadSettings, settingsVariable } from '@hickorybridge/platform';
-import { hashString, RandomSource, systemClock } from '@hickorybridge/utils';
+import { ProcessSignals } from '@hickorybridge/utils';
 
-import { SettingsFile } from './control/SettingsFile.js';
-import { createHostNode } from './createHostNode.js';
-import { handleProcessFaults } from './handleProcessFaults.js';
-import { StandardOutput } from './StandardOutput.js';
+const signals = new ProcessSignals({
+  process,
+  exit: (code) => process.exit(code),
+  printError: (text) => process.stderr.write(text),
+});
 
-const invalidSettingsExitCode = 2;
-const startFailedExitCode = 1;
-
-// Bounds the log of one node to about 100 KB a second when every request fails.
-const logRateLimit = { burst: 200, linesPerSecond: 50 };
-
-async function main(): Promise<void> {
-  const path = process.env[settingsVariable] ?? defaultSettingsPath;
-  const settings = loadSettings(path);
-  if (!settings.ok) {
-    process.stderr.write(`${settings.error.detail}\n`);
-    process.exitCode = invalidSettingsExitCode;
-    return;
-  }
-  const output = new StandardOutput();
-  const { nodeId } = settings.value;
-  const logger = createLogger({
-    level: 'info',
-    format: 'json',
-    fields: { node: nodeId },
-    write: (line) => output.write(line),
-    rate: logRateLimit,
-  });
-  const file = new SettingsFile(path, settings.value, logger);
-  const seed = hashString(`${nodeId} ${Date.now()}`);
-  const node = createHostNode({
-    settings: file,
-    clock: systemClock,
-    random: new RandomSource(seed),
-    logger,
-  });
-  handleProcessFaults({ process, node, exit: (code) => process.exit(code), logger });
-  process.on('SIGHUP', () => file.reload());
-  process.on('SIGTERM', async () => {
-    await node.stop();
-    process.exit(0);
-  });
-  try {
-    await node.start();
-  } catch (error) {
-    logger.error('start-failed', 'the node cannot open its listeners', { detail: String(error) });
-    process.exit(startFailedExitCode);
-  }
-}
-
-main();
+// Loaded after the signals are handled: a signal without a handler ends the process.
+import('./main.js').then(({ main }) => main(signals));
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,5 +1,6 @@
-export * from './Supervisor.js';
 export * from './HostSpeedModel.js';
+export * from './ProcessSignals.js';
+export * from './Supervisor.js';
 export * from './clock.js';
 export * from './hash.js';
 export * from './onTimeProbability.js';
