--- a/packages/types/src/requestHead.ts
+++ b/packages/types/src/requestHead.ts
@@ -35,7 +35,7 @@
   readonly headers: HeaderList;
   /**
    * True if the body is delimited only by the close of the connection. It may be truncated, so it
-   * is forwarded with the same framing and never with a length.
+   * is never forwarded with a length.
    */
   readonly endsWithConnection?: boolean;
 }
