A pipelined request is passed on when its turn has come

What callers saw: of two requests sent at once on a connection to a stopping node, the second ran and got no answer: the connection ended after the first answer. And when a caller left with two requests open on one connection, the second counted as open for ever, so that the next planned stop of that node took the whole grace time and its end looked like that of a busy node.

Cause: Node.js hands out pipelined requests as they are parsed, and their responses get a socket, and with it a `close` event, only in their turn. All were passed on at once.

In `stoppingConnections.test` the two tests of it failed before (routed q1 and q2; 1 request open).

A request now waits until its response is the next one of its connection. If the connection ends before that, the request is not passed on. Its time counts from when it was read.

--- a/packages/host-node/src/__tests__/stoppingConnections.test.ts
+++ b/packages/host-node/src/__tests__/stoppingConnections.test.ts
@@ -107,6 +107,48 @@
     assert.match(await readUntil(socket, (read) => read.endsWith('aaa')), /connection: close/i);
   });
 
+  // The connection ends after the first answer, so that the second one has no way to the caller.
+  it('guards against passing on a pipelined request behind an answer that ends the connection', async (t) => {
+    const routed: string[] = [];
+    const { open, stop } = await startListener(t, async ({ requestId }) => {
+      routed.push(requestId);
+      await systemClock.sleep(50);
+      return answer(10);
+    });
+    const socket = await open();
+    stop();
+    socket.write(headOf('q1') + headOf('q2'));
+    const text = await readUntil(socket, () => false);
+    assert.equal(text.split('HTTP/1.1 200').length - 1, 1);
+    assert.deepEqual(routed, ['q1']);
+  });
+
+  // Such a request counted as open for ever, and each stop took the whole grace time.
+  it('guards against a pipelined request that stays open after its caller has left', async (t) => {
+    const { listener, open } = await startListener(t, async () => {
+      await systemClock.sleep(100);
+      return answer(10);
+    });
+    const socket = await open();
+    socket.write(headOf('q1') + headOf('q2'));
+    await waitUntil(() => listener.open > 0);
+    socket.destroy();
+    await systemClock.sleep(300);
+    assert.equal(listener.open, 0);
+  });
+
+  it('guards against pipelined requests that are answered out of turn or not at all', async (t) => {
+    const { open } = await startListener(t, async ({ requestId }) => {
+      await systemClock.sleep(requestId === 'q1' ? 50 : 0);
+      const body = { type: 'whole', data: Buffer.from(`answer-${requestId};`) } as const;
+      return { type: 'answered', head: { status: 200, headers: [] }, body };
+    });
+    const socket = await open();
+    socket.write(headOf('q1') + headOf('q2') + headOf('q3'));
+    const text = await readUntil(socket, (read) => read.includes('answer-q3;'));
+    assert.deepEqual(text.match(/answer-q\d/g), ['answer-q1', 'answer-q2', 'answer-q3']);
+  });
+
   it('guards against a request that is half received when the stop begins and gets no answer', async (t) => {
     const { listener, open, stop } = await startListener(t, () => Promise.resolve(answer(10)));
     const halves = ['GET /reads/1 HTTP/1.1\r\nhost: a.ex', 'ample\r\nrequest-id: q1\r\n\r\n'];
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -76,7 +76,7 @@
     this.#server = createCallersServer({ maxHeaderSize: maxParsedHeaderBytes, noDelay: true });
     this.#server.keepAliveTimeout = defaultIdleMilliseconds + idleMarginMilliseconds;
     this.#server.requestTimeout = 0;
-    this.#server.on('request', (request, response) => this.#answer(request, response));
+    this.#server.on('request', (request, response) => this.#accept(request, response));
     this.#server.on('clientError', (_error, socket) => socket.destroy());
   }
 
@@ -118,10 +118,24 @@
     this.#server.closeAllConnections();
   }
 
+  /**
+   * Takes a request. A pipelined one waits for its turn: the answer before it may end the connection,
+   * and then the request must not run.
+   */
+  #accept(request: IncomingMessage, response: ServerResponse): void {
+    const arrivedAt = this.#options.clock.now();
+    const answer = () => this.#answer(request, response, arrivedAt);
+    if (response.socket === null) response.once('socket', answer);
+    else answer();
+  }
+
   /** Handles a request. Every request is answered, also when an operation fails unexpectedly. */
-  async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async #answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrivedAt: number,
+  ): Promise<void> {
     const { clock, endsAt, onFinished } = this.#options;
-    const arrivedAt = clock.now();
     const cancellation = new AbortController();
     this.#openRequests.set(response, cancellation);
     response.once('close', () => {
