An address that is in use at the start is tried again

Cause: `listen` was called once. Any error of it ended the process, also one that passes by itself, as when the former process of the host still holds its addresses in its grace time.

Change: `ListenerOpener` opens every listener of both kinds of node (callers, reports, readiness, metrics, operators, announcements, peers). One line `listener-retried` for each address. Then the node ends with code 1 and a message with the address, the time and what helps. A stop ends the tries.

Evidence: `processStart.test` holds each of the five ports in turn while a process starts.

--- a/packages/configuration/src/NodeSettings.ts
+++ b/packages/configuration/src/NodeSettings.ts
@@ -14,6 +14,8 @@
     readonly peers: SocketAddress;
     /** Address under which other nodes reach the peers' listener; `peers` when it is absent. */
     readonly advertisedPeers?: SocketAddress | undefined;
+    /** For how long a starting node tries addresses again that cannot be listened on. */
+    readonly retryMilliseconds: number;
   };
   readonly store: {
     readonly url: string;
--- a/packages/configuration/src/nodeSettingsSchema.ts
+++ b/packages/configuration/src/nodeSettingsSchema.ts
@@ -50,6 +50,14 @@
   advertisedPeers: socketAddress
     .optional()
     .describe("Address under which other nodes reach the peers' listener; `peers` when absent."),
+  retryMilliseconds: z
+    .int()
+    .min(0)
+    .max(maxTimeoutMilliseconds)
+    .default(30_000)
+    .describe(
+      'Time for which a starting node tries an address again that is in use, in milliseconds.',
+    ),
 });
 
 const store = z.strictObject({
--- a/packages/host-node/src/HostNode.ts
+++ b/packages/host-node/src/HostNode.ts
@@ -1,8 +1,19 @@
 import type { HostDirectory, HostRegistration } from '@hickorybridge/membership';
 import type { Logger } from '@hickorybridge/logger';
 import type { PeerPool } from '@hickorybridge/peer-protocol';
-import type { HostEntry, LoadReport } from '@hickorybridge/types';
-import type { Clock, Supervisor } from '@hickorybridge/utils';
+import {
+  succeed,
+  type HostEntry,
+  type LoadReport,
+  type Result,
+  type SocketAddress,
+} from '@hickorybridge/types';
+import {
+  ListenerOpener,
+  type Clock,
+  type ListenError,
+  type Supervisor,
+} from '@hickorybridge/utils';
 
 import type { BackendServerRegistry } from './backend/BackendServerRegistry.js';
 import { isListening } from './backend/isListening.js';
@@ -31,6 +42,13 @@
   readonly logger: Logger;
 }
 
+interface Listener {
+  listen(
+    address: SocketAddress,
+    opener: ListenerOpener,
+  ): Promise<Result<SocketAddress, ListenError>>;
+}
+
 // Callers switch to another node after two failed readiness probes, which are a second apart.
 const readinessPropagationMilliseconds = 2200;
 // Part of the grace period that is reserved for sending responses before the process is killed.
@@ -48,6 +66,8 @@
 
   #endsAt: number | undefined;
 
+  readonly #startCancellation = new AbortController();
+
   constructor(components: HostNodeComponents) {
     this.#components = components;
   }
@@ -81,16 +101,32 @@
     return this.#components.backendServers.load();
   }
 
-  /** Opens the listeners. Fails when one of their addresses cannot be used. */
-  async start(): Promise<void> {
-    const { callers, logger, metrics, pool, readiness, reports, settings } = this.#components;
-    const { listeners, location, nodeId, service } = settings.current;
-    await reports.listen(listeners.reports);
-    const listening = await pool.listen(listeners.peers);
-    if (!listening.ok) throw new Error(listening.error.detail);
-    await callers.listen(listeners.callers);
-    await readiness.listen(listeners.readiness);
-    await metrics.listen(listeners.metrics);
+  /** Opens the listeners. Fails when one of their addresses cannot be used, or the node is stopped. */
+  async start(): Promise<Result<undefined, ListenError>> {
+    const { callers, clock, logger, metrics, pool, readiness, reports, settings } =
+      this.#components;
+    const { listenRetryMilliseconds, listeners, location, nodeId, service } = settings.current;
+    const opener = new ListenerOpener({
+      retryMilliseconds: listenRetryMilliseconds,
+      clock,
+      signal: this.#startCancellation.signal,
+      onRetry: (detail) =>
+        logger.warn('listener-retried', 'an address cannot be used yet and is tried again', {
+          detail,
+          retryMilliseconds: listenRetryMilliseconds,
+        }),
+    });
+    const steps: readonly [Listener, SocketAddress][] = [
+      [reports, listeners.reports],
+      [pool, listeners.peers],
+      [callers, listeners.callers],
+      [readiness, listeners.readiness],
+      [metrics, listeners.metrics],
+    ];
+    for (const [listener, address] of steps) {
+      const opened = await listener.listen(address, opener);
+      if (!opened.ok) return opened;
+    }
     logger.info('node-started', 'the node accepts requests', {
       node: nodeId,
       service,
@@ -98,6 +134,7 @@
       peersPort: listeners.peers.port,
       metricsPort: listeners.metrics.port,
     });
+    return succeed(undefined);
   }
 
   /** Registers this host and its backend server in the store. */
@@ -125,6 +162,7 @@
    * yet, are served within the grace period.
    */
   async stop(): Promise<void> {
+    this.#startCancellation.abort();
     this.#stopping ??= this.#shutDown();
     await this.#stopping;
   }
--- a/packages/host-node/src/__tests__/fleet.ts
+++ b/packages/host-node/src/__tests__/fleet.ts
@@ -96,6 +96,7 @@
       peers: addressAt(peers),
       metrics: addressAt(metrics),
     },
+    listenRetryMilliseconds: 0,
     store,
     bounds: {
       drainMilliseconds: 500,
@@ -120,7 +121,8 @@
     random: new RandomSource(2026),
     logger: silentLogger,
   });
-  await node.start();
+  const started = await node.start();
+  assert.ok(started.ok, started.ok ? '' : started.error.detail);
   t.after(() => node.stop());
   return node;
 }
--- a/packages/host-node/src/__tests__/processStart.test.ts
+++ b/packages/host-node/src/__tests__/processStart.test.ts
@@ -1,12 +1,15 @@
 import assert from 'node:assert/strict';
 import { execFile } from 'node:child_process';
+import { once } from 'node:events';
 import { mkdtemp, open, rename, rm, writeFile } from 'node:fs/promises';
+import { createServer, type Server } from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { after, before, describe, it, type TestContext } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { promisify } from 'node:util';
 
+import { host } from './fleet.js';
 import {
   bundleNode,
   createDirectory,
@@ -28,6 +31,13 @@
 };
 `;
 
+async function holdPort(t: TestContext, port: number): Promise<Server> {
+  const server = createServer().listen(port, host);
+  await once(server, 'listening');
+  t.after(() => server.close());
+  return server;
+}
+
 describe('the start of the process', () => {
   let programDirectory: string;
   let program: string;
@@ -98,4 +108,40 @@
     }
     assert.equal(await node.waitForEnd(), 0);
   });
+
+  it('guards against an end at the start while an address is in use for a moment', async (t) => {
+    const { ports, start } = await prepare(t);
+    for (const name of ['reports', 'peers', 'callers', 'readiness', 'metrics'] as const) {
+      const holder = await holdPort(t, ports[name]);
+      const node = await start();
+      await node.waitForOutput('"listener-retried"');
+      await sleep(200);
+      holder.close();
+      await node.waitForOutput('"node-started"');
+      assert.equal(node.output.split('"listener-retried"').length, 2, name);
+      node.signal('SIGKILL');
+      await node.waitForEnd();
+    }
+  });
+
+  it('guards against tries without an end, and an end without the reason', async (t) => {
+    const { ports, start } = await prepare(t, '300ms');
+    await holdPort(t, ports.callers);
+    const node = await start();
+    assert.equal(await node.waitForEnd(), 1);
+    assert.match(
+      node.output,
+      new RegExp(`"start-failed".*${host}:${ports.callers}.*EADDRINUSE.*tried .* in .* s; end the`),
+    );
+  });
+
+  it('guards against a stop during the tries that counts as a failure', async (t) => {
+    const { ports, start } = await prepare(t);
+    await holdPort(t, ports.callers);
+    const node = await start();
+    await node.waitForOutput('"listener-retried"');
+    node.signal('SIGTERM');
+    assert.equal(await node.waitForEnd(), 0);
+    assert.ok(!node.output.includes('start-failed'));
+  });
 });
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -1,12 +1,11 @@
 import type { Logger } from '@hickorybridge/logger';
 import { HeaderNames } from '@hickorybridge/platform';
 import { maxWholeBodyBytes, type RequestBody } from '@hickorybridge/peer-protocol';
-import type { CallerLimits, Route, SocketAddress } from '@hickorybridge/types';
-import type { Clock } from '@hickorybridge/utils';
+import type { CallerLimits, Route, Result, SocketAddress } from '@hickorybridge/types';
+import { ListenerOpener, type Clock, type ListenError } from '@hickorybridge/utils';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
 import { endToEndHeaders, findMalformedName } from '../headers.js';
-import { listen } from '../listen.js';
 import { FailureReason, type CallerOutcome, type CallerRequest } from '../routing/CallerRequest.js';
 import type { RequestRouter } from '../routing/RequestRouter.js';
 import { readBody } from './readBody.js';
@@ -84,8 +83,11 @@
     return this.#openRequests.size;
   }
 
-  async listen(address: SocketAddress): Promise<void> {
-    await listen(this.#server, address);
+  async listen(
+    address: SocketAddress,
+    opener = ListenerOpener.withoutRetry(),
+  ): Promise<Result<SocketAddress, ListenError>> {
+    return opener.open(this.#server, address);
   }
 
   /** Applies the configured timeouts to the server. */
--- a/packages/host-node/src/control/ReportsListener.ts
+++ b/packages/host-node/src/control/ReportsListener.ts
@@ -1,10 +1,10 @@
 import type { Logger } from '@hickorybridge/logger';
 import { decodeLeaveStart, decodeReport, matchReportCall } from '@hickorybridge/platform';
-import type { SocketAddress } from '@hickorybridge/types';
+import type { Result, SocketAddress } from '@hickorybridge/types';
+import { ListenerOpener, type ListenError } from '@hickorybridge/utils';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
 import type { BackendServerRegistry } from '../backend/BackendServerRegistry.js';
-import { listen } from '../listen.js';
 
 const maxBodyBytes = 64 * 1024;
 // The backend server sends a report every 1 to 2 s and reuses its connection.
@@ -25,8 +25,11 @@
     this.#server.keepAliveTimeout = keepAliveMilliseconds;
   }
 
-  async listen(address: SocketAddress): Promise<void> {
-    await listen(this.#server, address);
+  async listen(
+    address: SocketAddress,
+    opener = ListenerOpener.withoutRetry(),
+  ): Promise<Result<SocketAddress, ListenError>> {
+    return opener.open(this.#server, address);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/packages/host-node/src/control/StatusListener.ts
+++ b/packages/host-node/src/control/StatusListener.ts
@@ -1,8 +1,7 @@
-import type { SocketAddress } from '@hickorybridge/types';
+import type { Result, SocketAddress } from '@hickorybridge/types';
+import { ListenerOpener, type ListenError } from '@hickorybridge/utils';
 import { createServer, type Server } from 'node:http';
 
-import { listen } from '../listen.js';
-
 /** Returns the status code and the text of the response for one path. */
 export type StatusPage = () => { readonly status: number; readonly text: string };
 
@@ -26,8 +25,11 @@
     this.#server.keepAliveTimeout = keepAliveMilliseconds;
   }
 
-  async listen(address: SocketAddress): Promise<void> {
-    await listen(this.#server, address);
+  async listen(
+    address: SocketAddress,
+    opener = ListenerOpener.withoutRetry(),
+  ): Promise<Result<SocketAddress, ListenError>> {
+    return opener.open(this.#server, address);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/packages/host-node/src/main.ts
+++ b/packages/host-node/src/main.ts
@@ -44,10 +44,9 @@
   });
   handleProcessFaults({ process, node, exit: (code) => process.exit(code), logger });
   signals.connect({ reload: () => file.reload(), stop: () => node.stop() });
-  try {
-    await node.start();
-  } catch (error) {
-    logger.error('start-failed', 'the node cannot open its listeners', { detail: String(error) });
-    process.exit(startFailedExitCode);
-  }
+  const started = await node.start();
+  if (started.ok || node.stopping) return;
+  const { detail } = started.error;
+  logger.error('start-failed', 'the node cannot open its listeners', { detail });
+  process.exit(startFailedExitCode);
 }
--- a/packages/node/src/Node.ts
+++ b/packages/node/src/Node.ts
@@ -12,13 +12,18 @@
   type Result,
   type SocketAddress,
 } from '@hickorybridge/types';
-import type { Clock, Supervisor } from '@hickorybridge/utils';
+import {
+  ListenerOpener,
+  type Clock,
+  type ListenError,
+  type Supervisor,
+} from '@hickorybridge/utils';
 
 import type { AdmissionExecutor } from './admitting/AdmissionExecutor.js';
 import type { LocalBackendServers } from './admitting/LocalBackendServers.js';
 import type { KeeperDuty } from './claiming/KeeperDuty.js';
 import type { KeyedRequests } from './claiming/KeyedRequests.js';
-import type { HttpListener, HttpListenError } from './listeners/HttpListener.js';
+import type { HttpListener } from './listeners/HttpListener.js';
 import type { OpenExchanges } from './listeners/OpenExchanges.js';
 import type { MeasuringBudget } from './MeasuringBudget.js';
 import type { Observability } from './Observability.js';
@@ -80,6 +85,8 @@
 
   #startedAt = 0;
 
+  readonly #startCancellation = new AbortController();
+
   constructor(parts: NodeParts) {
     this.#parts = parts;
     registerGauges(this, parts);
@@ -91,20 +98,37 @@
   }
 
   /** Starts the duties and opens the listeners; resolves when callers can be served. */
-  async start(): Promise<Result<SocketAddress | undefined, HttpListenError>> {
+  async start(): Promise<Result<SocketAddress | undefined, ListenError>> {
     const { announcements, callers, keeper, membership, operators, pool, settings } = this.#parts;
     const { listeners } = settings;
+    const opener = this.#createListenerOpener();
     const results = [
-      await pool.listen(listeners.peers),
-      await operators.listen(listeners.operators),
-      await announcements.listen(listeners.announcements),
+      await pool.listen(listeners.peers, opener),
+      await operators.listen(listeners.operators, opener),
+      await announcements.listen(listeners.announcements, opener),
     ];
     for (const result of results) if (!result.ok) return result;
     this.#startedAt = this.#parts.clock.now();
     membership.start();
     keeper.start(this.#parts.supervisor);
     await this.#untilReady();
-    return this.stopping ? succeed(undefined) : callers.listen(listeners.callers);
+    if (this.stopping) return succeed(undefined);
+    return callers.listen(listeners.callers, this.#createListenerOpener());
+  }
+
+  #createListenerOpener(): ListenerOpener {
+    const { clock, logger, settings } = this.#parts;
+    const { retryMilliseconds } = settings.listeners;
+    return new ListenerOpener({
+      retryMilliseconds,
+      clock,
+      signal: this.#startCancellation.signal,
+      onRetry: (detail) =>
+        logger.warn('listener-retried', 'an address cannot be used yet and is tried again', {
+          detail,
+          retryMilliseconds,
+        }),
+    });
   }
 
   /** Callers find the listener open only once their requests can be served. */
@@ -186,6 +210,7 @@
 
   /** Shuts the node down gracefully. Resolves when it has ended; further calls join the first. */
   async stop(): Promise<void> {
+    this.#startCancellation.abort();
     this.#stopping ??= this.#shutDown();
     await this.#stopping;
   }
--- a/packages/node/src/listeners/HttpListener.ts
+++ b/packages/node/src/listeners/HttpListener.ts
@@ -1,6 +1,7 @@
 import { getRequestListener } from '@hono/node-server';
 import type { HttpBindings } from '@hono/node-server';
-import { fail, succeed, type Result, type SocketAddress } from '@hickorybridge/types';
+import type { Result, SocketAddress } from '@hickorybridge/types';
+import { ListenerOpener, type ListenError } from '@hickorybridge/utils';
 import type { Hono } from 'hono';
 import { createServer, type Server } from 'node:http';
 
@@ -10,12 +11,6 @@
 const maxHeaderBytes = 16 * 1024;
 const maxHeaders = 100;
 
-/** A listener could not be opened. */
-export interface HttpListenError {
-  readonly type: 'listen-failed';
-  readonly detail: string;
-}
-
 /** Environment of handlers that work on the streams of Node.js themselves. */
 export interface ListenerEnvironment {
   Bindings: HttpBindings;
@@ -39,19 +34,11 @@
     this.#server.maxHeadersCount = maxHeaders;
   }
 
-  async listen(address: SocketAddress): Promise<Result<SocketAddress, HttpListenError>> {
-    const server = this.#server;
-    return new Promise((resolve) => {
-      server.once('error', (error) => {
-        const detail = `cannot listen on ${address.host}:${address.port}: ${error.message}`;
-        resolve(fail({ type: 'listen-failed', detail }));
-      });
-      server.listen(address.port, address.host, () => {
-        const bound = server.address();
-        const port = bound !== null && typeof bound === 'object' ? bound.port : address.port;
-        resolve(succeed({ host: address.host, port }));
-      });
-    });
+  async listen(
+    address: SocketAddress,
+    opener = ListenerOpener.withoutRetry(),
+  ): Promise<Result<SocketAddress, ListenError>> {
+    return opener.open(this.#server, address);
   }
 
   /** Stops listening and waits until open requests have ended; idle connections are closed. */
--- a/packages/peer-protocol/src/PeerPool.ts
+++ b/packages/peer-protocol/src/PeerPool.ts
@@ -13,7 +13,7 @@
   type Result,
   type SocketAddress,
 } from '@hickorybridge/types';
-import type { Clock } from '@hickorybridge/utils';
+import { ListenerOpener, type Clock, type ListenError } from '@hickorybridge/utils';
 import { createServer, type Server, type Socket } from 'node:net';
 
 import { unlimitedControlBudget, type ControlBudget } from './ControlBudget.js';
@@ -63,12 +63,6 @@
   readonly logger: Logger;
 }
 
-/** The listener for peers could not be opened. */
-export interface ListenError {
-  readonly type: 'listen-failed';
-  readonly detail: string;
-}
-
 /** A node that a connection is open with. */
 export interface ConnectedPeer {
   readonly nodeId: string;
@@ -122,19 +116,13 @@
   }
 
   /** Opens the listener for peers. */
-  async listen(address: SocketAddress): Promise<Result<SocketAddress, ListenError>> {
+  async listen(
+    address: SocketAddress,
+    opener = ListenerOpener.withoutRetry(),
+  ): Promise<Result<SocketAddress, ListenError>> {
     const server = createServer((socket) => this.#accept(socket));
     this.#server = server;
-    return new Promise((resolve) => {
-      server.once('error', (error) =>
-        resolve(fail({ type: 'listen-failed', detail: error.message })),
-      );
-      server.listen(address.port, address.host, () => {
-        const bound = server.address();
-        const port = bound !== null && typeof bound === 'object' ? bound.port : address.port;
-        resolve(succeed({ host: address.host, port }));
-      });
-    });
+    return opener.open(server, address);
   }
 
   handle(name: string, handler: ControlHandler): void {
--- a/packages/types/src/hostSettings.ts
+++ b/packages/types/src/hostSettings.ts
@@ -11,6 +11,8 @@
   readonly service: string;
   readonly backendServerAddress: SocketAddress;
   readonly listeners: HostListeners;
+  /** For how long a starting node tries addresses again that cannot be listened on. */
+  readonly listenRetryMilliseconds: number;
   readonly store: SocketAddress;
   readonly bounds: HostBounds;
 }
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,4 +1,5 @@
 export * from './HostSpeedModel.js';
+export * from './ListenerOpener.js';
 export * from './ProcessSignals.js';
 export * from './Supervisor.js';
 export * from './clock.js';
