A settings file that is being replaced no longer ends a starting process

What callers saw: nothing, if the file is whole at the next restart; a process that started while its settings file was missing, empty or half written ended with code 2.

Cause: the file was read once at the start, while a running node keeps its settings and reads the file again.

Change: `loadSettingsAtStart` reads the file again every 50 ms for 3 s, with one line on standard error, before the process ends with 2 and the same message as before.

Evidence: `processStart.test` starts a process with each of the three states of the file and completes it then.

--- a/packages/host-node/src/__tests__/processStart.test.ts
+++ b/packages/host-node/src/__tests__/processStart.test.ts
@@ -144,4 +144,31 @@
     assert.equal(await node.waitForEnd(), 0);
     assert.ok(!node.output.includes('start-failed'));
   });
+
+  it('guards against an end while the settings file is being replaced', async (t) => {
+    const { ports, settingsFile, start } = await prepare(t);
+    const text = settingsText(ports);
+    const unusable: (() => Promise<void>)[] = [
+      () => rm(settingsFile),
+      () => writeFile(settingsFile, ''),
+      () => writeFile(settingsFile, text.slice(0, text.length / 2)),
+    ];
+    for (const spoil of unusable) {
+      await spoil();
+      const node = await start();
+      await node.waitForOutput('reading it again');
+      await writeFile(settingsFile, text);
+      await node.waitForOutput('"node-started"');
+      node.signal('SIGKILL');
+      await node.waitForEnd();
+    }
+  });
+
+  it('guards against a start that waits for usable settings without an end', async (t) => {
+    const { settingsFile, start } = await prepare(t);
+    await rm(settingsFile);
+    const node = await start();
+    assert.equal(await node.waitForEnd(), 2);
+    assert.match(node.output, /cannot use settings file .*: ENOENT/);
+  });
 });
--- a/packages/host-node/src/main.ts
+++ b/packages/host-node/src/main.ts
@@ -1,8 +1,9 @@
 import { createLogger } from '@hickorybridge/logger';
-import { defaultSettingsPath, loadSettings, settingsVariable } from '@hickorybridge/platform';
+import { defaultSettingsPath, settingsVariable } from '@hickorybridge/platform';
 import { hashString, RandomSource, systemClock, type ProcessSignals } from '@hickorybridge/utils';
 import { setImmediate } from 'node:timers/promises';
 
+import { loadSettingsAtStart, settingsRetryMilliseconds } from './control/loadSettingsAtStart.js';
 import { SettingsFile } from './control/SettingsFile.js';
 import { createHostNode } from './createHostNode.js';
 import { handleProcessFaults } from './handleProcessFaults.js';
@@ -17,7 +18,12 @@
 /** Runs the node of this host until a signal stops it. */
 export async function main(signals: ProcessSignals): Promise<void> {
   const path = process.env[settingsVariable] ?? defaultSettingsPath;
-  const settings = loadSettings(path);
+  const settings = await loadSettingsAtStart({
+    path,
+    clock: systemClock,
+    onRetry: (detail) =>
+      process.stderr.write(`${detail}; reading it again for ${settingsRetryMilliseconds} ms\n`),
+  });
   if (!settings.ok) {
     process.stderr.write(`${settings.error.detail}\n`);
     process.exitCode = invalidSettingsExitCode;
