A reader of the log that ends no longer takes the node with it

What was seen: with standard output a pipe whose reader has ended, or a file on a full disk, the next log line ended the node with code 1 (EPIPE, ENOSPC).

Change: `StandardOutput` drops and counts lines that cannot be written, as it does for a reader that is too slow, from before the settings are read.

The new test in `processStart.test` closes the pipe of a running node.

--- a/packages/host-node/src/__tests__/HostProcess.ts
+++ b/packages/host-node/src/__tests__/HostProcess.ts
@@ -119,6 +119,12 @@
     this.child.kill(name);
   }
 
+  /** Closes the pipes that the process writes to. */
+  closeOutput(): void {
+    this.child.stdout?.destroy();
+    this.child.stderr?.destroy();
+  }
+
   /** Waits until the output has a text. */
   async waitForOutput(text: string): Promise<void> {
     const end = Date.now() + endTimeoutMilliseconds;
--- a/packages/host-node/src/__tests__/processStart.test.ts
+++ b/packages/host-node/src/__tests__/processStart.test.ts
@@ -164,6 +164,21 @@
     }
   });
 
+  it('guards against a reader of the log that takes the process with it when it ends', async (t) => {
+    const { ports, start } = await prepare(t);
+    const node = await start();
+    await node.waitForOutput('"node-started"');
+    node.closeOutput();
+    // A report that cannot be decoded writes a line.
+    const url = `http://${host}:${ports.reports}/v1/instances/i-1/heartbeat`;
+    for (let line = 0; line < 20; line += 1) {
+      assert.equal((await fetch(url, { method: 'POST', body: '{' })).status, 400);
+      await sleep(10);
+    }
+    node.signal('SIGTERM');
+    assert.equal(await node.waitForEnd(), 0);
+  });
+
   it('guards against a start that waits for usable settings without an end', async (t) => {
     const { settingsFile, start } = await prepare(t);
     await rm(settingsFile);
--- a/packages/host-node/src/main.ts
+++ b/packages/host-node/src/main.ts
@@ -17,6 +17,7 @@
 
 /** Runs the node of this host until a signal stops it. */
 export async function main(signals: ProcessSignals): Promise<void> {
+  const output = new StandardOutput();
   const path = process.env[settingsVariable] ?? defaultSettingsPath;
   const settings = await loadSettingsAtStart({
     path,
@@ -31,7 +32,6 @@
   }
   // Lets the event loop deliver signals that came meanwhile, so that a stop finds nothing open.
   await setImmediate();
-  const output = new StandardOutput();
   const { nodeId } = settings.value;
   const logger = createLogger({
     level: 'info',
