--- a/packages/host-node/src/main.ts
+++ b/packages/host-node/src/main.ts
@@ -1,8 +1,9 @@
 import { createLogger } from '@hickorybridge/logger';
-import { defaultSettingsPath, loadSettings, settingsVariable } from '@hickorybridge/platform';
+import { defaultSettingsPath, settingsVariable } from '@hickorybridge/platform';
 import { hashString, RandomSource, systemClock, type ProcessSignals } from '@hickorybridge/utils';
 import { setImmediate } from 'node:timers/promises';
 
+import { loadSettingsAtStart, settingsRetryMilliseconds } from './control/loadSettingsAtStart.js';
 import { SettingsFile } from './control/SettingsFile.js';
 import { createHostNode } from './createHostNode.js';
 import { handleProcessFaults } from './handleProcessFaults.js';
@@ -16,8 +17,14 @@
 
 /** Runs the node of this host until a signal stops it. */
 export async function main(signals: ProcessSignals): Promise<void> {
+  const output = new StandardOutput();
   const path = process.env[settingsVariable] ?? defaultSettingsPath;
-  const settings = loadSettings(path);
+  const settings = await loadSettingsAtStart({
+    path,
+    clock: systemClock,
+    onRetry: (detail) =>
+      process.stderr.write(`${detail}; reading it again for ${settingsRetryMilliseconds} ms\n`),
+  });
   if (!settings.ok) {
     process.stderr.write(`${settings.error.detail}\n`);
     process.exitCode = invalidSettingsExitCode;
@@ -25,7 +32,6 @@
   }
   // Lets the event loop deliver signals that came meanwhile, so that a stop finds nothing open.
   await setImmediate();
-  const output = new StandardOutput();
   const { nodeId } = settings.value;
   const logger = createLogger({
     level: 'info',
@@ -44,10 +50,9 @@
   });
   handleProcessFaults({ process, node, exit: (code) => process.exit(code), logger });
   signals.connect({ reload: () => file.reload(), stop: () => node.stop() });
-  try {
-    await node.start();
-  } catch (error) {
-    logger.error('start-failed', 'the node cannot open its listeners', { detail: String(error) });
-    process.exit(startFailedExitCode);
-  }
+  const started = await node.start();
+  if (started.ok || node.stopping) return;
+  const { detail } = started.error;
+  logger.error('start-failed', 'the node cannot open its listeners', { detail });
+  process.exit(startFailedExitCode);
 }
