Tests of host-node: ports that no outgoing connection can take

hostNode.test and CallersListener.test failed once each with EADDRINUSE, beside runs of the soak: ports were found by listening on port 0, so they lay in the range from which the system gives ports to outgoing connections, and one took a port before the node listened. Ports now come from below that range.

--- a/packages/host-node/src/__tests__/fleet.ts
+++ b/packages/host-node/src/__tests__/fleet.ts
@@ -3,6 +3,7 @@
 import type { HostSettings, SocketAddress } from '@hickorybridge/types';
 import { RandomSource, systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
+import { randomInt } from 'node:crypto';
 import { request, type Agent, type IncomingMessage } from 'node:http';
 import { createServer } from 'node:net';
 import { buffer } from 'node:stream/consumers';
@@ -60,18 +61,26 @@
   };
 }
 
+// Below the ports that the system gives to outgoing connections, which could take one meanwhile.
+const firstPort = 6000;
+const lastPort = 11_999;
+
 /** Finds ports that no process listens on. */
 export async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports: number[] = [];
-  for (const server of servers) {
-    await new Promise<void>((resolve) => {
-      server.listen(0, host, resolve);
-    });
-    ports.push((server.address() as { port: number }).port);
+  const ports = new Set<number>();
+  while (ports.size < count) {
+    const port = randomInt(firstPort, lastPort + 1);
+    if (await isFree(port)) ports.add(port);
   }
-  for (const server of servers) server.close();
-  return ports;
+  return [...ports];
+}
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, host, () => server.close(() => resolve(true)));
+  });
 }
 
 export async function startMember(
