--- a/packages/soak/src/bin.ts
+++ b/packages/soak/src/bin.ts
@@ -3,10 +3,9 @@
 import sade from 'sade';
 
 import { formatBreach } from './checks/Breach.js';
-import { explain } from './checks/explain.js';
 import { Profile } from './disturbances/Profile.js';
 import { usualHosts } from './mesh/meshShape.js';
-import { eventsFile, runSoak } from './runSoak.js';
+import { explainRun, runSoak } from './runSoak.js';
 
 /** Options of the command line as given. */
 interface CommandLine {
@@ -34,7 +33,7 @@
 
 async function run(given: CommandLine): Promise<void> {
   if (given.explain !== undefined) {
-    for (const line of explain(path.resolve(given.explain), eventsFile)) print(line);
+    for (const line of explainRun(path.resolve(given.explain))) print(line);
     return;
   }
   const profile = Object.values(Profile).find((each) => each === given.profile);
--- a/packages/soak/src/checks/explain.ts
+++ b/packages/soak/src/checks/explain.ts
@@ -5,7 +5,9 @@
 import type { SoakEvent } from '../record/SoakEvent.js';
 import { formatBreach, Rule, type Breach } from './Breach.js';
 import { checkRun } from './checkRun.js';
+import { findDisruptions } from './disruptions.js';
 import { indexRun, lifeAt, type RunIndex } from './RunIndex.js';
+import { overlaps } from './Spans.js';
 
 const beforeMilliseconds = 5000;
 const afterMilliseconds = 200;
@@ -13,15 +15,23 @@
 const logLineLimit = 6;
 const invalidSettingsCode = 2;
 
+/** Files of a kept run. */
+export interface KeptRun {
+  readonly directory: string;
+  readonly eventsFile: string;
+  /** Wall-clock time at the start of the run. */
+  readonly startedAt: number;
+}
+
 /** Explains the breaches of a kept run: the likely cause of each, and the events near it. */
-export function explain(directory: string, eventsFile: string): string[] {
+export function explain({ directory, eventsFile, startedAt }: KeptRun): string[] {
   const events = readEvents(path.join(directory, eventsFile));
   const index = indexRun(events);
   return checkRun(events).breaches.flatMap((breach) => [
     formatBreach(breach),
     `  likely cause: ${nameCause(breach, index)}`,
     ...findNearEvents(breach, events).map((event) => `  ${JSON.stringify(event)}`),
-    ...readLogLines(directory, breach).map((line) => `  log: ${line}`),
+    ...readLogLines(directory, breach, startedAt).map((line) => `  log: ${line}`),
   ]);
 }
 
@@ -56,8 +66,11 @@
     const age = Math.round(signal.at - (life?.startedAt ?? 0));
     return `${signal.signal} ${age} ms after the start, ${early}: no handler stood`;
   }
-  const held = own.findLast((event) => event.type === 'port-held' || event.type === 'port-freed');
-  if (held?.type === 'port-held') return `port ${held.port} was held by another listener`;
+  const held = findDisruptions(index).heldPorts.get(node) ?? [];
+  if (overlaps(held, life?.startedAt ?? breach.at, breach.at)) {
+    const port = own.findLast((event) => event.type === 'port-held');
+    return `port ${port?.type === 'port-held' ? port.port : ''} was held by another listener`;
+  }
   const replaced = own.findLast((event) => event.type === 'settings-replaced');
   if (life?.end?.code === invalidSettingsCode && replaced?.type === 'settings-replaced') {
     return 'the settings file was read while it was replaced in place';
@@ -78,12 +91,20 @@
     .slice(-eventLimit);
 }
 
-function readLogLines(directory: string, { node, requestId }: Breach): string[] {
+/** Gives lines of the node's log near a breach: those of the request, errors, and plain text. */
+function readLogLines(directory: string, breach: Breach, startedAt: number): string[] {
+  const { at, node, requestId } = breach;
   if (node === undefined) return [];
-  const lines = readLog(path.join(directory, `${node}.log`));
-  const own = requestId === undefined ? [] : lines.filter((line) => line.includes(requestId));
-  const severe = lines.filter((line) => !line.startsWith('{') || line.includes('"level":"error"'));
-  return [...own, ...severe].slice(-logLineLimit);
+  let time = 0;
+  const lines = readLog(path.join(directory, `${node}.log`)).filter((line) => {
+    const [, written] = /^\{"time":"([^"]+)"/.exec(line) ?? [];
+    // Plain text bears no time and belongs to the line before it.
+    if (written !== undefined) time = Date.parse(written) - startedAt;
+    if (time < at - beforeMilliseconds || time > at + afterMilliseconds) return false;
+    if (written === undefined || line.includes('"level":"error"')) return true;
+    return requestId !== undefined && line.includes(`"${requestId}"`);
+  });
+  return lines.slice(-logLineLimit);
 }
 
 function readLog(file: string): string[] {
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -1,5 +1,6 @@
 import { repositoryPath, waitUntil } from '@hickorybridge/replay';
 import { RandomSource } from '@hickorybridge/utils';
+import { readFileSync } from 'node:fs';
 import { mkdir, mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { loadavg, tmpdir } from 'node:os';
 import path from 'node:path';
@@ -7,6 +8,7 @@
 
 import type { CheckResult } from './checks/Breach.js';
 import { checkRun } from './checks/checkRun.js';
+import { explain } from './checks/explain.js';
 import { createSoak, type SoakParts } from './createSoak.js';
 import { planDisturbances } from './disturbances/planDisturbances.js';
 import { Profile } from './disturbances/Profile.js';
@@ -36,8 +38,8 @@
   readonly loadAverage: number;
 }
 
-export const eventsFile = 'events.jsonl';
-export const runFile = 'run.json';
+const eventsFile = 'events.jsonl';
+const runFile = 'run.json';
 
 const largestStartDelayMilliseconds = 300;
 /** Longest deadline of a request, and the time until the last timers have run. */
@@ -49,7 +51,7 @@
   const program = path.resolve(options.program ?? repositoryPath('target/hickorybridge.cjs'));
   await writeFile(
     path.join(directory, runFile),
-    `${JSON.stringify({ ...options, signal: undefined, program, keep: undefined })}\n`,
+    `${JSON.stringify({ ...options, program, startedAt: Date.now(), signal: undefined })}\n`,
   );
   const report = await play(options, program, directory);
   if (options.keep === undefined && report.breaches.length === 0) {
@@ -120,3 +122,11 @@
   await mkdir(keep, { recursive: true });
   return keep;
 }
+
+/** Explains the breaches of a run whose files were kept. */
+export function explainRun(directory: string): string[] {
+  const run = JSON.parse(readFileSync(path.join(directory, runFile), 'utf8')) as {
+    startedAt: number;
+  };
+  return explain({ directory, eventsFile, startedAt: run.startedAt });
+}
