Soak: services that fail, reject or break off a part of their requests, under overload

Change: in overload, all backend servers of one service fail, reject or break off; single ones also reject under faults.

--- a/packages/soak/src/disturbances/Disturbance.ts
+++ b/packages/soak/src/disturbances/Disturbance.ts
@@ -1,4 +1,4 @@
-import type { BackendMode } from '../mesh/MeshHost.js';
+import type { BackendMode } from '../record/SoakEvent.js';
 
 /** A signal to a process in its first moments. */
 export interface EarlySignal {
--- a/packages/soak/src/disturbances/SeriesPlanner.ts
+++ b/packages/soak/src/disturbances/SeriesPlanner.ts
@@ -1,5 +1,6 @@
 import type { RandomSource } from '@hickorybridge/utils';
 
+import { services } from '../mesh/meshShape.js';
 import type { Disturbance, EarlySignal } from './Disturbance.js';
 import { Profile } from './Profile.js';
 
@@ -28,7 +29,15 @@
       case Profile.faults:
         return [this.#kills, this.#pauses, this.#backendFaults, this.#store, stops, configurations];
       case Profile.overload:
-        return [this.#burst, this.#slowBackends, this.#fewSlots, this.#hastyCallers, this.#kills];
+        return [
+          this.#burst,
+          this.#slowBackends,
+          this.#faultyService,
+          this.#faultyService,
+          this.#fewSlots,
+          this.#hastyCallers,
+          this.#kills,
+        ];
       case Profile.starts:
         return [restarts, restarts, restarts, this.#heldPorts, this.#manyStarts, this.#absentStore];
     }
@@ -94,7 +103,7 @@
       at: at + this.#between(0, 1000),
       type: 'backend-mode',
       host,
-      mode: this.#oneOf(['slow', 'failing', 'breaking-off']),
+      mode: this.#oneOf(['slow', 'failing', 'breaking-off', 'shedding']),
       milliseconds: this.#between(2000, 6000),
     }));
 
@@ -117,6 +126,17 @@
       milliseconds: this.#between(3000, 6000),
     }));
 
+  /** All backend servers of one service fail, reject or break off a part of their requests. */
+  readonly #faultyService: SeriesMaker = (at) => {
+    const mode = this.#oneOf(['failing', 'shedding', 'breaking-off'] as const);
+    const milliseconds = this.#between(4000, 9000);
+    const first = this.#random.integerBelow(services.length);
+    const hosts = Array.from({ length: this.#hosts }, (_, index) => index);
+    return hosts
+      .filter((host) => host % services.length === first)
+      .map((host) => ({ at, type: 'backend-mode', host, mode, milliseconds }));
+  };
+
   readonly #fewSlots: SeriesMaker = (at) =>
     this.#someHosts(3, this.#hosts).map((host) => ({
       at,
--- a/packages/soak/src/mesh/MeshHost.ts
+++ b/packages/soak/src/mesh/MeshHost.ts
@@ -8,7 +8,7 @@
 import type { RequestSender } from '../callers/RequestSender.js';
 import type { RouteTimeouts } from '../callers/RouteTimeouts.js';
 import type { EventRecord } from '../record/EventRecord.js';
-import type { EventFields } from '../record/SoakEvent.js';
+import type { BackendMode, EventFields } from '../record/SoakEvent.js';
 import { failureDomainOf, loopback, serviceOf, type HostPorts } from './meshFiles.js';
 import { meshBounds, queueLength, slots } from './meshShape.js';
 import type { NodeProcess } from './NodeProcess.js';
@@ -33,12 +33,6 @@
   readonly agent: Agent;
 }
 
-/** How a backend server behaves. */
-export type BackendMode = Extract<
-  EventFields['backend']['state'],
-  'slow' | 'failing' | 'breaking-off' | 'normal'
->;
-
 interface RunningBackend {
   readonly server: StandInSlotBackend;
   readonly service: MeshBackendService;
@@ -51,6 +45,7 @@
 const slowness = 5;
 const failureShare = 0.5;
 const breakOffShare = 0.3;
+const shedShare = 0.55;
 
 /** A host: the process of its node, its callers' connections and its backend server. */
 export class MeshHost implements AsyncDisposable {
@@ -133,6 +128,7 @@
     const { server, service } = this.#backend;
     service.slowness = mode === 'slow' ? slowness : 1;
     server.failureShare = mode === 'failing' ? failureShare : 0;
+    server.shedShare = mode === 'shedding' ? shedShare : 0;
     server.breakOffShare = mode === 'breaking-off' ? breakOffShare : 0;
     this.#note(mode);
   }
--- a/packages/soak/src/record/SoakEvent.ts
+++ b/packages/soak/src/record/SoakEvent.ts
@@ -11,6 +11,9 @@
 
 export type RequestEnd = (typeof RequestEnd)[keyof typeof RequestEnd];
 
+/** How a backend server behaves. */
+export type BackendMode = 'normal' | 'slow' | 'failing' | 'breaking-off' | 'shedding';
+
 /** What each type of event tells. */
 export interface EventFields {
   /** A caller or a run began to send a request. */
@@ -78,8 +81,7 @@
   readonly backend: {
     readonly backend: string;
     readonly node: string;
-    readonly state:
-      'started' | 'draining' | 'gone' | 'slow' | 'failing' | 'breaking-off' | 'normal';
+    readonly state: 'started' | 'draining' | 'gone' | BackendMode;
   };
   /** Callers send so many times the usual requests. */
   readonly load: { readonly factor: number };
--- a/packages/stand-ins/src/platformBackend/StandInSlotBackend.ts
+++ b/packages/stand-ins/src/platformBackend/StandInSlotBackend.ts
@@ -54,6 +54,9 @@
   /** Share of runs whose connection is closed without an answer. */
   breakOffShare = 0;
 
+  /** Share of requests that are rejected without a run although there is room. */
+  shedShare = 0;
+
   draining = false;
 
   readonly #options: SlotBackendOptions;
@@ -136,6 +139,7 @@
   #refusalOf(request: IncomingMessage, requestId: string): number | undefined {
     if (requestId === '') return 400;
     if ((request.headers['target-instance'] ?? this.id) !== this.id) return 421;
+    if (this.random() < this.shedShare) return 503;
     const full = this.#slots.used >= this.#slotCount;
     return full && this.#slots.queued >= this.#options.queueLength ? 503 : undefined;
   }
