Soak: breaches of BUDGET say how many repeats are calls below a repeat

Change: the line names that number, and the counts have the ratio for the requests of callers only, the narrower reading of the rule.

--- a/packages/soak/src/__tests__/findBudgetBreaches.test.ts
+++ b/packages/soak/src/__tests__/findBudgetBreaches.test.ts
@@ -39,7 +39,9 @@
         .send(20_000 + index, id, { parent: 'r', belowRepeat: true })
         .arrive(20_001 + index, id);
     }
-    assert.deepEqual(breachesIn(record), ['61 repeats at fleet-view within 10000 ms, 60 allowed']);
+    assert.deepEqual(breachesIn(record), [
+      '61 repeats at fleet-view within 10000 ms, 60 allowed; 61 are calls below a repeat',
+    ]);
   });
 
   it('guards against requests that run on more backend servers than allowed', () => {
--- a/packages/soak/src/checks/findBudgetBreaches.ts
+++ b/packages/soak/src/checks/findBudgetBreaches.ts
@@ -34,15 +34,19 @@
   const breaches: Breach[] = [];
   let repeats = 0;
   let highest = 0;
+  let highestOfCallers = 0;
   for (const service of new Set(traces.map(({ sent }) => sent.service))) {
     const own = traces.filter(({ sent }) => sent.service === service);
     const sent = own
       .filter((trace) => trace.sent.belowRepeat !== true)
       .map((trace) => trace.sent.at)
       .sort((first, second) => first - second);
+    const sentByCallers = own
+      .filter((trace) => trace.sent.parent === undefined)
+      .map((trace) => trace.sent.at);
     const times = own
-      .flatMap(({ arrivals, sent: { belowRepeat } }) =>
-        arrivals.slice(belowRepeat === true ? 0 : 1).map(({ at, node }) => ({ at, node })),
+      .flatMap(({ arrivals, sent: { belowRepeat = false } }) =>
+        arrivals.slice(belowRepeat ? 0 : 1).map(({ at, node }) => ({ at, node, belowRepeat })),
       )
       .sort((first, second) => first.at - second.at);
     repeats += times.length;
@@ -52,15 +56,28 @@
       const count = place - first + 1;
       const allowed = allowedRepeats(sent, at, bounds);
       highest = Math.max(highest, count / allowed);
+      const allowedForCallers = allowedRepeats(sentByCallers, at, bounds);
+      highestOfCallers = Math.max(highestOfCallers, count / allowedForCallers);
       // One line for each time that the budget is exceeded, at its begin.
       if (count > allowed && !over) {
-        const cause = `${count} repeats at ${service} within ${bounds.budgetWindow} ms, ${Math.floor(allowed)} allowed`;
+        const below = times.slice(first, place + 1).filter(({ belowRepeat }) => belowRepeat).length;
+        const what = `${count} repeats at ${service} within ${bounds.budgetWindow} ms`;
+        const cause = `${what}, ${Math.floor(allowed)} allowed; ${below} are calls below a repeat`;
         breaches.push({ rule: Rule.budget, at, node, cause });
       }
       over = count > allowed;
     }
   }
-  return { breaches, counts: { repeats, highestRepeatRatio: Math.round(highest * 1000) / 1000 } };
+  const round = (ratio: number) => Math.round(ratio * 1000) / 1000;
+  return {
+    breaches,
+    counts: {
+      repeats,
+      highestRepeatRatio: round(highest),
+      // The same with the requests of callers only, without the calls of backend servers.
+      highestRepeatRatioOfCallers: round(highestOfCallers),
+    },
+  };
 }
 
 /** Requests count in the window, the one before it or the one half a window before it. */
