A stall of this process does not count as silence of its peers

What callers can see: after a node has stood still for about 0.7 to 2 s, the idempotent requests that it has sent to others are given up, and those of others that run at its backend server are ended; where no other host or no retry is left, the caller gets a 502 of the node while a backend server works.

Cause: the tick after a stall comes before the bytes that arrived meanwhile are read, so that a heartbeat from before the stall looked unanswered. Stalls were taken into account from 2 s on only, and the limit for silence is 0.7 s.

Evidence: `PeerConnection.test`; the tests with 800 and 1500 ms failed before.

Time between two ticks beyond two intervals is now taken off the silence. A process that stalls often still notices a silent peer (test).

--- a/packages/peer-protocol/src/PeerConnection.ts
+++ b/packages/peer-protocol/src/PeerConnection.ts
@@ -28,8 +28,8 @@
 import { TrafficClass, trafficClassOf, type PeerTraffic } from './PeerTraffic.js';
 import type { ExecutionOutcome, RequestBody, RequestExecutor } from './RequestExecutor.js';
 
-// A timer that fires this late shows that this process itself was paused.
-const ownPauseMilliseconds = 2000;
+// A timer that fires later than this after the previous one shows that this process stood still.
+const maxTicksBetween = 2;
 // A cancelled request is confirmed by the peer; a peer that does not is taken as lost.
 const cancelConfirmationMilliseconds = 1000;
 
@@ -260,9 +260,10 @@
   tick(): void {
     const { liveness } = this.#options;
     const now = this.#options.clock.now();
-    const ownPause = now - this.#lastTickAt > ownPauseMilliseconds;
+    const stalled = now - this.#lastTickAt - maxTicksBetween * liveness.tickMilliseconds;
     this.#lastTickAt = now;
-    if (ownPause) this.#heartbeatSentAt = undefined;
+    // The reply may lie unread in the socket, so the time of a stall is no silence of the peer.
+    if (stalled > 0 && this.#heartbeatSentAt !== undefined) this.#heartbeatSentAt += stalled;
     if (this.#heartbeatSentAt !== undefined) {
       const silence = now - this.#heartbeatSentAt;
       if (silence > liveness.silenceLimitMilliseconds) this.#handleSilence(silence);
