A stopping node waits for a peer that is silent for a moment

What callers saw: a request on a route that may be repeated, taken by a node that then got SIGTERM, ended with a 502 of the node while its backend server was at work. It needs a peer that stands still for about a second, as on a busy machine, and no other host or no retry left.

Cause: a peer without a reply for 0.7 s counts as gone. The node that sent an idempotent request gives it up, to run it elsewhere, and the node that runs one ends it as soon as it finds the sender silent. In a planned stop the caller gets a failure in place of an answer that is on its way.

In `PeerPool.test` the same cut gives `lost` without the new option, as the test above the new one says.

A node that stops gives up nothing for the silence of a peer: requests end with the connection, at their deadline, or with the grace time. A request of a peer that is silent runs on until the connection is closed, which was already so for requests that may run only once; the sender may merely be late. An idempotent request runs at most to its deadline.

--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -131,6 +131,8 @@
     addressOf: (peer) => directory.entry(peer)?.peerAddress,
     executor,
     liveness,
+    // A stopping node refuses the caller's next attempt, so that giving up early gains nothing.
+    waitsForSilentPeers: () => node.stopping,
     introduced: ({ identity }) => choice.loadOf(identity.nodeId).resetOnReconnect(),
     localLoad: () => backendServers.load(),
     onLoad: (peer, report) => {
--- a/packages/peer-protocol/src/IncomingStream.ts
+++ b/packages/peer-protocol/src/IncomingStream.ts
@@ -57,11 +57,6 @@
     }
   }
 
-  /** Whether the request may run once more elsewhere. */
-  get idempotent(): boolean {
-    return this.#frame.head.idempotent;
-  }
-
   addCredit(bytes: number): void {
     this.#answerCredit.add(bytes);
   }
--- a/packages/peer-protocol/src/PeerConnection.ts
+++ b/packages/peer-protocol/src/PeerConnection.ts
@@ -40,7 +40,8 @@
   readonly heartbeatWhenIdleMilliseconds: number;
   /**
    * Time without a reply to a heartbeat after which the peer counts as silent: the connection takes
-   * no new requests, and idempotent ones are given up, so that they can run elsewhere.
+   * no new requests, and idempotent ones that were sent to it are given up, so that they can run
+   * elsewhere. Those that the peer has sent run on, because it may only be late.
    */
   readonly silenceLimitMilliseconds: number;
   /**
@@ -79,6 +80,8 @@
   readonly localLoad: () => LoadReport | undefined;
   /** Takes the load that the peer reports. */
   readonly onLoad: (report: LoadReport) => void;
+  /** Whether idempotent requests wait for a silent peer, too, instead of running elsewhere. */
+  readonly waitsForSilentPeer: () => boolean;
   /** Called when the peer becomes silent. */
   readonly onSilent: () => void;
   readonly clock: Clock;
@@ -301,9 +304,8 @@
       onSilent();
     }
     const detail = `node "${this.identity.nodeId}" does not answer heartbeats`;
-    for (const stream of [...this.#outgoing.values()]) if (stream.idempotent) stream.lost(detail);
-    for (const stream of [...this.#incoming.values()]) {
-      if (stream.idempotent) stream.requestAborted(detail);
+    if (!this.#options.waitsForSilentPeer()) {
+      for (const stream of [...this.#outgoing.values()]) if (stream.idempotent) stream.lost(detail);
     }
     for (const call of [...this.#calls.keys()]) {
       this.#settleCall(call, fail({ type: 'unreachable', detail }));
--- a/packages/peer-protocol/src/PeerPool.ts
+++ b/packages/peer-protocol/src/PeerPool.ts
@@ -53,6 +53,8 @@
   readonly introduced?: (introduction: PeerIntroduction) => void;
   /** When a peer is found to be silent; `patientLiveness` by default. */
   readonly liveness?: PeerLiveness;
+  /** Whether idempotent requests wait for a silent peer, too; by default they run elsewhere. */
+  readonly waitsForSilentPeers?: () => boolean;
   /** Load that peers are told when they ask; without one they get no answer. */
   readonly localLoad?: () => LoadReport | undefined;
   /** Is told of the load that a peer reports. */
@@ -302,6 +304,7 @@
       liveness: this.#liveness,
       localLoad: () => this.#options.localLoad?.(),
       onLoad: (report) => this.#options.onLoad?.(introduction.identity.nodeId, report),
+      waitsForSilentPeer: () => this.#options.waitsForSilentPeers?.() ?? false,
       onSilent: () => this.#options.onLost?.(introduction.identity.nodeId, 'silent'),
       clock,
       logger,
--- a/packages/peer-protocol/src/__tests__/PeerConnection.test.ts
+++ b/packages/peer-protocol/src/__tests__/PeerConnection.test.ts
@@ -31,6 +31,7 @@
       closeAfterMilliseconds: 10_000,
       tickMilliseconds,
     },
+    waitsForSilentPeer: () => false,
     onSilent: () => {},
     clock: { now: () => now },
     logger: silentLogger,
--- a/packages/peer-protocol/src/__tests__/PeerPool.test.ts
+++ b/packages/peer-protocol/src/__tests__/PeerPool.test.ts
@@ -50,6 +50,7 @@
   readonly addresses: Map<string, SocketAddress>;
   readonly sharedKey?: string;
   readonly liveness?: PeerLiveness;
+  readonly waitsForSilentPeers?: () => boolean;
   readonly onLoad?: () => void;
 }
 
@@ -65,6 +66,9 @@
     executor: options.executor,
     ...(options.liveness === undefined ? {} : { liveness: options.liveness }),
     ...(options.onLoad === undefined ? {} : { onLoad: options.onLoad }),
+    ...(options.waitsForSilentPeers === undefined
+      ? {}
+      : { waitsForSilentPeers: options.waitsForSilentPeers }),
     localLoad: () => report,
     clock: systemClock,
     logger: silentLogger,
@@ -354,7 +358,12 @@
 });
 
 /** Cuts the connection of two nodes for a moment while the second one runs a request. */
-async function requestOverCutLink(t: TestContext, idempotent: boolean, cutMilliseconds: number) {
+async function requestOverCutLink(
+  t: TestContext,
+  idempotent: boolean,
+  cutMilliseconds: number,
+  waitsForSilentPeers = false,
+) {
   const relay = new LinkRelay({
     regions: ['south', 'apart'],
     settings: { delayMilliseconds: 0, megabitsPerSecond: 0 },
@@ -375,7 +384,13 @@
     },
   };
   const addresses = new Map<string, SocketAddress>();
-  const first = await createPool({ nodeId: 'first', executor: echoing, addresses, liveness });
+  const first = await createPool({
+    nodeId: 'first',
+    executor: echoing,
+    addresses,
+    liveness,
+    waitsForSilentPeers: () => waitsForSilentPeers,
+  });
   const second = await createPool({ nodeId: 'second', executor: slow, addresses, liveness });
   const target = addresses.get('second') as SocketAddress;
   addresses.set('second', await relay.addRoute({ target, region: 'south', from: 'apart' }));
@@ -413,6 +428,16 @@
   assert.equal(outcome.type, 'lost');
 });
 
+// The backend server works on, and the caller of a stopping node has no other way to an answer.
+test('guards against a request of a stopping node that is given up because its peer was silent', async (t) => {
+  const { outcome, runs } = await requestOverCutLink(t, true, 700, true);
+  assert.equal(outcome.type, 'answered');
+  assert.deepEqual(
+    runs.map(({ aborted }) => aborted),
+    [false],
+  );
+});
+
 test('guards against a request that waits for ever for a peer that stays silent', async (t) => {
   const { milliseconds, outcome } = await requestOverCutLink(t, false, 3000);
   assert.equal(outcome.type, 'lost');
