--- a/packages/peer-protocol/src/PeerConnection.ts
+++ b/packages/peer-protocol/src/PeerConnection.ts
@@ -28,8 +28,8 @@
 import { TrafficClass, trafficClassOf, type PeerTraffic } from './PeerTraffic.js';
 import type { ExecutionOutcome, RequestBody, RequestExecutor } from './RequestExecutor.js';
 
-// A timer that fires this late shows that this process itself was paused.
-const ownPauseMilliseconds = 2000;
+// A timer that fires later than this after the previous one shows that this process stood still.
+const maxTicksBetween = 2;
 // A cancelled request is confirmed by the peer; a peer that does not is taken as lost.
 const cancelConfirmationMilliseconds = 1000;
 
@@ -40,7 +40,8 @@
   readonly heartbeatWhenIdleMilliseconds: number;
   /**
    * Time without a reply to a heartbeat after which the peer counts as silent: the connection takes
-   * no new requests, and idempotent ones are given up, so that they can run elsewhere.
+   * no new requests, and idempotent ones that were sent to it are given up, so that they can run
+   * elsewhere. Those that the peer has sent run on, because it may only be late.
    */
   readonly silenceLimitMilliseconds: number;
   /**
@@ -79,6 +80,8 @@
   readonly localLoad: () => LoadReport | undefined;
   /** Takes the load that the peer reports. */
   readonly onLoad: (report: LoadReport) => void;
+  /** Whether idempotent requests wait for a silent peer, too, instead of running elsewhere. */
+  readonly waitsForSilentPeer: () => boolean;
   /** Called when the peer becomes silent. */
   readonly onSilent: () => void;
   readonly clock: Clock;
@@ -260,9 +263,10 @@
   tick(): void {
     const { liveness } = this.#options;
     const now = this.#options.clock.now();
-    const ownPause = now - this.#lastTickAt > ownPauseMilliseconds;
+    const stalled = now - this.#lastTickAt - maxTicksBetween * liveness.tickMilliseconds;
     this.#lastTickAt = now;
-    if (ownPause) this.#heartbeatSentAt = undefined;
+    // The reply may lie unread in the socket, so the time of a stall is no silence of the peer.
+    if (stalled > 0 && this.#heartbeatSentAt !== undefined) this.#heartbeatSentAt += stalled;
     if (this.#heartbeatSentAt !== undefined) {
       const silence = now - this.#heartbeatSentAt;
       if (silence > liveness.silenceLimitMilliseconds) this.#handleSilence(silence);
@@ -300,9 +304,8 @@
       onSilent();
     }
     const detail = `node "${this.identity.nodeId}" does not answer heartbeats`;
-    for (const stream of [...this.#outgoing.values()]) if (stream.idempotent) stream.lost(detail);
-    for (const stream of [...this.#incoming.values()]) {
-      if (stream.idempotent) stream.requestAborted(detail);
+    if (!this.#options.waitsForSilentPeer()) {
+      for (const stream of [...this.#outgoing.values()]) if (stream.idempotent) stream.lost(detail);
     }
     for (const call of [...this.#calls.keys()]) {
       this.#settleCall(call, fail({ type: 'unreachable', detail }));
