hickorybridged outlives the reader of its log

What was seen: with its standard error a pipe whose reader has ended, the next log line ended `hickorybridged` with code 1.

Cause: as in the node of a host: an `error` event of the stream without a listener is an uncaught exception.

Change: errors of standard output and standard error are ignored from the first statement of `main` on; the lines are lost.

Evidence: the new test in `nodeProcess.test` (the former `processSignals.test`, renamed) closes the pipe of a running node. Without the change the process ends with 1, with it it ends with 0 at SIGTERM.

--- a/packages/node/src/__tests__/processSignals.test.ts
+++ b/packages/node/src/__tests__/nodeProcess.test.ts
@@ -79,11 +79,12 @@
       await pipe.writeFile(await settingsText());
       await pipe.close();
     },
+    closeOutput: () => child.stderr.destroy(),
     close: () => pipe.close(),
   };
 }
 
-describe('signals of hickorybridged', () => {
+describe('the process hickorybridged', () => {
   it('guards against a stop during the start that ends the process by the signal', async (t) => {
     for (const signal of ['SIGTERM', 'SIGINT'] as const) {
       const node = await startProcess(t);
@@ -106,6 +107,21 @@
     assert.equal(await node.waitForEnd(), 0);
   });
 
+  it('guards against a reader of the log that takes the node with it when it ends', async (t) => {
+    const node = await startProcess(t);
+    node.signal('SIGHUP');
+    await node.provideSettings();
+    await node.waitForOutput('"settings-not-reloaded"');
+    node.closeOutput();
+    // Each signal writes a line.
+    for (let line = 0; line < 5; line += 1) {
+      node.signal('SIGHUP');
+      await sleep(50);
+    }
+    node.signal('SIGTERM');
+    assert.equal(await node.waitForEnd(), 0);
+  });
+
   it('guards against an operator who cannot end a stop that takes too long', async (t) => {
     const node = await startProcess(t);
     node.signal('SIGHUP');
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -14,6 +14,7 @@
 
 /** Runs the program `hickorybridged`. */
 export function main(signals: ProcessSignals): void {
+  ignoreOutputErrors();
   sade('hickorybridged', true)
     .version('0.1.0')
     .describe('Runs a node of hickorybridge beside a backend server.')
@@ -74,6 +75,11 @@
   });
 }
 
+/** A reader of the log that ends, or a full disk, loses lines and does not end the node. */
+function ignoreOutputErrors(): void {
+  for (const stream of [process.stdout, process.stderr]) stream.on('error', () => {});
+}
+
 function exitWith(code: number, message: string): void {
   process.stderr.write(`${message}\n`);
   process.exit(code);
