--- a/packages/host-node/src/__tests__/processStart.test.ts
+++ b/packages/host-node/src/__tests__/processStart.test.ts
@@ -164,6 +164,25 @@
     }
   });
 
+  it('guards against a running node that an unusable settings file ends', async (t) => {
+    const { ports, settingsFile, start } = await prepare(t);
+    const node = await start();
+    await node.waitForOutput('"node-started"');
+    for (const text of ['', settingsText(ports).slice(0, 200)]) {
+      await writeFile(settingsFile, text);
+      node.signal('SIGHUP');
+    }
+    await node.waitForOutput('"settings-invalid"');
+    await rm(settingsFile);
+    node.signal('SIGHUP');
+    await node.waitForOutput('ENOENT');
+    await writeFile(settingsFile, settingsText(ports, 'replaced'));
+    node.signal('SIGHUP');
+    await node.waitForOutput('"settings-reloaded"');
+    node.signal('SIGTERM');
+    assert.equal(await node.waitForEnd(), 0);
+  });
+
   it('guards against a reader of the log that takes the process with it when it ends', async (t) => {
     const { ports, start } = await prepare(t);
     const node = await start();
