The length of a long answer crosses the hops

Cause: the length was a hop-by-hop header that nobody passed on, so no later hop could tell a short answer from a whole one. Change: the head of an answer has `contentLength`, the eighth field of its frame, sent only for streams and answers without a body. A peer's body that is shorter or longer fails. An answer to HEAD is whole when its head is: without a length it lasted until its connection ended. Compatible: a node of version 4 ignores fields after the known ones, and small answers are the same bytes as before (frameCodec.test). Tests that fail on the former sources: hostNode.test (length from the backend server beside the node, over a peer, HEAD), BackendServerExchange.test (HEAD), frameCodec.test and PeerPool.test (do not compile there: no such field).

--- a/packages/host-node/src/__tests__/BackendServerExchange.test.ts
+++ b/packages/host-node/src/__tests__/BackendServerExchange.test.ts
@@ -23,6 +23,7 @@
   answer: (request: IncomingMessage, response: ServerResponse) => void,
   body: ExchangeOptions['body'] = { type: 'none' },
   { onEnd = () => {}, onLoad = () => {} }: Partial<ExchangeOptions> = {},
+  method = 'POST',
 ) {
   const server = createServer(answer);
   server.listen(0, host);
@@ -45,7 +46,7 @@
       kind: 'orders',
       idempotent: false,
       weight: 1,
-      method: 'POST',
+      method,
       target: '/orders/1',
       headers: ['host', 'a.example'],
       deadline: systemClock.now() + 2000,
@@ -125,6 +126,27 @@
     assert.equal(outcome.type, 'lost');
   });
 
+  it('guards against an answer to HEAD without a length that lasts as long as its connection', async (t) => {
+    const answer = (_request: IncomingMessage, response: ServerResponse) => {
+      response.writeHead(200, headers).end();
+    };
+    const startedAt = systemClock.now();
+    const exchange = await startExchange(t, answer, { type: 'none' }, {}, 'HEAD');
+    const outcome = await exchange.outcome;
+    assert.ok(systemClock.now() - startedAt < 1000);
+    assert.ok(outcome.type === 'answered' && outcome.body.type === 'whole');
+    assert.equal(outcome.body.data.length, 0);
+    assert.equal(outcome.head.endsWithConnection, undefined);
+  });
+
+  it('guards against the length of a body that does not follow', async (t) => {
+    const exchange = await startExchange(t, answerWithLength, { type: 'none' }, {}, 'HEAD');
+    const outcome = await exchange.outcome;
+    assert.ok(outcome.type === 'answered' && outcome.body.type === 'whole');
+    assert.equal(outcome.body.data.length, 0);
+    assert.equal(outcome.head.contentLength, bodyBytes);
+  });
+
   // libuv takes about one reset in ten for a normal end, so one exchange would show nothing.
   it('guards against an answer without a length that looks complete after a reset', async (t) => {
     const resetAfterAnswer = (_request: IncomingMessage, response: ServerResponse) => {
--- a/packages/host-node/src/__tests__/hostNode.test.ts
+++ b/packages/host-node/src/__tests__/hostNode.test.ts
@@ -44,6 +44,40 @@
     assert.ok(Number(headers?.['deadline-ms']) <= 1000);
   });
 
+  for (const [way, names] of [
+    ['from the backend server beside the node', ['one']],
+    ['over a peer', ['one', 'two']],
+  ] as const) {
+    it(`guards against a declared length of a long answer that is lost on its way ${way}`, async (t) => {
+      const { members } = await startFleet(t, names);
+      const [one] = members;
+      const last = members.at(-1);
+      assert.ok(one !== undefined && last !== undefined);
+      if (last !== one) await sendReport(one, { state: 'draining' });
+      const { port } = one.settings.listeners.callers;
+      const body = 'x'.repeat(100_000);
+      const answer = await sendRequest(port, { method: 'POST', path: '/orders/1', id: 'o', body });
+      assert.deepEqual(last.backend.ran, ['o']);
+      assert.equal(answer.text, `answer to o ${body}`);
+      assert.equal(answer.headers['content-length'], String(answer.text.length));
+      assert.equal(answer.headers['transfer-encoding'], undefined);
+    });
+  }
+
+  it('guards against a wrong length in an answer to HEAD', async (t) => {
+    const { members } = await startFleet(t, ['one', 'two']);
+    const [one] = members;
+    assert.ok(one !== undefined);
+    const { port } = one.settings.listeners.callers;
+    for (let number = 0; number < 4; number += 1) {
+      const id = `r${number}`;
+      const answer = await sendRequest(port, { method: 'HEAD', path: '/reads/1', id });
+      assert.equal(answer.status, 200);
+      assert.equal(answer.text, '');
+      assert.equal(answer.headers['content-length'], String(`answer to ${id} `.length));
+    }
+  });
+
   it('guards against status 404 before the first configuration is known', async (t) => {
     const store = new StandInObjectStore();
     await store.start();
--- a/packages/host-node/src/backend/BackendServerExchange.ts
+++ b/packages/host-node/src/backend/BackendServerExchange.ts
@@ -56,6 +56,20 @@
 /** With a larger body than this, closing the connection is cheaper than reading the rejection. */
 const maxRejectionBytes = 64 * 1024;
 const bodilessStatuses: readonly number[] = [204, 304];
+/** Any other last coding ends with the connection (RFC 9112, section 6.3). */
+const chunkedLast = /(?:^|[\s,])chunked\s*$/i;
+const noData = Buffer.alloc(0);
+
+/** How the end of an answer's body is told. */
+const Framing = {
+  /** The answer has no body, whatever length it declares. */
+  none: 'none',
+  length: 'length',
+  chunked: 'chunked',
+  connection: 'connection',
+} as const;
+
+type Framing = (typeof Framing)[keyof typeof Framing];
 
 /** Sends one request to the backend server of this host and receives its answer. */
 export class BackendServerExchange {
@@ -214,12 +228,9 @@
   }
 
   #readBody(answer: IncomingMessage, status: number): void {
-    const headers = endToEndHeaders(answer.rawHeaders);
-    const head: AnswerHead = isFramed(answer)
-      ? { status, headers }
-      : { status, headers, endsWithConnection: true };
-    const length = Number(answer.headers['content-length'] ?? Number.NaN);
-    if (length > maxWholeBodyBytes) {
+    const framing = this.#framingOf(answer);
+    const head = createAnswerHead(answer, status, framing);
+    if (framing === Framing.length && head.contentLength !== undefined) {
       this.#streamBody(answer, head);
       return;
     }
@@ -238,7 +249,7 @@
         this.#fail('the answer broke off');
         return;
       }
-      const data = bodilessStatuses.includes(status) ? Buffer.alloc(0) : Buffer.concat(chunks);
+      const data = framing === Framing.none ? noData : Buffer.concat(chunks);
       this.#settle({ type: 'answered', head, body: { type: 'whole', data } });
       this.#end(status < minServerErrorStatus);
     });
@@ -262,7 +273,12 @@
 
   /** Calls the listener when an answer has ended, with whether all of it was received. */
   #onAnswerEnd(answer: IncomingMessage, listener: (complete: boolean) => void): void {
-    onAnswerEnd(answer, (complete) => listener(complete && !this.#aborted));
+    const endsWithConnection = this.#framingOf(answer) === Framing.connection;
+    onAnswerEnd(answer, endsWithConnection, (complete) => listener(complete && !this.#aborted));
+  }
+
+  #framingOf(answer: IncomingMessage): Framing {
+    return this.#options.head.method === 'HEAD' ? Framing.none : framingOf(answer);
   }
 
   #fail(detail: string): void {
@@ -295,7 +311,11 @@
  * length is delimited by the end of its connection, and Node.js marks it as complete even if the
  * connection was reset.
  */
-function onAnswerEnd(answer: IncomingMessage, listener: (complete: boolean) => void): void {
+function onAnswerEnd(
+  answer: IncomingMessage,
+  endsWithConnection: boolean,
+  listener: (complete: boolean) => void,
+): void {
   const { socket } = answer;
   let wasReset = false;
   // libuv takes a reset for a normal end when it polls the reset together with the last bytes. Only a
@@ -304,10 +324,10 @@
   const handleEnd = () => {
     wasReset = socket.remoteAddress === undefined;
   };
-  if (!isFramed(answer)) socket.prependOnceListener('end', handleEnd);
+  if (endsWithConnection) socket.prependOnceListener('end', handleEnd);
   answer.once('close', () => {
     // Excess bytes after an answer with a length break the connection, but not that answer.
-    if (isFramed(answer)) listener(answer.complete);
+    if (!endsWithConnection) listener(answer.complete);
     else if (!answer.complete || socket.closed) {
       listener(answer.complete && socket.errored === null && !wasReset);
     } else {
@@ -316,13 +336,25 @@
   });
 }
 
-/** Whether the end of an answer is determined by its headers or status, not by its connection. */
-function isFramed({ headers, statusCode = 0 }: IncomingMessage): boolean {
-  return (
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined ||
-    bodilessStatuses.includes(statusCode)
-  );
+function framingOf({ headers, statusCode = 0 }: IncomingMessage): Framing {
+  if (bodilessStatuses.includes(statusCode)) return Framing.none;
+  if (headers['content-length'] !== undefined) return Framing.length;
+  return chunkedLast.test(headers['transfer-encoding'] ?? '')
+    ? Framing.chunked
+    : Framing.connection;
+}
+
+function createAnswerHead(
+  { headers, rawHeaders }: IncomingMessage,
+  status: number,
+  framing: Framing,
+): AnswerHead {
+  const head: AnswerHead = { status, headers: endToEndHeaders(rawHeaders) };
+  if (framing === Framing.connection) return { ...head, endsWithConnection: true };
+  const contentLength = Number(headers['content-length'] ?? Number.NaN);
+  const isHeldWhole = framing === Framing.length && contentLength <= maxWholeBodyBytes;
+  if (isHeldWhole || !Number.isSafeInteger(contentLength)) return head;
+  return { ...head, contentLength };
 }
 
 function firstValue(value: string | string[] | undefined): string | undefined {
--- a/packages/host-node/src/callers/sendOutcome.ts
+++ b/packages/host-node/src/callers/sendOutcome.ts
@@ -17,6 +17,9 @@
 /** With 504 and 502, the request may have run. */
 const timeoutStatus = 504;
 const lostStatus = 502;
+/** 204 must not have a length (RFC 9110, section 8.6). */
+const noContentStatus = 204;
+const bodilessStatuses: readonly number[] = [noContentStatus, 304];
 
 /**
  * Sends the outcome of a request to its caller. Returns the outcome that was sent: a failure if the
@@ -49,6 +52,7 @@
   }
 }
 
+type AnsweredOutcome = Extract<CallerOutcome, { type: 'answered' }>;
 type FailedOutcome = Extract<CallerOutcome, { type: 'failed' }>;
 
 function notSendable(error: unknown): FailedOutcome {
@@ -84,17 +88,17 @@
 function sendAnswer(
   request: IncomingMessage,
   response: ServerResponse,
-  { body, head }: Extract<CallerOutcome, { type: 'answered' }>,
+  answer: AnsweredOutcome,
 ): void {
+  const { body, head } = answer;
+  const isBodiless = request.method === 'HEAD' || bodilessStatuses.includes(head.status);
+  const length = lengthOf(answer, isBodiless);
+  const lengthHeader = length === undefined ? [] : ['content-length', String(length)];
+  response.writeHead(head.status, [...head.headers, ...lengthHeader]);
   if (body.type === 'whole') {
-    const hasBody = request.method !== 'HEAD' && (body.data.length > 0 || !isBodiless(head.status));
-    const isFramed = hasBody && head.endsWithConnection !== true;
-    const length = isFramed ? ['content-length', String(body.data.length)] : [];
-    response.writeHead(head.status, [...head.headers, ...length]);
-    response.end(body.data);
+    response.end(isBodiless ? undefined : body.data);
     return;
   }
-  response.writeHead(head.status, [...head.headers]);
   // An answer whose body stream failed must not look complete to the caller.
   if (body.stream.errored !== null) {
     abortAnswer(response);
@@ -105,8 +109,11 @@
   body.stream.pipe(response);
 }
 
-function isBodiless(status: number): boolean {
-  return status === 204 || status === 304;
+/** Length to declare to the caller; `undefined` if none is known, or none is allowed. */
+function lengthOf({ body, head }: AnsweredOutcome, isBodiless: boolean): number | undefined {
+  if (head.status === noContentStatus) return undefined;
+  if (isBodiless || body.type === 'stream') return head.contentLength;
+  return head.endsWithConnection === true ? undefined : body.data.length;
 }
 
 /** Resets the connection: after a normal close, an answer without a length would look complete. */
--- a/packages/peer-protocol/src/BodyReceiver.ts
+++ b/packages/peer-protocol/src/BodyReceiver.ts
@@ -9,6 +9,8 @@
   readonly grantCredit: (bytes: number) => void;
   /** The sender may send nothing before the first read, so that an unread body stays whole. */
   readonly creditOnFirstRead: boolean;
+  /** Length that the sender declared for the whole body, if it did. */
+  readonly declaredBytes?: number | undefined;
   /** The reader went away before the end of the body. */
   readonly abandoned: () => void;
 }
@@ -30,6 +32,8 @@
 
   #consumedSinceCredit = 0;
 
+  #receivedBytes = 0;
+
   constructor(options: BodyReceiverOptions) {
     super({ highWaterMark: creditBatchBytes });
     this.#options = options;
@@ -43,12 +47,28 @@
     if (this.destroyed || this.#ended) return true;
     this.#window -= data.length;
     if (this.#window < 0) return false;
-    if (data.length > 0) this.#waiting.push(data);
+    this.#receivedBytes += data.length;
     this.#ended = end;
+    if (!this.#fitsDeclaredLength()) {
+      const { declaredBytes } = this.#options;
+      const detail = `${this.#receivedBytes} bytes of a body of ${declaredBytes} bytes came`;
+      this.destroy(new Error(detail));
+      return true;
+    }
+    if (data.length > 0) this.#waiting.push(data);
     this.#deliver();
     return true;
   }
 
+  /** Whether the bytes so far, or all of them at the end, fit the declared length. */
+  #fitsDeclaredLength(): boolean {
+    const { declaredBytes } = this.#options;
+    if (declaredBytes === undefined) return true;
+    return this.#ended
+      ? this.#receivedBytes === declaredBytes
+      : this.#receivedBytes <= declaredBytes;
+  }
+
   override _read(): void {
     this.#wantsData = true;
     if (this.#creditPending) {
--- a/packages/peer-protocol/src/OutgoingStream.ts
+++ b/packages/peer-protocol/src/OutgoingStream.ts
@@ -91,6 +91,7 @@
       grantCredit: (bytes) =>
         this.#connection.send({ type: FrameType.credit, stream: this.#stream, bytes }),
       creditOnFirstRead: false,
+      declaredBytes: head.contentLength,
       abandoned: () => this.#abandon(),
     });
     this.#body = stream;
--- a/packages/peer-protocol/src/WireReader.ts
+++ b/packages/peer-protocol/src/WireReader.ts
@@ -34,6 +34,13 @@
     throw this.#wrongType('a count', item);
   }
 
+  optionalCount(): number | undefined {
+    const item = this.#items[this.#position];
+    if (item !== undefined && item !== null) return this.count();
+    this.#position += 1;
+    return undefined;
+  }
+
   string(): string {
     const item = this.any();
     if (typeof item === 'string') return item;
--- a/packages/peer-protocol/src/__tests__/PeerPool.test.ts
+++ b/packages/peer-protocol/src/__tests__/PeerPool.test.ts
@@ -203,6 +203,36 @@
   await assert.rejects(buffer(toStream(outcome.body)), /broke off/);
 });
 
+for (const [kind, bytes] of [
+  ['shorter', 99_999],
+  ['longer', 100_001],
+] as const) {
+  test(`guards against an answer ${kind} than its declared length that looks whole`, async () => {
+    const addresses = new Map<string, SocketAddress>();
+    const executor: RequestExecutor = {
+      execute: async () => ({
+        type: 'answered',
+        head: { status: 200, headers: [], contentLength: 100_000 },
+        report,
+        body: {
+          type: 'stream',
+          stream: Readable.from([Buffer.alloc(bytes)], { objectMode: false }),
+        },
+      }),
+    };
+    await using first = await createPool({ nodeId: 'first', executor: echoing, addresses });
+    await using second = await createPool({ nodeId: 'second', executor, addresses });
+    assert.equal(second.size, 0);
+    const { signal } = new AbortController();
+    const outcome = await first.execute('second', createHead(), { type: 'none' }, signal);
+    assert.ok(outcome.type === 'answered' && outcome.body.type === 'stream');
+    assert.equal(outcome.head.contentLength, 100_000);
+    await assert.rejects(buffer(outcome.body.stream), /of a body of 100000 bytes came/);
+    const next = await second.execute('first', createHead(), { type: 'none' }, signal);
+    assert.equal(next.type, 'answered');
+  });
+}
+
 test('guards against an answer that cannot be encoded and leaves its request open', async () => {
   const addresses = new Map<string, SocketAddress>();
   const head = {
--- /dev/null
+++ b/packages/peer-protocol/src/__tests__/frameCodec.test.ts
@@ -0,0 +1,75 @@
+import type { AnswerHead, LoadReport } from '@hickorybridge/types';
+import { decode, encode } from 'cbor-x';
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import {
+  decodeFrame,
+  encodeFrame,
+  FrameType,
+  lengthPrefixBytes,
+  type AnswerFrame,
+} from '../index.js';
+
+const report: LoadReport = {
+  limit: 4,
+  inFlight: 1,
+  queued: 0,
+  serviceMilliseconds: 3,
+  rampShare: 1,
+};
+
+/** Fields of an answer frame up to version 4 of the protocol, which reads no further ones. */
+const fieldsOfVersion4 = [
+  FrameType.answer,
+  7,
+  200,
+  ['etag', '"1"'],
+  [4, 1, 0, 3, 1, null, null, null, null],
+  null,
+  false,
+];
+
+function createAnswer(head: Partial<AnswerHead> = {}): AnswerFrame {
+  return {
+    type: FrameType.answer,
+    stream: 7,
+    head: { status: 200, headers: ['etag', '"1"'], ...head },
+    report,
+    body: undefined,
+  };
+}
+
+function fieldsOf(frame: AnswerFrame): unknown {
+  return decode(encodeFrame(frame).subarray(lengthPrefixBytes));
+}
+
+describe('frameCodec', () => {
+  it('guards against a declared length that is lost or altered between nodes', () => {
+    for (const head of [{ contentLength: 0 }, { contentLength: 5_000_000_000 }, {}]) {
+      const frame = createAnswer(head);
+      const decoded = decodeFrame(encodeFrame(frame).subarray(lengthPrefixBytes));
+      assert.ok(decoded.ok && decoded.value.type === FrameType.answer);
+      assert.deepEqual(decoded.value.head, frame.head);
+    }
+  });
+
+  it('guards against an answer that a node of version 4 does not understand', () => {
+    assert.deepEqual(fieldsOf(createAnswer()), fieldsOfVersion4);
+    assert.deepEqual(fieldsOf(createAnswer({ contentLength: 9 })), [...fieldsOfVersion4, 9]);
+  });
+
+  it('guards against an answer of a node of version 4 or 2 that is not understood', () => {
+    for (const fields of [fieldsOfVersion4, fieldsOfVersion4.slice(0, -1)]) {
+      const decoded = decodeFrame(encode(fields));
+      assert.ok(decoded.ok && decoded.value.type === FrameType.answer);
+      assert.deepEqual(decoded.value.head, createAnswer().head);
+    }
+  });
+
+  it('guards against a declared length that is no count', () => {
+    for (const length of [-1, 1.5, '9', Number.NaN]) {
+      assert.equal(decodeFrame(encode([...fieldsOfVersion4, length])).ok, false);
+    }
+  });
+});
--- a/packages/peer-protocol/src/frame.ts
+++ b/packages/peer-protocol/src/frame.ts
@@ -8,7 +8,7 @@
 } from '@hickorybridge/types';
 
 /** Version of the peer protocol that this code speaks, and the oldest that it accepts. */
-export const protocolVersion = 4;
+export const protocolVersion = 5;
 export const oldestProtocolVersion = 1;
 
 /** Largest payload of a frame, in bytes. */
--- a/packages/peer-protocol/src/frameCodec.ts
+++ b/packages/peer-protocol/src/frameCodec.ts
@@ -1,6 +1,7 @@
 import {
   fail,
   succeed,
+  type AnswerHead,
   type LoadReport,
   type RefusalReason,
   type RequestHead,
@@ -92,15 +93,7 @@
     case FrameType.credit:
       return [frame.type, frame.stream, frame.bytes];
     case FrameType.answer:
-      return [
-        frame.type,
-        frame.stream,
-        frame.head.status,
-        frame.head.headers,
-        reportToWire(frame.report),
-        frame.body ?? null,
-        frame.head.endsWithConnection ?? false,
-      ];
+      return answerToWire(frame);
     case FrameType.refuse:
       return [frame.type, frame.stream, frame.reason, reportToWire(frame.report)];
     case FrameType.abort:
@@ -123,6 +116,22 @@
   }
 }
 
+function answerToWire({ body, head, report, stream, type }: AnswerFrame): unknown[] {
+  const { contentLength, endsWithConnection = false, headers, status } = head;
+  const fields = [
+    type,
+    stream,
+    status,
+    headers,
+    reportToWire(report),
+    body ?? null,
+    endsWithConnection,
+  ];
+  // Most answers are small and have no such field.
+  if (contentLength !== undefined) fields.push(contentLength);
+  return fields;
+}
+
 function headToWire(head: RequestHead): unknown[] {
   return [
     head.requestId,
@@ -225,17 +234,26 @@
   const head = { status: statusFrom(reader.count()), headers: reader.headerList() };
   const report = requiredReport(reader);
   const body = reader.optionalBytes();
-  // Versions before 3 of the protocol have no such field.
-  const endsWithConnection = reader.any() === true;
+  const framing = framingFrom(reader);
   return {
     type: FrameType.answer,
     stream,
-    head: endsWithConnection ? { ...head, endsWithConnection } : head,
+    head: framing === undefined ? head : { ...head, ...framing },
     report,
     body,
   };
 }
 
+/** How the end of a body is told, unless it is whole or in chunks. */
+function framingFrom(reader: WireReader): Partial<AnswerHead> | undefined {
+  // Versions before 3 of the protocol have no such field.
+  const endsWithConnection = reader.any() === true;
+  // Versions before 5 of the protocol have no such field.
+  const contentLength = reader.optionalCount();
+  if (contentLength !== undefined) return { contentLength };
+  return endsWithConnection ? { endsWithConnection } : undefined;
+}
+
 function openFromWire(reader: WireReader): Frame {
   const stream = reader.count();
   const head = reader.nested();
--- a/packages/types/src/requestHead.ts
+++ b/packages/types/src/requestHead.ts
@@ -38,6 +38,11 @@
    * is never forwarded with a length.
    */
   readonly endsWithConnection?: boolean;
+  /**
+   * Declared length of a body that follows as a stream, or of one that is not sent, as after `HEAD`.
+   * The length of a body that is held whole is that of its data.
+   */
+  readonly contentLength?: number;
 }
 
 /** Why admission refused a request. A refused request did not run. */
