The grace time of a planned stop runs from the signal, not from its handling

What callers saw: requests that a stopping node had read and passed on ended with a closed connection and no answer, because the platform killed the node at the end of the grace time.

Cause: a process that stands still for a moment handles SIGTERM late, and counted its grace time from then. Late by 1 s, it accepted requests for 3.6 s after the signal and meant to end its open ones at 6.7 s; the platform kills at 6 s. The margin covered 0.3 s.

In `plannedStop.test` the two new tests failed with the former line.

The stop begins at the earliest time at which the signal may have come: the beginning of the stall, if the process has just stood still. `node-stopping` logs by how much it was late. Stalls under 0.25 s are covered by the margin.

--- a/packages/host-node/src/HostNode.ts
+++ b/packages/host-node/src/HostNode.ts
@@ -2,7 +2,7 @@
 import type { Logger } from '@hickorybridge/logger';
 import type { PeerPool } from '@hickorybridge/peer-protocol';
 import type { HostEntry, LoadReport } from '@hickorybridge/types';
-import type { Clock, Supervisor } from '@hickorybridge/utils';
+import type { Clock, StallDetector, Supervisor } from '@hickorybridge/utils';
 
 import type { BackendServerRegistry } from './backend/BackendServerRegistry.js';
 import { isListening } from './backend/isListening.js';
@@ -27,6 +27,7 @@
   readonly supervisor: Supervisor;
   /** Resources that are released in this order after the background tasks have ended. */
   readonly disposables: readonly AsyncDisposable[];
+  readonly stallDetector: Pick<StallDetector, 'unreadSince'>;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -134,14 +135,16 @@
   }
 
   async #shutDown(): Promise<void> {
-    const { callers, clock, logger, settings, supervisor } = this.#components;
+    const { callers, clock, logger, settings, stallDetector, supervisor } = this.#components;
     this.#unregisterIfGone();
-    const startedAt = clock.now();
+    // The grace time runs from the signal, which a process that stood still notices late.
+    const startedAt = stallDetector.unreadSince();
     const { graceMilliseconds } = settings.current.bounds;
     const limit = graceMilliseconds - shutdownMarginMilliseconds;
     this.#endsAt = startedAt + limit;
     logger.info('node-stopping', 'the node stops when its open requests are answered', {
       open: callers.open,
+      lateMilliseconds: Math.round(clock.now() - startedAt),
     });
     const waitUntil = async (isReached: (elapsed: number) => boolean) => {
       do await clock.sleep(shutdownPollMilliseconds);
--- a/packages/host-node/src/__tests__/plannedStop.test.ts
+++ b/packages/host-node/src/__tests__/plannedStop.test.ts
@@ -10,7 +10,7 @@
 const toleranceMilliseconds = 10_000;
 
 /** Starts the shutdown of a node with stub components and a clock that runs 100 times faster. */
-function stopNode({ supervisorMilliseconds = 1000 } = {}) {
+function stopNode({ supervisorMilliseconds = 1000, lateMilliseconds = 0 } = {}) {
   const events: string[] = [];
   const state = { openRequests: 0, peerRequests: 0 };
   const disposable = (name: string, milliseconds = 0) => ({
@@ -44,6 +44,7 @@
     pool,
     supervisor: disposable('supervisor', supervisorMilliseconds),
     disposables: [callers, pool],
+    stallDetector: { unreadSince: () => systemClock.now() * speed - lateMilliseconds },
     clock: {
       ...systemClock,
       now: () => systemClock.now() * speed,
@@ -51,7 +52,8 @@
     },
     logger: silentLogger,
   } as unknown as HostNodeComponents;
-  return { events, state, stopped: new HostNode(components).stop() };
+  const node = new HostNode(components);
+  return { events, state, node, stopped: node.stop() };
 }
 
 describe('a planned stop', () => {
@@ -93,4 +95,23 @@
     await stopped;
     assert.ok((systemClock.now() - startedAt) * speed < 10_000 + toleranceMilliseconds);
   });
+
+  // The platform kills the process at the end of the grace time, which runs from the signal.
+  it('guards against requests that are killed with a node that notices the signal late', async () => {
+    const startedAt = systemClock.now() * speed;
+    const { node, state, stopped } = stopNode({ lateMilliseconds: 4000 });
+    state.openRequests = 1;
+    assert.ok((node.endsAt ?? Infinity) < startedAt + 6000 + toleranceMilliseconds / 10);
+    await stopped;
+    assert.equal(state.openRequests, 0);
+  });
+
+  it('guards against requests that a node accepts although its grace time is over', async () => {
+    const startedAt = systemClock.now() * speed;
+    const { events, node, state, stopped } = stopNode({ lateMilliseconds: 60_000 });
+    state.openRequests = 1;
+    assert.ok((node.endsAt ?? Infinity) < startedAt);
+    await stopped;
+    assert.deepEqual(events.slice(0, 2), ['stopped accepting', 'ended open requests']);
+  });
 });
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -17,6 +17,7 @@
 import { HostSelector, HostSubset, RouteWorkEstimator } from '@hickorybridge/routing';
 import {
   HostSpeedModel,
+  StallDetector,
   Supervisor,
   type RandomSource,
   type TimerClock,
@@ -176,6 +177,7 @@
     random: random.fork(),
     logger,
   });
+  const stallDetector = new StallDetector({ clock });
   const callers = new CallersListener({
     router,
     service: () => settings.current.service,
@@ -322,6 +324,7 @@
     metrics,
     supervisor,
     disposables: [
+      stallDetector,
       occupancyReporter,
       pool,
       backendServers,
@@ -333,6 +336,7 @@
       // Last, so that requests on connections that are still open get a refusal until the end.
       callers,
     ],
+    stallDetector,
     clock,
     logger,
   });
