--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -17,6 +17,7 @@
 import { HostSelector, HostSubset, RouteWorkEstimator } from '@hickorybridge/routing';
 import {
   HostSpeedModel,
+  StallDetector,
   Supervisor,
   type RandomSource,
   type TimerClock,
@@ -188,6 +189,7 @@
     random: random.fork(),
     logger,
   });
+  const stallDetector = new StallDetector({ clock });
   const callers = new CallersListener({
     router,
     service: () => settings.current.service,
@@ -336,6 +338,7 @@
     metrics,
     supervisor,
     disposables: [
+      stallDetector,
       occupancyReporter,
       pool,
       backendServers,
@@ -347,6 +350,7 @@
       // Last, so that requests on connections that are still open get a refusal until the end.
       callers,
     ],
+    stallDetector,
     clock,
     logger,
   });
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,6 +1,7 @@
 export * from './HostSpeedModel.js';
 export * from './ListenerOpener.js';
 export * from './ProcessSignals.js';
+export * from './StallDetector.js';
 export * from './Supervisor.js';
 export * from './clock.js';
 export * from './hash.js';
