An exchange that ends before its upload closes its connection

Cause: the answer ends the exchange, its slot and its timer. The rest of the upload is then not granted by a peer any more; its stream ends without an end or an error, and the connection waits for ever. Why it works: whatever ends an exchange passes one place, which closes a connection that lacks a part of its upload.

--- a/packages/host-node/src/__tests__/exchange.property.test.ts
+++ b/packages/host-node/src/__tests__/exchange.property.test.ts
@@ -185,6 +185,7 @@
   await waitFor(() => ends > 0, 'the end of the exchange was not reported');
   clearTimeout(timer);
   await uploading;
+  await waitFor(() => Object.keys(agent.sockets).length === 0, 'a connection is still in use');
   agent.destroy();
   await waitFor(() => server.connections === 0, 'a connection stays open');
   for (const request of server.received) checkRequest(request, caller);
--- a/packages/host-node/src/backend/BackendServerExchange.ts
+++ b/packages/host-node/src/backend/BackendServerExchange.ts
@@ -302,6 +302,9 @@
   #end(served: boolean): void {
     if (this.#endReported) return;
     this.#endReported = true;
+    // A backend server may answer an upload early and read on. Nobody sends the rest any more, and the
+    // connection cannot take another request in its place.
+    if (!this.#request.writableFinished) this.#request.destroy();
     this.#options.onEnd(served);
   }
 }
--- a/packages/stand-ins/src/platformBackend/StandInPlatformBackend.ts
+++ b/packages/stand-ins/src/platformBackend/StandInPlatformBackend.ts
@@ -29,6 +29,8 @@
   /** Sends a complete answer in which the name of one header contains a space. */
   malformedHeader: 'malformed-header',
   error: 'error',
+  /** Answers before it has read the body of a request, keeps the connection and reads on later. */
+  earlyAnswer: 'early-answer',
   /** Bytes without end that are no answer, until the connection is closed. */
   endlessGarbage: 'endless-garbage',
   /** An answer whose headers do not end. */
@@ -55,6 +57,7 @@
   [BackendFault.repeatedRefusal]: '503 Service Unavailable',
   [BackendFault.repeatedMisdirection]: '421 Misdirected Request',
 };
+const readOnAfterMilliseconds = 100;
 const linesInOneWrite = 500;
 /** More than is held back until an answer is complete. */
 const stalledBodyBytes = 256 * 1024;
@@ -80,6 +83,11 @@
 
   connections = 0;
 
+  openConnections = 0;
+
+  /** Bodies of the requests that were answered early, as far as they came, by request id. */
+  readonly lateBodies = new Map<string, Buffer>();
+
   /** Bytes that were sent under the faults without end. */
   endlessBytes = 0;
 
@@ -108,8 +116,12 @@
 
   async start(): Promise<void> {
     this.#server = await listenHttp((request, response) => this.#handle(request, response));
-    this.#server.on('connection', () => {
+    this.#server.on('connection', (socket) => {
       this.connections += 1;
+      this.openConnections += 1;
+      socket.once('close', () => {
+        this.openConnections -= 1;
+      });
     });
   }
 
@@ -120,6 +132,10 @@
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const requestId = String(request.headers['request-id'] ?? '');
     this.headers.push(request.headers);
+    if (this.fault === BackendFault.earlyAnswer) {
+      this.#answerEarly(requestId, request, response);
+      return;
+    }
     const body = await buffer(request);
     if (request.headers['target-instance'] !== this.id) {
       response.writeHead(421, { 'instance-id': this.id, 'request-id': requestId }).end();
@@ -137,6 +153,24 @@
     this.#answer(requestId, body, response);
   }
 
+  #answerEarly(requestId: string, request: IncomingMessage, response: ServerResponse): void {
+    this.ran.push(requestId);
+    this.lateBodies.set(requestId, Buffer.alloc(0));
+    request.on('data', (chunk: Buffer) => {
+      const earlier = this.lateBodies.get(requestId) ?? Buffer.alloc(0);
+      this.lateBodies.set(requestId, Buffer.concat([earlier, chunk]));
+    });
+    request.pause();
+    setTimeout(() => request.resume(), readOnAfterMilliseconds);
+    const text = `answer to ${requestId} `;
+    response.writeHead(200, {
+      'request-id': requestId,
+      'response-signature': 'signed',
+      'content-length': text.length,
+    });
+    response.end(text);
+  }
+
   /** Rejects the first request of a connection; for later ones only writes that rejection again. */
   #repeatsRejection(socket: Socket, requestId: string): boolean {
     const status = repeatedRejectionStatuses[this.fault];
