Fuzz the bodies between nodes

Not played: several requests on one connection, congestion of the socket, the handshake, the callers' side.

--- a/scripts/fuzz.mjs
+++ b/scripts/fuzz.mjs
@@ -11,7 +11,11 @@
 console.log(`seed ${values.seed}, ${values.seconds} s`);
 const { status } = spawnSync(
   process.execPath,
-  ['--test', 'packages/host-node/dist/__tests__/exchange.property.test.js'],
+  [
+    '--test',
+    'packages/host-node/dist/__tests__/exchange.property.test.js',
+    'packages/peer-protocol/dist/__tests__/peer.property.test.js',
+  ],
   {
     env: { ...process.env, FUZZ_SEED: values.seed, FUZZ_SECONDS: values.seconds },
     stdio: 'inherit',
