Take off the time for which a request lay unread while the node stood still

While the process is paused or gets no processor, a request lies in the socket, and Deadline-Ms was too long by up to the whole pause.

StallDetector keeps a heartbeat. After a gap, what is read until the event loop has gone three turns without reading or accepting anything, but for one second at most, counts as arrived when the gap began. The time of day shows the gap of a suspended host, whose monotonic clock stands still. A forward step of the time of day looks the same; it shortens the deadlines of the requests that are read in those turns and of no others.

--- a/packages/host-node/src/__tests__/CallersListener.test.ts
+++ b/packages/host-node/src/__tests__/CallersListener.test.ts
@@ -33,6 +33,7 @@
     isNestedCall: () => false,
     endsAt: () => endsAt,
     onFinished: (exchange) => finished.push(exchange),
+    stallDetector: { recordActivity: () => {}, unreadSince: () => systemClock.now() },
     clock: systemClock,
     logger: createLogger({
       level: 'info',
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -2,7 +2,7 @@
 import { HeaderNames } from '@hickorybridge/platform';
 import { maxWholeBodyBytes, type RequestBody } from '@hickorybridge/peer-protocol';
 import type { CallerLimits, Route, SocketAddress } from '@hickorybridge/types';
-import type { Clock } from '@hickorybridge/utils';
+import type { Clock, StallDetector } from '@hickorybridge/utils';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
 import { endToEndHeaders, findMalformedName } from '../headers.js';
@@ -21,6 +21,7 @@
   /** When the node ends, in monotonic milliseconds; `undefined` unless it is shutting down. */
   readonly endsAt: () => number | undefined;
   readonly onFinished: (exchange: FinishedRequest) => void;
+  readonly stallDetector: Pick<StallDetector, 'recordActivity' | 'unreadSince'>;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -75,6 +76,7 @@
     this.#server = createServer({ maxHeaderSize: maxParsedHeaderBytes, noDelay: true });
     this.#server.keepAliveTimeout = defaultIdleMilliseconds + idleMarginMilliseconds;
     this.#server.requestTimeout = 0;
+    this.#server.on('connection', () => options.stallDetector.recordActivity());
     this.#server.on('request', (request, response) => this.#answer(request, response));
     this.#server.on('clientError', (_error, socket) => socket.destroy());
   }
@@ -120,8 +122,9 @@
 
   /** Handles a request. Every request is answered, also when an operation fails unexpectedly. */
   async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { clock, endsAt, onFinished } = this.#options;
-    const arrivedAt = clock.now();
+    const { clock, endsAt, onFinished, stallDetector } = this.#options;
+    // The caller's time runs while its request lies unread.
+    const arrivedAt = stallDetector.unreadSince();
     const cancellation = new AbortController();
     this.#openRequests.set(response, cancellation);
     response.once('close', () => {
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -17,6 +17,7 @@
 import { HostSelector, HostSubset, RouteWorkEstimator } from '@hickorybridge/routing';
 import {
   HostSpeedModel,
+  StallDetector,
   Supervisor,
   type RandomSource,
   type TimerClock,
@@ -183,6 +184,7 @@
     random: random.fork(),
     logger,
   });
+  const stallDetector = new StallDetector({ clock });
   const callers = new CallersListener({
     router,
     service: () => settings.current.service,
@@ -193,6 +195,7 @@
       const { depth, milliseconds, requestId } = finished;
       if (depth > 0) backendServers.recordNestedCall(requestId, milliseconds);
     },
+    stallDetector,
     clock,
     logger,
   });
@@ -322,6 +325,7 @@
     supervisor,
     disposables: [
       callers,
+      stallDetector,
       occupancyReporter,
       pool,
       backendServers,
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,3 +1,4 @@
+export * from './StallDetector.js';
 export * from './Supervisor.js';
 export * from './HostSpeedModel.js';
 export * from './clock.js';
