Correct the clock difference to a peer after a suspension of the own host

Cause: deadlines between nodes are times of the sender's monotonic clock. The receiver keeps the largest difference that heartbeats have shown in 30 to 60 s. While its own host is suspended, its clock stands still, so that the difference of before is too large by the whole suspension. Heartbeats are sent only in silence, so that under steady traffic not even the window moved on.

On processes this was not run: SIGSTOP does not stop the monotonic clock.

A message that was sent when the peer's clock showed c, and is read now, bounds the difference from above by now - c. Heartbeats carry the clock already; the frame that opens a request carries it from now on, so that the request itself corrects the difference. Older nodes leave it out.

--- a/packages/peer-protocol/src/ClockOffset.ts
+++ b/packages/peer-protocol/src/ClockOffset.ts
@@ -32,6 +32,18 @@
     this.#roundTrip = Math.min(this.#roundTrip, now - sentAt);
   }
 
+  /**
+   * Takes in a message that was sent when the peer's clock showed `peerClock` and is read at `now`.
+   * The true difference is at most `now - peerClock`. An estimate above that is outdated: the own
+   * clock stood still since, which it does while its host is suspended.
+   */
+  limit(peerClock: number, now: number): void {
+    const bound = now - peerClock;
+    if (Math.max(this.#current, this.#previous) <= bound) return;
+    this.#current = bound;
+    this.#previous = Number.NEGATIVE_INFINITY;
+  }
+
   /** Shortest time from a message to its answer, in milliseconds; `undefined` before the first. */
   get roundTripMilliseconds(): number | undefined {
     return Number.isFinite(this.#roundTrip) ? this.#roundTrip : undefined;
--- a/packages/peer-protocol/src/PeerConnection.ts
+++ b/packages/peer-protocol/src/PeerConnection.ts
@@ -184,7 +184,8 @@
     const stream = new OutgoingStream(this, number, head.idempotent);
     this.#outgoing.set(number, stream);
     try {
-      this.send(createOpenFrame(number, head, body));
+      const { clock } = this.#options;
+      this.send({ ...createOpenFrame(number, head, body), clock: clock.now() });
     } catch (error) {
       // A frame is encoded before any of it is written.
       this.#outgoing.delete(number);
@@ -405,6 +406,7 @@
         this.#incoming.get(frame.stream)?.cancel();
         return undefined;
       case FrameType.heartbeat:
+        this.#limitClockOffset(frame.clock);
         this.#replyToHeartbeat(frame.clock);
         return undefined;
       case FrameType.heartbeatReply:
@@ -436,6 +438,7 @@
     if (frame.stream % 2 === ownParity) return `stream ${frame.stream} belongs to this side`;
     this.#highestIncomingStream = frame.stream;
     const { clockOffset } = this.#options.introduction;
+    if (frame.clock !== undefined) this.#limitClockOffset(frame.clock);
     const deadline = clockOffset.toOwnClock(frame.head.deadline);
     const { usefulUntil: peerTime } = frame.head;
     const usefulUntil = peerTime === undefined ? undefined : clockOffset.toOwnClock(peerTime);
@@ -489,6 +492,11 @@
     const now = this.#options.clock.now();
     // An echoed clock from the future was not sent by this process and would extend deadlines.
     if (sentAt <= now) this.#options.introduction.clockOffset.addSample(sentAt, peerClock, now);
+    this.#limitClockOffset(peerClock);
+  }
+
+  #limitClockOffset(peerClock: number): void {
+    this.#options.introduction.clockOffset.limit(peerClock, this.#options.clock.now());
   }
 
   async #answerCall(call: number, name: string, body: unknown): Promise<void> {
--- a/packages/peer-protocol/src/frame.ts
+++ b/packages/peer-protocol/src/frame.ts
@@ -79,6 +79,8 @@
   readonly bodyMode: (typeof BodyMode)[keyof typeof BodyMode];
   /** The whole body when the mode is `inline`. */
   readonly body: Buffer | undefined;
+  /** The sender's monotonic clock; older senders leave it out. */
+  readonly clock?: number | undefined;
 }
 
 export interface BodyFrame {
--- a/packages/peer-protocol/src/frameCodec.ts
+++ b/packages/peer-protocol/src/frameCodec.ts
@@ -86,7 +86,14 @@
     case FrameType.rejection:
       return [frame.type, frame.reason];
     case FrameType.open:
-      return [frame.type, frame.stream, headToWire(frame.head), frame.bodyMode, frame.body ?? null];
+      return [
+        frame.type,
+        frame.stream,
+        headToWire(frame.head),
+        frame.bodyMode,
+        frame.body ?? null,
+        frame.clock ?? null,
+      ];
     case FrameType.body:
       return [frame.type, frame.stream, frame.data, frame.end];
     case FrameType.credit:
@@ -244,8 +251,13 @@
   if (bodyMode !== BodyMode.none && bodyMode !== BodyMode.inline && bodyMode !== BodyMode.stream) {
     throw new TypeError(`body mode ${bodyMode} is not known`);
   }
-  const body = bodyMode === BodyMode.inline ? reader.bytes() : undefined;
-  return { type: FrameType.open, stream, head: headFromWire(head), bodyMode, body };
+  const inline = reader.optionalBytes();
+  if (bodyMode === BodyMode.inline && inline === undefined) {
+    throw new TypeError('an open frame has no inline body');
+  }
+  const body = bodyMode === BodyMode.inline ? inline : undefined;
+  const clock = reader.optionalNumber();
+  return { type: FrameType.open, stream, head: headFromWire(head), bodyMode, body, clock };
 }
 
 function headFromWire(reader: WireReader): RequestHead {
