Send no request whose head is older than the wait for its connection

A connection may take up to 1 s, e.g. when its opening packet was dropped, or a slot of the agent is awaited.

Evidence: BackendServerExchange.test delays a connection by 0.7 s; before, the backend server was told 1999 ms with 1262 ms left.

A head that is more than 0.4 s old when the connection comes is not sent. The request counts as not run and goes to another host without taking a retry, since nothing of it has reached the backend server.

--- a/packages/host-node/src/__tests__/BackendServerExchange.test.ts
+++ b/packages/host-node/src/__tests__/BackendServerExchange.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { PassThrough, type Readable } from 'node:stream';
 import { buffer } from 'node:stream/consumers';
 import { describe, it, type TestContext } from 'node:test';
@@ -22,12 +22,15 @@
   t: TestContext,
   answer: (request: IncomingMessage, response: ServerResponse) => void,
   body: ExchangeOptions['body'] = { type: 'none' },
-  { onEnd = () => {}, onLoad = () => {} }: Partial<ExchangeOptions> = {},
+  {
+    agent = new ConnectionAgent(1),
+    onEnd = () => {},
+    onLoad = () => {},
+  }: Partial<ExchangeOptions> = {},
 ) {
   const server = createServer(answer);
   server.listen(0, host);
   await once(server, 'listening');
-  const agent = new ConnectionAgent(1);
   t.after(() => {
     agent.destroy();
     server.closeAllConnections();
@@ -71,6 +74,34 @@
 }
 
 describe('BackendServerExchange', () => {
+  it('late connection: guards against a deadline from before the wait for the connection', async (t) => {
+    const waitMilliseconds = 700;
+    const agent = new ConnectionAgent(1);
+    const deadlines: { readonly sent: number; readonly left: number }[] = [];
+    const startedAt = systemClock.now();
+    const answer = (request: IncomingMessage, response: ServerResponse) => {
+      const left = startedAt + 2000 - systemClock.now();
+      deadlines.push({ sent: Number(request.headers['deadline-ms']), left });
+      response.writeHead(200, { ...headers, 'content-length': 0 }).end();
+    };
+    const { createConnection } = agent;
+    agent.createConnection = (...parameters) => {
+      const socket = createConnection.apply(agent, parameters) as Socket;
+      // Like an opening packet that was dropped and is sent again.
+      const emit = socket.emit.bind(socket) as (...all: unknown[]) => boolean;
+      socket.emit = (event: string | symbol, ...values: unknown[]) => {
+        if (event !== 'connect') return emit(event, ...values);
+        setTimeout(() => emit(event, ...values), waitMilliseconds);
+        return true;
+      };
+      return socket;
+    };
+    const exchange = await startExchange(t, answer, { type: 'none' }, { agent });
+    const outcome = await exchange.outcome;
+    for (const { left, sent } of deadlines) assert.ok(sent < left + 500, `${sent} of ${left} ms`);
+    assert.ok(outcome.type === 'answered' || outcome.type === 'not-run');
+  });
+
   // Node.js drops what an answer has buffered when its request is destroyed, and still marks the answer
   // as complete if its last byte had been parsed.
   it('guards against an answer that lacks its end and looks complete, after a cancellation', async (t) => {
--- a/packages/host-node/src/backend/BackendServerExchange.ts
+++ b/packages/host-node/src/backend/BackendServerExchange.ts
@@ -57,6 +57,12 @@
 const maxRejectionBytes = 64 * 1024;
 const bodilessStatuses: readonly number[] = [204, 304];
 
+/**
+ * The head is complete before there is a connection, and states the time that was left then. It is
+ * not sent if a connection took longer than this.
+ */
+const maxHeadAgeMilliseconds = 400;
+
 /** Sends one request to the backend server of this host and receives its answer. */
 export class BackendServerExchange {
   readonly outcome: Promise<ExchangeOutcome>;
@@ -74,6 +80,9 @@
   /** True once bytes of the request may have reached the backend server. */
   #mayHaveSent = false;
 
+  /** When the head was made. */
+  #headAt = 0;
+
   #answer: IncomingMessage | undefined;
 
   #cancelCause: LossCause | undefined;
@@ -139,7 +148,11 @@
   }
 
   #handleConnect(outgoing: ClientRequest): void {
-    const { body } = this.#options;
+    const { body, clock } = this.#options;
+    if (clock.now() - this.#headAt > maxHeadAgeMilliseconds) {
+      outgoing.destroy(new Error('the connection came too late'));
+      return;
+    }
     // A streamed body is taken only now, so that it can be sent elsewhere when the connection fails.
     const stream = body.type === 'stream' ? body.source.take() : undefined;
     if (body.type === 'stream' && stream === undefined) {
@@ -153,7 +166,8 @@
 
   #headers(): string[] {
     const { body, clock, head } = this.#options;
-    const remaining = Math.max(1, Math.floor(head.deadline - clock.now()));
+    this.#headAt = clock.now();
+    const remaining = Math.max(1, Math.floor(head.deadline - this.#headAt));
     const headers = [
       ...head.headers,
       HeaderNames.remainingMilliseconds,
