Test that a late repeat keeps the deadline of the first attempt

No fault was found: a request has one deadline on the monotonic clock, and each attempt states what is left of it. The test repeats a request after 0.6 s and compares the deadlines of both attempts.

--- a/packages/host-node/src/__tests__/retryAllowance.test.ts
+++ b/packages/host-node/src/__tests__/retryAllowance.test.ts
@@ -66,7 +66,7 @@
 
 /** A router of one node, which counts the attempts that it sends. */
 function createRouter(overrides: Partial<RouterOverrides> = {}) {
-  const state = { sent: 0 };
+  const state = { sent: 0, deadlines: [] as number[] };
   const choose = (_request: CallerRequest, excluded: ReadonlySet<string>) =>
     ['one', 'two', 'three', 'four']
       .filter((nodeId) => !excluded.has(nodeId))
@@ -78,8 +78,9 @@
   routeWorkEstimator.record(route.name, 5);
   const router = new RequestRouter({
     hosts: { choose, chooseFree, shortestWait: () => 0 } as unknown as HostChoice,
-    send: async (nodeId) => {
+    send: async (nodeId, { deadline }) => {
       state.sent += 1;
+      state.deadlines.push(deadline);
       return overrides.send === undefined ? serverError : overrides.send(nodeId);
     },
     bounds: {
@@ -161,4 +162,17 @@
     await Promise.all(Array.from({ length: 100 }, sendRequest));
     assert.ok(state.sent <= 100 + 0.1 * 100 + retrySlack / nodes, `${state.sent} arrivals`);
   });
+
+  it('late repeat: guards against a deadline that ends after that of the first attempt', async () => {
+    const { sendRequest, state } = createRouter({
+      chooseFree: async () => undefined,
+      send: async () => {
+        await sleep(600);
+        return serverError;
+      },
+    });
+    await sendRequest();
+    assert.equal(new Set(state.deadlines).size, 1);
+    assert.ok(state.sent > 1, 'the request was not repeated');
+  });
 });
