--- a/packages/host-node/src/__tests__/stoppingConnections.test.ts
+++ b/packages/host-node/src/__tests__/stoppingConnections.test.ts
@@ -30,6 +30,7 @@
     isNestedCall: () => false,
     endsAt: () => endsAt,
     onFinished: () => {},
+    stallDetector: { recordActivity: () => {}, unreadSince: () => systemClock.now() },
     clock: systemClock,
     logger: silentLogger,
   });
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -2,7 +2,12 @@
 import { HeaderNames } from '@hickorybridge/platform';
 import { maxWholeBodyBytes, type RequestBody } from '@hickorybridge/peer-protocol';
 import type { CallerLimits, Route, Result, SocketAddress } from '@hickorybridge/types';
-import { ListenerOpener, type Clock, type ListenError } from '@hickorybridge/utils';
+import {
+  ListenerOpener,
+  type Clock,
+  type ListenError,
+  type StallDetector,
+} from '@hickorybridge/utils';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
 import { endToEndHeaders, findMalformedName } from '../headers.js';
@@ -21,6 +26,7 @@
   /** When the node ends, in monotonic milliseconds; `undefined` unless it is shutting down. */
   readonly endsAt: () => number | undefined;
   readonly onFinished: (exchange: FinishedRequest) => void;
+  readonly stallDetector: Pick<StallDetector, 'recordActivity' | 'unreadSince'>;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -75,6 +81,7 @@
     this.#server = createCallersServer({ maxHeaderSize: maxParsedHeaderBytes, noDelay: true });
     this.#server.keepAliveTimeout = defaultIdleMilliseconds + idleMarginMilliseconds;
     this.#server.requestTimeout = 0;
+    this.#server.on('connection', () => options.stallDetector.recordActivity());
     this.#server.on('request', (request, response) => this.#accept(request, response));
     this.#server.on('clientError', (_error, socket) => socket.destroy());
   }
@@ -125,7 +132,8 @@
    * and then the request must not run.
    */
   #accept(request: IncomingMessage, response: ServerResponse): void {
-    const arrivedAt = this.#options.clock.now();
+    // The caller's time runs while its request lies unread.
+    const arrivedAt = this.#options.stallDetector.unreadSince();
     const answer = () => this.#answer(request, response, arrivedAt);
     if (response.socket === null) response.once('socket', answer);
     else answer();
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -200,6 +200,7 @@
       const { depth, milliseconds, requestId } = finished;
       if (depth > 0) backendServers.recordNestedCall(requestId, milliseconds);
     },
+    stallDetector,
     clock,
     logger,
   });
--- a/packages/utils/src/StallDetector.ts
+++ b/packages/utils/src/StallDetector.ts
@@ -19,7 +19,7 @@
 /** The event loop may accept one connection in each turn, and reads it in the turn after. */
 const quietTurnsAtEnd = 3;
 /** A loop that is always busy has no quiet turns. */
-const maxCatchUpMilliseconds = 300;
+const maxCatchUpMilliseconds = 1000;
 
 /**
  * Notices that the process stood still, e.g. stopped by a signal, without a processor, or on a
