The bundle of the node is one file again

Cause: the start was split into two files, so that signals are handled before the other modules are loaded. A copy of the first file alone ends with code 1: a run of the soak with such a copy had 1,810 ends in 50 s.

Change: the main part is bundled on its own and held in the same file as one module, which runs when it is imported.

Measured: processStart.test 12 of 12, with the signal at the first module that the program loads.

--- a/scripts/bundleHostNode.mjs
+++ b/scripts/bundleHostNode.mjs
@@ -1,12 +1,10 @@
-// Bundles the node for a platform host, so that it starts without a search for modules: a small file
-// that handles the signals, and one with all other modules, which the first loads. Takes the path of
-// the first; the second stands beside it.
+// Bundles the node for a platform host into one file, so that it starts without a search for modules.
+// Takes the path of the file.
 import { build } from 'esbuild';
 import path from 'node:path';
 
 const root = path.resolve(import.meta.dirname, '..');
-const outputFile = path.resolve(process.argv[2] ?? path.join(root, 'target/hickorybridge.cjs'));
-const mainFile = outputFile.replace(/(\.cjs)?$/, '-main.cjs');
+const sourceOf = (name) => path.join(root, 'packages/host-node/dist', name);
 
 const options = {
   bundle: true,
@@ -23,26 +21,28 @@
   external: ['cbor-extract'],
 };
 
-/** Leaves `main.js` out of the bundle of its importer and names the bundle that replaces it. */
-const separateMain = {
-  name: 'separate-main',
-  setup: ({ onResolve }) =>
-    onResolve({ filter: /^\.\/main\.js$/ }, () => ({
-      path: `./${path.basename(mainFile)}`,
-      external: true,
-    })),
+const main = await build({ ...options, entryPoints: [sourceOf('main.js')], write: false });
+
+/**
+ * Takes `main.js` and all that it imports as one CommonJS module, which runs when it is imported. Else
+ * modules that both files import would be loaded before the signals are handled.
+ */
+const loadMainLate = {
+  name: 'load-main-late',
+  setup: ({ onLoad, onResolve }) => {
+    onResolve({ filter: /^\.\/main\.js$/ }, ({ path: name }) => ({
+      path: name,
+      namespace: 'late',
+    }));
+    onLoad({ filter: /./, namespace: 'late' }, () => ({ contents: main.outputFiles[0].text }));
+  },
 };
 
 await build({
   ...options,
-  entryPoints: [path.join(root, 'packages/host-node/dist/main.js')],
-  outfile: mainFile,
-});
-await build({
-  ...options,
-  entryPoints: [path.join(root, 'packages/host-node/dist/bin.js')],
-  outfile: outputFile,
-  plugins: [separateMain],
+  entryPoints: [sourceOf('bin.js')],
+  outfile: path.resolve(process.argv[2] ?? path.join(root, 'target/hickorybridge.cjs')),
+  plugins: [loadMainLate],
   // An import() would load the module loader of Node.js for ES modules first.
   supported: { 'dynamic-import': false },
 });
