Calls below a repeated run use up the retries of the service that they call

Cause: a host did not know that a request which it runs is a repeat, so its nested calls took nothing from any allowance.

Change: the head of a request says whether it is a repeat or belongs to one; the calls that such a run makes are counted against the retries of their service for a window. They are not held back, so what they exceed the allowance by is not bounded.

Not yet shown on real processes.

--- a/packages/coordination/src/SharedRetryBudget.ts
+++ b/packages/coordination/src/SharedRetryBudget.ts
@@ -16,8 +16,8 @@
   readonly clock: Pick<Clock, 'now'>;
 }
 
-/** Retries earned by first attempts within one step of time. */
-interface EarnedRetries {
+/** Retries that were earned or made within one step of time. */
+interface RetryCount {
   readonly startedAt: number;
   amount: number;
 }
@@ -46,9 +46,11 @@
   readonly #startedAt: number;
 
   /** Oldest first. */
-  readonly #earned: EarnedRetries[] = [];
+  readonly #earned: RetryCount[] = [];
+
+  /** Retries that were made without a permission, oldest first. */
+  readonly #unpermitted: RetryCount[] = [];
 
-  /** Negative after retries that were made without a permission. */
   #slack = 0;
 
   #refilledAt: number;
@@ -68,15 +70,8 @@
   }
 
   recordFirstAttempt(): void {
-    const { clock, share, windowMilliseconds } = this.#options;
     this.#refill();
-    const now = clock.now();
-    const last = this.#earned.at(-1);
-    if (last !== undefined && now - last.startedAt < windowMilliseconds / stepsPerWindow) {
-      last.amount += share;
-    } else {
-      this.#earned.push({ startedAt: now, amount: share });
-    }
+    this.#count(this.#earned, this.#options.share);
     this.#trim();
   }
 
@@ -88,9 +83,19 @@
 
   recordRetry(): void {
     this.#refill();
-    this.#take(1);
-    // A debt that is older than a window is of no concern any more.
-    this.#slack = Math.max(this.#slack, -this.#maxTotal());
+    this.#count(this.#unpermitted, 1);
+  }
+
+  /** Adds to the newest step of a list. */
+  #count(steps: RetryCount[], amount: number): void {
+    const { clock, windowMilliseconds } = this.#options;
+    const now = clock.now();
+    const last = steps.at(-1);
+    if (last !== undefined && now - last.startedAt < windowMilliseconds / stepsPerWindow) {
+      last.amount += amount;
+    } else {
+      steps.push({ startedAt: now, amount });
+    }
   }
 
   #take(count: number): void {
@@ -104,7 +109,7 @@
   }
 
   #total(): number {
-    return this.#earned.reduce((sum, { amount }) => sum + amount, this.#slack);
+    return this.#slack + sumOf(this.#earned) - sumOf(this.#unpermitted);
   }
 
   /** This member's part of the slack. */
@@ -134,6 +139,11 @@
     this.#slack = Math.min(this.#slack + earned * ownSlack, ownSlack * savedSlackShare);
     // The step may hold first attempts up to its end, but all of them expire with its start.
     while (now - (this.#earned[0]?.startedAt ?? now) >= windowMilliseconds) this.#earned.shift();
+    // One step longer, so that none expires early.
+    const unpermittedMilliseconds = windowMilliseconds * (1 + 1 / stepsPerWindow);
+    while (now - (this.#unpermitted[0]?.startedAt ?? now) >= unpermittedMilliseconds) {
+      this.#unpermitted.shift();
+    }
     this.#trim();
   }
 
@@ -148,3 +158,7 @@
     }
   }
 }
+
+function sumOf(steps: readonly RetryCount[]): number {
+  return steps.reduce((sum, { amount }) => sum + amount, 0);
+}
--- a/packages/host-node/src/__tests__/CallersListener.test.ts
+++ b/packages/host-node/src/__tests__/CallersListener.test.ts
@@ -31,6 +31,7 @@
     router,
     service: () => 'desk',
     isNestedCall: () => false,
+    isBelowRepeat: () => false,
     endsAt: () => endsAt,
     onFinished: (exchange) => finished.push(exchange),
     stallDetector: { recordActivity: () => {}, unreadSince: () => systemClock.now() },
--- a/packages/host-node/src/__tests__/stoppingConnections.test.ts
+++ b/packages/host-node/src/__tests__/stoppingConnections.test.ts
@@ -28,6 +28,7 @@
     router,
     service: () => 'desk',
     isNestedCall: () => false,
+    isBelowRepeat: () => false,
     endsAt: () => endsAt,
     onFinished: () => {},
     stallDetector: { recordActivity: () => {}, unreadSince: () => systemClock.now() },
--- a/packages/host-node/src/backend/BackendServerRegistry.ts
+++ b/packages/host-node/src/backend/BackendServerRegistry.ts
@@ -108,6 +108,11 @@
     return this.#current?.isNestedCall(requestId) ?? false;
   }
 
+  /** Whether the id is that of a call made by a run that repeats another one. */
+  isBelowRepeat(requestId: string): boolean {
+    return this.#current?.isBelowRepeat(requestId) ?? false;
+  }
+
   /** Records the duration of a finished call that a running request may have made. */
   recordNestedCall(requestId: string, milliseconds: number): void {
     this.#current?.recordNestedCall(requestId, milliseconds);
--- a/packages/host-node/src/backend/LocalBackendServer.ts
+++ b/packages/host-node/src/backend/LocalBackendServer.ts
@@ -34,6 +34,11 @@
 }
 
 /** Totals of the finished calls that one request made. */
+interface RunningRequest {
+  readonly calls: NestedCallTotals;
+  readonly isRepeat: boolean;
+}
+
 interface NestedCallTotals {
   count: number;
   /** Sum of the durations of the calls, which may overlap. */
@@ -71,8 +76,8 @@
 
   readonly #agent: ConnectionAgent;
 
-  /** Nested call totals of the running requests, by request id. */
-  readonly #running = new Map<string, NestedCallTotals>();
+  /** The running requests, by request id. */
+  readonly #running = new Map<string, RunningRequest>();
 
   #leaving = false;
 
@@ -116,12 +121,17 @@
 
   /** A nested call has the id of its parent request, a dot and an id of its own. */
   isNestedCall(requestId: string): boolean {
-    return this.#callsOfParent(requestId) !== undefined;
+    return this.#parentOf(requestId) !== undefined;
+  }
+
+  /** Whether the id is that of a call made by a run that repeats another one. */
+  isBelowRepeat(requestId: string): boolean {
+    return this.#parentOf(requestId)?.isRepeat ?? false;
   }
 
   /** Records the duration of a call, if its parent request is running here. */
   recordNestedCall(requestId: string, milliseconds: number): void {
-    const calls = this.#callsOfParent(requestId);
+    const calls = this.#parentOf(requestId)?.calls;
     if (calls === undefined) return;
     calls.count += 1;
     calls.milliseconds += milliseconds;
@@ -190,7 +200,7 @@
     speed.observe(workFactor, clock.now());
   }
 
-  #callsOfParent(requestId: string): NestedCallTotals | undefined {
+  #parentOf(requestId: string): RunningRequest | undefined {
     const end = requestId.lastIndexOf('.');
     return end > 0 ? this.#running.get(requestId.slice(0, end)) : undefined;
   }
@@ -203,7 +213,7 @@
       permit.release();
       return { type: 'not-run', reason: NotRunReason.cancelled };
     }
-    this.#running.set(head.requestId, calls);
+    this.#running.set(head.requestId, { calls, isRepeat: head.isRepeat ?? false });
     let timer: NodeJS.Timeout | undefined;
     const onEnd = (served: boolean) => {
       clearTimeout(timer);
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -23,6 +23,8 @@
   readonly service: () => string;
   /** Whether a request is a call that the backend server makes while it runs another request. */
   readonly isNestedCall: (requestId: string) => boolean;
+  /** Whether a nested call belongs to a run that repeats another one. */
+  readonly isBelowRepeat: (requestId: string) => boolean;
   /** When the node ends, in monotonic milliseconds; `undefined` unless it is shutting down. */
   readonly endsAt: () => number | undefined;
   readonly onFinished: (exchange: FinishedRequest) => void;
@@ -284,6 +286,7 @@
       deadline,
       callerDeadline: arrivedAt + remaining,
       depth,
+      isBelowRepeat: depth > 0 && this.#options.isBelowRepeat(requestId),
       signal,
     };
   }
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -194,6 +194,7 @@
     router,
     service: () => settings.current.service,
     isNestedCall: (requestId) => backendServers.isNestedCall(requestId),
+    isBelowRepeat: (requestId) => backendServers.isBelowRepeat(requestId),
     endsAt: () => node.endsAt,
     onFinished: (finished) => {
       telemetry.recordFinishedRequest(finished);
--- a/packages/host-node/src/routing/CallerRequest.ts
+++ b/packages/host-node/src/routing/CallerRequest.ts
@@ -21,6 +21,8 @@
   readonly callerDeadline: number;
   /** 1 for a call that a backend server makes while it runs a request, otherwise 0. */
   readonly depth: number;
+  /** Whether it is a nested call of a run that repeats another one, so that it is a repeat itself. */
+  readonly isBelowRepeat?: boolean;
   /** Aborted when the caller disconnects, or with the reason `stopping` when this node ends. */
   readonly signal: AbortSignal;
 }
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -93,9 +93,10 @@
   /** Routes the request. The caller gets an outcome by the deadline even if no host answers. */
   async run(): Promise<CallerOutcome> {
     const { clock } = this.#options;
-    const { deadline, depth, service, signal } = this.#request;
-    // Nested calls add nothing to the retry budget, since they may stem from retries themselves.
+    const { deadline, depth, isBelowRepeat, service, signal } = this.#request;
+    // Nested calls add nothing to the retry budget. Those of a repeated run use it up.
     if (depth === 0) this.#options.retryBudgetFor(service).recordFirstAttempt();
+    else if (isBelowRepeat === true) this.#options.retryBudgetFor(service).recordRetry();
     return new Promise((resolve) => {
       const settle = (outcome: CallerOutcome) => {
         resolve(outcome);
@@ -216,8 +217,18 @@
 
   #headFor(nodeId: string, backendServerId: string): RequestHead {
     const { routeWorkEstimator } = this.#options;
-    const { deadline, depth, headers, method, requestId, route, service, target, usefulUntil } =
-      this.#request;
+    const {
+      deadline,
+      depth,
+      headers,
+      isBelowRepeat,
+      method,
+      requestId,
+      route,
+      service,
+      target,
+      usefulUntil,
+    } = this.#request;
     return {
       requestId,
       service,
@@ -236,6 +247,7 @@
         route.targetMilliseconds,
       ),
       depth,
+      isRepeat: isBelowRepeat === true || this.#backendAttempts > 1,
       attempts: 1,
     };
   }
--- a/packages/peer-protocol/src/WireReader.ts
+++ b/packages/peer-protocol/src/WireReader.ts
@@ -54,6 +54,14 @@
     throw this.#wrongType('a string', item);
   }
 
+  /** False if the field is missing, as in frames of older nodes. */
+  optionalFlag(): boolean {
+    const item = this.#items[this.#position];
+    if (item !== undefined && item !== null) return this.boolean();
+    this.#position += 1;
+    return false;
+  }
+
   boolean(): boolean {
     const item = this.any();
     if (typeof item === 'boolean') return item;
--- a/packages/peer-protocol/src/__tests__/frameCodec.test.ts
+++ b/packages/peer-protocol/src/__tests__/frameCodec.test.ts
@@ -1,9 +1,10 @@
-import type { AnswerHead, LoadReport } from '@hickorybridge/types';
+import type { AnswerHead, LoadReport, RequestHead } from '@hickorybridge/types';
 import { decode, encode } from 'cbor-x';
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
 import {
+  BodyMode,
   decodeFrame,
   encodeFrame,
   FrameType,
@@ -72,4 +73,41 @@
       assert.equal(decodeFrame(encode([...fieldsOfVersion4, length])).ok, false);
     }
   });
+
+  // Calls of a repeated run count as repeats, so the host that runs it has to know.
+  it('guards against a repeat that another node does not know as one', () => {
+    const head: RequestHead = {
+      requestId: 'r',
+      service: 'desk',
+      backendServerId: 'b',
+      incarnation: 0,
+      kind: 'reads',
+      idempotent: true,
+      weight: 1,
+      method: 'GET',
+      target: '/',
+      headers: [],
+      deadline: 100,
+      depth: 0,
+      attempts: 1,
+    };
+    const isRepeatIn = (data: Buffer) => {
+      const decoded = decodeFrame(data);
+      assert.ok(decoded.ok && decoded.value.type === FrameType.open);
+      return decoded.value.head.isRepeat ?? false;
+    };
+    const encoded = [true, false].map((isRepeat) =>
+      encodeFrame({
+        type: FrameType.open,
+        stream: 1,
+        head: { ...head, isRepeat },
+        bodyMode: BodyMode.none,
+        body: undefined,
+        clock: 5,
+      }).subarray(lengthPrefixBytes),
+    );
+    assert.deepEqual(encoded.map(isRepeatIn), [true, false]);
+    const fieldsOfOlderNode = (decode(encoded[0] as Buffer) as unknown[]).slice(0, -1);
+    assert.equal(isRepeatIn(encode(fieldsOfOlderNode)), false);
+  });
 });
--- a/packages/peer-protocol/src/frameCodec.ts
+++ b/packages/peer-protocol/src/frameCodec.ts
@@ -94,6 +94,7 @@
         frame.bodyMode,
         frame.body ?? null,
         frame.clock ?? null,
+        frame.head.isRepeat === true,
       ];
     case FrameType.body:
       return [frame.type, frame.stream, frame.data, frame.end];
@@ -275,7 +276,15 @@
   }
   const body = bodyMode === BodyMode.inline ? inline : undefined;
   const clock = reader.optionalNumber();
-  return { type: FrameType.open, stream, head: headFromWire(head), bodyMode, body, clock };
+  const isRepeat = reader.optionalFlag();
+  return {
+    type: FrameType.open,
+    stream,
+    head: { ...headFromWire(head), ...(isRepeat ? { isRepeat } : {}) },
+    bodyMode,
+    body,
+    clock,
+  };
 }
 
 function headFromWire(reader: WireReader): RequestHead {
--- a/packages/types/src/requestHead.ts
+++ b/packages/types/src/requestHead.ts
@@ -24,6 +24,8 @@
   readonly expectedWorkMilliseconds?: number | undefined;
   /** Number of ancestors in the call chain. */
   readonly depth: number;
+  /** Whether this attempt repeats an earlier one, or is part of a run that does. */
+  readonly isRepeat?: boolean | undefined;
   /** Remaining attempts, including this one. */
   readonly attempts: number;
   readonly traceparent?: string | undefined;
