--- a/packages/membership/src/StoreFollower.ts
+++ b/packages/membership/src/StoreFollower.ts
@@ -91,7 +91,8 @@
       const result = await store.watch(prefix, revision, wait, call.signal, mayBeStale);
       call.end();
       if (signal.aborted) return;
-      if (call.signal.aborted) continue;
+      // A list that was read in spite of the cancellation is as good as any.
+      if (call.signal.aborted && !result.ok) continue;
       if (!result.ok) {
         await this.#failed(result.error.detail, signal);
         continue;
--- a/packages/membership/src/__tests__/StoreFollower.test.ts
+++ b/packages/membership/src/__tests__/StoreFollower.test.ts
@@ -96,4 +96,21 @@
     assert.equal(follower.isFollowing, true);
     assert.equal(calls.at(-1)?.wait, waitMilliseconds);
   });
+
+  it('guards against a list that is read in spite of a renewal and thrown away', async (t) => {
+    let calls = 0;
+    // The first call, which lists, goes on in spite of its signal.
+    const watch = async (_prefix: string, revision: number, wait: number, signal?: AbortSignal) => {
+      calls += 1;
+      if (revision === 0) await sleep(100);
+      else await systemClock.sleep(wait, signal);
+      return succeed({ revision: 5, changed: [] });
+    };
+    const follower = startFollower(t, { watch } as unknown as RemovingStore);
+    await sleep(20);
+    follower.renew();
+    await sleep(200);
+    assert.equal(follower.isFollowing, true);
+    assert.equal(calls, 2);
+  });
 });
