Answer a malformed, oversized or unfinished head on every version of Node.js

Cause: the HTTP parser of Node.js 20.20.2 rejects a malformed header name and a tab in a path by itself. The listener closed such a connection without an answer, while the parser of earlier versions passed the head on to our own check. A head over the parser's limit and one without end also got no answer, and Node.js looked for the latter only every 30 s.

Change: HeadErrorResponder answers with 400, 431 or 408 once all earlier requests of the connection have their answers, closes the connection, and never writes into an answer that has begun. Heads are checked for their time-out every second.

--- a/packages/host-node/src/__tests__/CallersListener.test.ts
+++ b/packages/host-node/src/__tests__/CallersListener.test.ts
@@ -137,7 +137,7 @@
     assert.equal(error.code, 'ECONNRESET');
   });
 
-  // The HTTP parser of Node.js accepts these, and its HTTP client refuses to send them.
+  // The HTTP client of Node.js refuses to send these. Its parser accepts them or not, by version.
   for (const [part, requestLine, header] of [
     ['header name', 'GET /reads/1 HTTP/1.1', 'x y: 1'],
     ['empty header name', 'GET /reads/1 HTTP/1.1', ': 1'],
@@ -160,4 +160,53 @@
       assert.equal(routed, 0);
     });
   }
+
+  it('guards against a head over the limit of the parser that gets no answer', async (t) => {
+    const { port } = await startListener(t, { findRoute, route: notRouted });
+    const socket = connect(port, host);
+    socket.write(`GET / HTTP/1.1\r\nhost: a.example\r\nx: ${'x'.repeat(300_000)}`);
+    assert.match(await text(socket), /^HTTP\/1\.1 431 /);
+  });
+
+  it('guards against a head without end that gets no answer', async (t) => {
+    const { listener, port } = await startListener(t, { findRoute, route: notRouted });
+    const limits = { headerTimeoutMilliseconds: -900, idleTimeoutMilliseconds: 1000 };
+    listener.applyLimits({ ...limits, maxHeaderBytes: 16_384, maxBodyBytes: 65_536 });
+    const socket = connect(port, host);
+    socket.write('GET / HTTP/1.1\r\nhost: a.example\r\n');
+    assert.match(await text(socket), /^HTTP\/1\.1 408 /);
+  });
+
+  it('guards against a refusal of a malformed head inside the answer to the request before it', async (t) => {
+    const stream = new PassThrough();
+    stream.write('first ');
+    const head = { status: 200, headers: [], contentLength: 12 };
+    const { port } = await startListener(t, {
+      findRoute,
+      route: () => Promise.resolve({ type: 'answered', head, body: { type: 'stream', stream } }),
+    });
+    const socket = connect(port, host);
+    const answers = text(socket);
+    socket.write('GET /reads/1 HTTP/1.1\r\nhost: a.example\r\n\r\nGET / HTTP/1.1\r\n: 1\r\n\r\n');
+    await systemClock.sleep(50);
+    socket.write('more bytes of the rejected request');
+    stream.end('second');
+    assert.match(await answers, /^HTTP\/1\.1 200 [^]*first secondHTTP\/1\.1 400 [^]*"bad-request"/);
+  });
+
+  it('guards against a connection that the caller of a malformed head keeps open', async (t) => {
+    const { port } = await startListener(t, { findRoute, route: notRouted });
+    const socket = connect({ port, host, allowHalfOpen: true });
+    socket.write('GET / HTTP/1.1\r\nx y: 1\r\n: 1\r\n\r\n');
+    socket.resume();
+    await once(socket, 'end');
+    const sender = setInterval(() => socket.write('x'), 20);
+    t.after(() => clearInterval(sender));
+    const [error] = (await once(socket, 'error')) as [NodeJS.ErrnoException];
+    assert.match(String(error.code), /^(ECONNRESET|EPIPE)$/);
+  });
 });
+
+async function notRouted(): Promise<CallerOutcome> {
+  throw new Error('is not called');
+}
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -14,6 +14,7 @@
 import { FailureReason, type CallerOutcome, type CallerRequest } from '../routing/CallerRequest.js';
 import type { RequestRouter } from '../routing/RequestRouter.js';
 import { createCallersServer } from './createCallersServer.js';
+import { HeadErrorResponder } from './HeadErrorResponder.js';
 import { readBody } from './readBody.js';
 import { abortAnswer, sendOutcome } from './sendOutcome.js';
 
@@ -49,6 +50,8 @@
 // Above any configured limit; the configured limit is checked for each request.
 const maxParsedHeaderBytes = 256 * 1024;
 const defaultIdleMilliseconds = 15_000;
+// Node.js looks for heads that took too long only every 30 s by default.
+const headTimeoutCheckMilliseconds = 1000;
 // Suggested retry delay: a node reads its configuration, or restarts, within about this time.
 const startupRetryMilliseconds = 700;
 // The HTTP client of Node.js refuses to send a path with these characters.
@@ -76,16 +79,22 @@
   /** Requests that have no complete answer yet. */
   readonly #openRequests = new Map<ServerResponse, AbortController>();
 
+  readonly #headErrors = new HeadErrorResponder();
+
   #stoppedAccepting = false;
 
   constructor(options: CallersListenerOptions) {
     this.#options = options;
-    this.#server = createCallersServer({ maxHeaderSize: maxParsedHeaderBytes, noDelay: true });
+    this.#server = createCallersServer({
+      maxHeaderSize: maxParsedHeaderBytes,
+      connectionsCheckingInterval: headTimeoutCheckMilliseconds,
+      noDelay: true,
+    });
     this.#server.keepAliveTimeout = defaultIdleMilliseconds + idleMarginMilliseconds;
     this.#server.requestTimeout = 0;
     this.#server.on('connection', () => options.stallDetector.recordActivity());
     this.#server.on('request', (request, response) => this.#accept(request, response));
-    this.#server.on('clientError', (_error, socket) => socket.destroy());
+    this.#server.on('clientError', (error, socket) => this.#headErrors.reject(error, socket));
   }
 
   /** Number of requests that have no complete answer yet. */
@@ -136,6 +145,7 @@
   #accept(request: IncomingMessage, response: ServerResponse): void {
     // The caller's time runs while its request lies unread.
     const arrivedAt = this.#options.stallDetector.unreadSince();
+    this.#headErrors.recordResponse(response);
     const answer = () => this.#answer(request, response, arrivedAt);
     if (response.socket === null) response.once('socket', answer);
     else answer();
--- a/packages/host-node/src/routing/CallerRequest.ts
+++ b/packages/host-node/src/routing/CallerRequest.ts
@@ -41,6 +41,7 @@
   badRequest: 'bad-request',
   bodyTooLarge: 'body-too-large',
   headersTooLarge: 'headers-too-large',
+  headersTimeout: 'headers-timeout',
 } as const;
 
 export type FailureReason = (typeof FailureReason)[keyof typeof FailureReason];
