Identify callers by API keys, run pipelined idempotent requests at once, decode tenants and bounds

Cause: no source knew tenants, keys, allowed regions or the rate of cold backend servers. A caller's key was forwarded to backend servers, and a pipelined request waited until the one before it was answered, which added up to most of the response time of the routes whose callers pipeline.

Change: the configuration decodes tenants, public routes, allowed regions and cold rates; the settings decode the bounds of quotas, cold servers and evacuations and the resources of the host. identifyTenant rejects unknown keys with 401; keys are not forwarded, and Tenant is set by the node. Idempotent pipelined requests run at once and are answered in order. Deployments without tenants forward the same headers as before.

--- a/packages/admission/src/AdmissionController.ts
+++ b/packages/admission/src/AdmissionController.ts
@@ -11,6 +11,10 @@
   readonly usefulUntil?: number | undefined;
   /** Work that the sender expects, in milliseconds at the normal speed of a host. */
   readonly expectedWorkMilliseconds?: number | undefined;
+  /** Name of the caller's tenant; absent if callers need no key. */
+  readonly tenant?: string | undefined;
+  /** Priority of the tenant, 0 being the most urgent; absent if it has none. */
+  readonly tenantPriority?: number | undefined;
   /** Removes the request from the queue when it aborts. */
   readonly signal: AbortSignal;
 }
--- a/packages/host-node/src/__tests__/CallersListener.test.ts
+++ b/packages/host-node/src/__tests__/CallersListener.test.ts
@@ -57,6 +57,13 @@
   targetMilliseconds: 500,
 })) as unknown as RequestRouter['findRoute'];
 
+const idempotentRoute = (() => ({
+  name: 'reads',
+  idempotent: true,
+  timeoutMilliseconds: 1000,
+  targetMilliseconds: 500,
+})) as unknown as RequestRouter['findRoute'];
+
 describe('CallersListener', () => {
   it('guards against a request that stays open when its routing fails unexpectedly', async (t) => {
     const route = () => Promise.reject(new Error('a fault'));
@@ -194,6 +201,64 @@
     assert.match(await answers, /^HTTP\/1\.1 200 [^]*first secondHTTP\/1\.1 400 [^]*"bad-request"/);
   });
 
+  it('guards against pipelined requests that wait for the answers before them', async (t) => {
+    const outcomes: ((outcome: CallerOutcome) => void)[] = [];
+    const { port } = await startListener(t, {
+      findRoute: idempotentRoute,
+      route: () =>
+        new Promise((resolve) => {
+          outcomes.push(resolve);
+        }),
+    });
+    const socket = connect(port, host);
+    socket.write('GET /reads/1 HTTP/1.1\r\nhost: a.example\r\n\r\n'.repeat(2));
+    const answers = text(socket);
+    while (outcomes.length < 2) await systemClock.sleep(5);
+    outcomes[1]?.(answered('second'));
+    await systemClock.sleep(20);
+    outcomes[0]?.(answered('first'));
+    socket.end();
+    assert.match(await answers, /first[^]*second$/);
+  });
+
+  it('guards against a second run of a request behind an answer that closes the connection', async (t) => {
+    let routed = 0;
+    const { port } = await startListener(
+      t,
+      {
+        findRoute,
+        route: async () => {
+          routed += 1;
+          return answered('first');
+        },
+      },
+      systemClock.now() + 1000,
+    );
+    const socket = connect(port, host);
+    socket.write(
+      'POST /orders/1 HTTP/1.1\r\nhost: a.example\r\ncontent-length: 0\r\n\r\n'.repeat(2),
+    );
+    assert.match(await text(socket), /connection: close[^]*first$/i);
+    assert.equal(routed, 1);
+  });
+
+  it('guards against pipelined requests that run on after the caller has left', async (t) => {
+    const signals: AbortSignal[] = [];
+    const { listener, port } = await startListener(t, {
+      findRoute: idempotentRoute,
+      route: ({ signal }) => {
+        signals.push(signal);
+        return once(signal, 'abort').then(() => answered('late'));
+      },
+    });
+    const socket = connect(port, host);
+    socket.write('GET /reads/1 HTTP/1.1\r\nhost: a.example\r\n\r\n'.repeat(3));
+    while (signals.length < 3) await systemClock.sleep(5);
+    socket.destroy();
+    while (signals.some(({ aborted }) => !aborted)) await systemClock.sleep(5);
+    assert.equal(listener.open, 0);
+  });
+
   it('guards against a connection that the caller of a malformed head keeps open', async (t) => {
     const { port } = await startListener(t, { findRoute, route: notRouted });
     const socket = connect({ port, host, allowHalfOpen: true });
@@ -207,6 +272,14 @@
   });
 });
 
+function answered(body: string): CallerOutcome {
+  return {
+    type: 'answered',
+    head: { status: 200, headers: [] },
+    body: { type: 'whole', data: Buffer.from(body) },
+  };
+}
+
 async function notRouted(): Promise<CallerOutcome> {
   throw new Error('is not called');
 }
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -1,7 +1,14 @@
 import type { Logger } from '@hickorybridge/logger';
 import { HeaderNames } from '@hickorybridge/platform';
 import { maxWholeBodyBytes, type RequestBody } from '@hickorybridge/peer-protocol';
-import type { CallerLimits, Route, Result, SocketAddress } from '@hickorybridge/types';
+import type {
+  CallerLimits,
+  HeaderList,
+  Result,
+  Route,
+  SocketAddress,
+  Tenant,
+} from '@hickorybridge/types';
 import {
   ListenerOpener,
   type Clock,
@@ -15,6 +22,8 @@
 import type { RequestRouter } from '../routing/RequestRouter.js';
 import { createCallersServer } from './createCallersServer.js';
 import { HeadErrorResponder } from './HeadErrorResponder.js';
+import { identifyTenant } from './identifyTenant.js';
+import { PipelinedResponses } from './PipelinedResponses.js';
 import { readBody } from './readBody.js';
 import { abortAnswer, sendOutcome } from './sendOutcome.js';
 
@@ -54,12 +63,20 @@
 const headTimeoutCheckMilliseconds = 1000;
 // Suggested retry delay: a node reads its configuration, or restarts, within about this time.
 const startupRetryMilliseconds = 700;
+// Callers are seen to send a few requests ahead; the others wait for their turn.
+const maxPipelinedRuns = 32;
 // The HTTP client of Node.js refuses to send a path with these characters.
 const notForwardable = /[^\u0021-\u00ff]/;
 const defaultRemainingMilliseconds = 30_000;
 // Timers of Node.js fire at once when their delay exceeds 24 days.
 const maxRemainingMilliseconds = 3_600_000;
 
+/** Headers that only the node sets where the configuration has tenants. */
+const identityHeaders: ReadonlySet<string> = new Set([
+  HeaderNames.authorization,
+  HeaderNames.tenant,
+]);
+
 type FailedOutcome = Extract<CallerOutcome, { type: 'failed' }>;
 
 /** The fault may have come after the request was sent, so this does not promise that it did not run. */
@@ -81,6 +98,8 @@
 
   readonly #headErrors = new HeadErrorResponder();
 
+  readonly #pipelined = new PipelinedResponses();
+
   #stoppedAccepting = false;
 
   constructor(options: CallersListenerOptions) {
@@ -139,18 +158,25 @@
   }
 
   /**
-   * Takes a request. A pipelined one waits for its turn: the answer before it may end the connection,
-   * and then the request must not run.
+   * Takes a request. A pipelined one that is not idempotent waits for its turn: the answer before it
+   * may end the connection, and then the request must not run.
    */
   #accept(request: IncomingMessage, response: ServerResponse): void {
     // The caller's time runs while its request lies unread.
     const arrivedAt = this.#options.stallDetector.unreadSince();
     this.#headErrors.recordResponse(response);
     const answer = () => this.#answer(request, response, arrivedAt);
-    if (response.socket === null) response.once('socket', answer);
+    if (response.socket === null) this.#pipelined.add(response);
+    if (response.socket === null && !this.#mayRunAhead(request)) response.once('socket', answer);
     else answer();
   }
 
+  /** Whether a pipelined request may run before earlier ones of its connection are answered. */
+  #mayRunAhead({ headers, socket, url = '' }: IncomingMessage): boolean {
+    if (this.#pipelined.countOf(socket) > maxPipelinedRuns) return false;
+    return this.#options.router.findRoute(headers.host ?? '', url)?.idempotent ?? false;
+  }
+
   /** Handles a request. Every request is answered, also when an operation fails unexpectedly. */
   async #answer(
     request: IncomingMessage,
@@ -254,18 +280,26 @@
     if (route === undefined) {
       return failure(FailureReason.noRoute, `no route for host "${host}" and this path`);
     }
+    const isNestedCall = this.#options.isNestedCall(requestId);
+    const { authorization } = request.headers;
+    const identity = identifyTenant({ configuration, route, authorization, isNestedCall });
+    if (identity.type === 'unknown-key') {
+      return failure(FailureReason.unauthorized, 'no tenant holds the API key of the request');
+    }
     return {
       type: 'found',
       route,
       service: router.chooseService(route),
-      depth: this.#options.isNestedCall(requestId) ? 1 : 0,
+      depth: isNestedCall ? 1 : 0,
       limits: configuration.limits,
+      tenant: identity.tenant,
+      hasTenants: configuration.tenantsByKey !== undefined,
     };
   }
 
   #toCallerRequest(options: RoutableRequest & { readonly body: RequestBody }): CallerRequest {
     const { arrivedAt, body, found, request, requestId, signal } = options;
-    const { depth, route, service } = found;
+    const { depth, route, service, tenant } = found;
     const remaining = remainingMillisecondsOf(request);
     // A host refuses a request that it cannot answer by its deadline, so a node that is shutting down
     // does not start work that its end would cut off.
@@ -285,11 +319,7 @@
       service,
       method: request.method ?? 'GET',
       target: request.url ?? '/',
-      headers: [
-        ...endToEndHeaders(request.rawHeaders),
-        HeaderNames.callingService,
-        this.#options.service(),
-      ],
+      headers: this.#forwardedHeaders(request, found),
       body,
       arrivedAt,
       usefulUntil: Math.min(deadline, arrivedAt + route.targetMilliseconds - waited),
@@ -297,9 +327,19 @@
       callerDeadline: arrivedAt + remaining,
       depth,
       isBelowRepeat: depth > 0 && this.#options.isBelowRepeat(requestId),
+      ...(tenant === undefined ? {} : { tenant }),
+      ...commonRegions(route.allowedRegions, tenant?.allowedRegions),
       signal,
     };
   }
+
+  #forwardedHeaders({ rawHeaders }: IncomingMessage, found: RouteMatch): HeaderList {
+    const { hasTenants, tenant } = found;
+    const headers = endToEndHeaders(rawHeaders, hasTenants ? identityHeaders : undefined);
+    headers.push(HeaderNames.callingService, this.#options.service());
+    if (tenant !== undefined) headers.push(HeaderNames.tenant, tenant.name);
+    return headers;
+  }
 }
 
 interface RouteMatch {
@@ -308,6 +348,9 @@
   readonly service: string;
   readonly depth: number;
   readonly limits: CallerLimits;
+  readonly tenant: Tenant | undefined;
+  /** Whether the configuration has tenants, so that identity headers are not forwarded. */
+  readonly hasTenants: boolean;
 }
 
 /** A request whose route is known. */
@@ -319,6 +362,18 @@
   readonly signal: AbortSignal;
 }
 
+/** The regions that both lists allow; a list that is absent allows all. */
+function commonRegions(
+  first: readonly string[] | undefined,
+  second: readonly string[] | undefined,
+): Pick<CallerRequest, 'allowedRegions'> {
+  const allowedRegions =
+    first !== undefined && second !== undefined
+      ? first.filter((region) => second.includes(region))
+      : (first ?? second);
+  return allowedRegions === undefined ? {} : { allowedRegions };
+}
+
 function failure(reason: FailureReason, detail: string): FailedOutcome {
   return { type: 'failed', reason, mayHaveRun: false, detail };
 }
--- a/packages/host-node/src/callers/sendOutcome.ts
+++ b/packages/host-node/src/callers/sendOutcome.ts
@@ -9,6 +9,7 @@
 const notRunStatuses: Partial<Readonly<Record<FailureReason, number>>> = {
   [FailureReason.noRoute]: 404,
   [FailureReason.badRequest]: 400,
+  [FailureReason.unauthorized]: 401,
   [FailureReason.bodyTooLarge]: 413,
   [FailureReason.headersTooLarge]: 431,
 };
--- a/packages/host-node/src/headers.ts
+++ b/packages/host-node/src/headers.ts
@@ -29,14 +29,23 @@
   return rawHeaders.find((text, index) => index % 2 === 0 && !fieldName.test(text));
 }
 
-/** Returns the headers to forward, given and returned as a flat list of names and values. */
-export function endToEndHeaders(rawHeaders: readonly string[]): string[] {
+const noHeaders: ReadonlySet<string> = new Set();
+
+/**
+ * Returns the headers to forward, given and returned as a flat list of names and values.
+ * `furtherExcluded` names headers that are left out, too, in lower case.
+ */
+export function endToEndHeaders(
+  rawHeaders: readonly string[],
+  furtherExcluded: ReadonlySet<string> = noHeaders,
+): string[] {
   const kept: string[] = [];
   const connectionOptions = connectionOptionsOf(rawHeaders);
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
     const name = rawHeaders[index] ?? '';
     const lowerCase = name.toLowerCase();
-    if (!excludedHeaders.has(lowerCase) && !connectionOptions.has(lowerCase)) {
+    const isExcluded = excludedHeaders.has(lowerCase) || furtherExcluded.has(lowerCase);
+    if (!isExcluded && !connectionOptions.has(lowerCase)) {
       kept.push(name, rawHeaders[index + 1] ?? '');
     }
   }
--- a/packages/host-node/src/routing/CallerRequest.ts
+++ b/packages/host-node/src/routing/CallerRequest.ts
@@ -1,5 +1,5 @@
 import type { AnswerBody, RequestBody } from '@hickorybridge/peer-protocol';
-import type { AnswerHead, HeaderList, Route } from '@hickorybridge/types';
+import type { AnswerHead, HeaderList, Route, Tenant } from '@hickorybridge/types';
 
 /** A request from a caller on this host, with its route. */
 export interface CallerRequest {
@@ -23,6 +23,10 @@
   readonly depth: number;
   /** Whether it is a nested call of a run that repeats another one, so that it is a repeat itself. */
   readonly isBelowRepeat?: boolean;
+  /** Tenant that holds the caller's API key; absent without a key and for nested calls. */
+  readonly tenant?: Tenant;
+  /** Regions whose backend servers may get the request; absent if all may. */
+  readonly allowedRegions?: readonly string[];
   /** Aborted when the caller disconnects, or with the reason `stopping` when this node ends. */
   readonly signal: AbortSignal;
 }
@@ -39,6 +43,7 @@
   callerLeft: 'caller-left',
   nodeFault: 'node-fault',
   badRequest: 'bad-request',
+  unauthorized: 'unauthorized',
   bodyTooLarge: 'body-too-large',
   headersTooLarge: 'headers-too-large',
   headersTimeout: 'headers-timeout',
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -227,6 +227,7 @@
       route,
       service,
       target,
+      tenant,
       usefulUntil,
     } = this.#request;
     return {
@@ -249,6 +250,7 @@
       depth,
       isRepeat: isBelowRepeat === true || this.#backendAttempts > 1,
       attempts: 1,
+      ...(tenant === undefined ? {} : { tenant: tenant.name, tenantPriority: tenant.priority }),
     };
   }
 
--- a/packages/peer-protocol/src/frameCodec.ts
+++ b/packages/peer-protocol/src/frameCodec.ts
@@ -9,7 +9,7 @@
 } from '@hickorybridge/types';
 import { Encoder, setSizeLimits } from 'cbor-x';
 
-import { BodyMode, FrameType, type AnswerFrame, type Frame } from './frame.js';
+import { BodyMode, FrameType, type AnswerFrame, type Frame, type OpenFrame } from './frame.js';
 import { WireReader } from './WireReader.js';
 
 /** Bytes of the length in front of each frame. */
@@ -87,15 +87,7 @@
     case FrameType.rejection:
       return [frame.type, frame.reason];
     case FrameType.open:
-      return [
-        frame.type,
-        frame.stream,
-        headToWire(frame.head),
-        frame.bodyMode,
-        frame.body ?? null,
-        frame.clock ?? null,
-        frame.head.isRepeat === true,
-      ];
+      return openToWire(frame);
     case FrameType.body:
       return [frame.type, frame.stream, frame.data, frame.end];
     case FrameType.credit:
@@ -124,6 +116,22 @@
   }
 }
 
+function openToWire({ body, bodyMode, clock, head, stream, type }: OpenFrame): unknown[] {
+  const fields: unknown[] = [
+    type,
+    stream,
+    headToWire(head),
+    bodyMode,
+    body ?? null,
+    clock ?? null,
+    head.isRepeat === true,
+  ];
+  const { tenant, tenantPriority } = head;
+  // Deployments without tenants have no such fields.
+  if (tenant !== undefined) fields.push(tenant, tenantPriority ?? null);
+  return fields;
+}
+
 function answerToWire({ body, head, report, stream, type }: AnswerFrame): unknown[] {
   const { contentLength, endsWithConnection = false, headers, status } = head;
   const fields = [
@@ -277,10 +285,17 @@
   const body = bodyMode === BodyMode.inline ? inline : undefined;
   const clock = reader.optionalNumber();
   const isRepeat = reader.optionalFlag();
+  const tenant = reader.optionalString();
+  const tenantPriority = reader.optionalNumber();
   return {
     type: FrameType.open,
     stream,
-    head: { ...headFromWire(head), ...(isRepeat ? { isRepeat } : {}) },
+    head: {
+      ...headFromWire(head),
+      ...(isRepeat ? { isRepeat } : {}),
+      ...(tenant === undefined ? {} : { tenant }),
+      ...(tenantPriority === undefined ? {} : { tenantPriority }),
+    },
     bodyMode,
     body,
     clock,
--- a/packages/types/src/hostSettings.ts
+++ b/packages/types/src/hostSettings.ts
@@ -15,6 +15,10 @@
   readonly listenRetryMilliseconds: number;
   readonly store: SocketAddress;
   readonly bounds: HostBounds;
+  /** Memory that the process may use, in bytes; absent if not limited. */
+  readonly memoryBytes?: number;
+  /** File descriptors that the process may use; absent if not limited. */
+  readonly maxDescriptors?: number;
 }
 
 /** The addresses on which a node listens. */
@@ -43,6 +47,28 @@
   /** Retries that are allowed per window regardless of load, across all nodes. */
   readonly retrySlack: number;
   readonly retryWindowMilliseconds: number;
+  /** Tolerance of the tenants' quotas; absent if the platform does not check them. */
+  readonly quota?: QuotaBounds;
+  /** Tolerance of the rate limit of cold backend servers; absent if it is not checked. */
+  readonly cold?: ColdBounds;
+  /** From acknowledging an evacuation to the last request; absent if there are no evacuations. */
+  readonly evacuationMilliseconds?: number;
+}
+
+/**
+ * In any span of the window, a tenant's requests across all nodes may reach
+ * `(rate * window + burst) * (1 + overShare) + slack`.
+ */
+export interface QuotaBounds {
+  readonly windowMilliseconds: number;
+  readonly overShare: number;
+  readonly slack: number;
+}
+
+/** In any second, a cold backend server may get `rate * overFactor + slack` requests. */
+export interface ColdBounds {
+  readonly overFactor: number;
+  readonly slack: number;
 }
 
 /** Status report of a backend server to the node on its host. */
--- a/packages/types/src/requestHead.ts
+++ b/packages/types/src/requestHead.ts
@@ -26,6 +26,10 @@
   readonly depth: number;
   /** Whether this attempt repeats an earlier one, or is part of a run that does. */
   readonly isRepeat?: boolean | undefined;
+  /** Name of the caller's tenant; absent if callers need no key. */
+  readonly tenant?: string | undefined;
+  /** Priority of the tenant, which takes precedence over `weight`; absent if it has none. */
+  readonly tenantPriority?: number | undefined;
   /** Remaining attempts, including this one. */
   readonly attempts: number;
   readonly traceparent?: string | undefined;
--- a/packages/types/src/routeConfiguration.ts
+++ b/packages/types/src/routeConfiguration.ts
@@ -24,12 +24,33 @@
   readonly maxAttempts: number;
   /** Where requests go; never empty. */
   readonly services: readonly WeightedService[];
+  /** Whether callers need no API key; absent if they do. */
+  readonly isPublic?: boolean;
+  /** Regions whose backend servers may get requests; absent if all may. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** Configuration of a service. */
 export interface ServiceDefinition {
   readonly name: string;
   readonly maxConnections: number;
+  /** How long a backend server stays cold after a start, in milliseconds; absent if unknown. */
+  readonly coldMilliseconds?: number;
+  /** Requests per second that a cold backend server can take; absent if unlimited. */
+  readonly coldRequestsPerSecond?: number;
+}
+
+/** An organisation whose callers identify themselves with API keys. */
+export interface Tenant {
+  readonly name: string;
+  /** 0 is the most urgent. Takes precedence over the priority of a route; absent if not set. */
+  readonly priority?: number;
+  /** Quota across all nodes, in requests per second; 0 for no quota. */
+  readonly requestsPerSecond: number;
+  /** Requests beyond the rate that the quota allows. */
+  readonly burst: number;
+  /** Regions whose backend servers may get requests; absent if all may. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** Size limits and timeouts for requests from callers. */
@@ -47,4 +68,6 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, ServiceDefinition>;
   readonly limits: CallerLimits;
+  /** The tenant that holds each API key; absent if callers need no key. */
+  readonly tenantsByKey?: ReadonlyMap<string, Tenant>;
 }
