Tell versions of the store apart by its era

Cause: after a restore from an older copy the store assigns revisions again. A watch from such a revision went on without an error, a conditional write could match a revision with another content, and hosts whose entries were lost would have been dropped until they had registered again.

The stand-in store can go back to a copy.

--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -87,6 +87,11 @@
     count: (operation, result) => telemetry.recordStoreCall(operation, result),
     // Connections go silent together, and a watch would notice it only at the end of its wait.
     onSilent: () => followers.forEach((follower) => follower.renew()),
+    // Watches that still wait would miss what the store has lost.
+    onRestored: (era) => {
+      logger.warn('store-restored', 'the store was restored from an older copy', { era });
+      followers.forEach((follower) => follower.renew());
+    },
   });
   const directory = new HostDirectory(logger);
   const speed = new HostSpeedModel();
--- a/packages/membership/src/HostDirectory.ts
+++ b/packages/membership/src/HostDirectory.ts
@@ -1,5 +1,5 @@
 import type { Logger } from '@hickorybridge/logger';
-import type { StoredObject, WatchResult } from '@hickorybridge/store';
+import { eraOf, type StoredObject, type WatchResult } from '@hickorybridge/store';
 import type { HostEntry } from '@hickorybridge/types';
 
 import { decodeHostEntry, hostKey } from './hostEntryCodec.js';
@@ -11,6 +11,8 @@
 }
 
 const noEntries: readonly HostEntry[] = [];
+/** After a restore of the store, hosts that are alive write their entries again within this time. */
+const restoreGraceMilliseconds = 2000;
 
 /** All hosts as the store lists them. */
 export class HostDirectory {
@@ -23,6 +25,9 @@
 
   readonly #listeners: (() => void)[] = [];
 
+  /** The latest era in which entries from before it are still awaited. */
+  #awaitedEra = 0;
+
   #byService = new Map<string, readonly HostEntry[]>();
 
   constructor(logger: Logger) {
@@ -43,7 +48,7 @@
     const listed = new Set(result.changed.map(({ key }) => key));
     if (result.complete === true) {
       for (const key of [...this.#known.keys(), ...this.#unreadable.keys()]) {
-        if (!listed.has(key)) this.#remove(key);
+        if (!listed.has(key) && !this.#isAwaited(key, result.revision)) this.#remove(key);
       }
     }
     for (const key of result.removed ?? []) this.#remove(key);
@@ -55,8 +60,7 @@
         revision: result.revision,
       });
     }
-    this.#byService = groupByService([...this.#known.values()].map(({ entry }) => entry));
-    for (const listener of this.#listeners) listener();
+    this.#publish();
   }
 
   entry(nodeId: string): HostEntry | undefined {
@@ -86,6 +90,27 @@
     return this.#byService.get(service) ?? noEntries;
   }
 
+  #publish(): void {
+    this.#byService = groupByService([...this.#known.values()].map(({ entry }) => entry));
+    for (const listener of this.#listeners) listener();
+  }
+
+  /** Whether an entry was read before a restore of the store, and its host may still write it again. */
+  #isAwaited(key: string, revision: number): boolean {
+    const era = eraOf(revision);
+    if (eraOf(this.#known.get(key)?.version ?? revision) >= era) return false;
+    if (this.#awaitedEra === era) return true;
+    this.#awaitedEra = era;
+    setTimeout(() => this.#removeFromBefore(era), restoreGraceMilliseconds).unref();
+    return true;
+  }
+
+  /** Removes the entries that were not written again after the restore that began an era. */
+  #removeFromBefore(era: number): void {
+    for (const [key, { version }] of this.#known) if (eraOf(version) < era) this.#remove(key);
+    this.#publish();
+  }
+
   #update(object: StoredObject, logsChange: boolean): void {
     const known = this.#known.get(object.key);
     // A copy that lags may list an older version than was read before.
--- a/packages/membership/src/__tests__/HostDirectory.test.ts
+++ b/packages/membership/src/__tests__/HostDirectory.test.ts
@@ -1,4 +1,5 @@
 import { silentLogger, type Logger } from '@hickorybridge/logger';
+import { composeVersion } from '@hickorybridge/store';
 import type { HostEntry } from '@hickorybridge/types';
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
@@ -76,3 +77,31 @@
     assert.deepEqual(directory.stored('n1'), { entry, version: 3 });
   });
 });
+
+describe('a store that was restored from an older copy', () => {
+  const namesIn = (directory: HostDirectory) => directory.list().map(({ nodeId }) => nodeId);
+
+  it('guards against hosts that are dropped before they can write their entries again', (t) => {
+    t.mock.timers.enable({ apis: ['setTimeout'] });
+    const { directory } = createDirectory();
+    const before = composeVersion(1, 9);
+    const entries = [storedEntry('n1', before), storedEntry('n2', before)];
+    directory.apply({ revision: before, changed: entries, removed: [], complete: true });
+    const after = composeVersion(2, 4);
+    const restored = [storedEntry('n1', after)];
+    directory.apply({ revision: after, changed: restored, removed: [], complete: true });
+    assert.deepEqual(namesIn(directory), ['n1', 'n2']);
+    t.mock.timers.tick(2000);
+    assert.deepEqual(namesIn(directory), ['n1']);
+  });
+
+  it('guards against an entry from before the restore that hides a later one', () => {
+    const { directory } = createDirectory();
+    const before = composeVersion(1, 9);
+    directory.apply({ revision: before, changed: [storedEntry('n1', before)], removed: [] });
+    const after = composeVersion(2, 4);
+    const changed = [storedEntry('n1', after, { service: 's2' })];
+    directory.apply({ revision: after, changed, removed: [], complete: true });
+    assert.equal(directory.entry('n1')?.service, 's2');
+  });
+});
--- a/packages/stand-ins/src/objectStore/StandInObjectStore.ts
+++ b/packages/stand-ins/src/objectStore/StandInObjectStore.ts
@@ -39,6 +39,12 @@
   staleMilliseconds: number;
 }
 
+/** What the stand-in holds at one moment. */
+export interface ObjectStoreCopy {
+  readonly objects: ReadonlyMap<string, PlatformObject>;
+  readonly revision: number;
+}
+
 const objectPath = /^\/v1\/objects\/([^/?]+)(?:\/([^/?]+))?$/;
 const pageSize = 50;
 const stalePollMilliseconds = 50;
@@ -64,6 +70,8 @@
 
   #revision = 1;
 
+  #era = 1;
+
   /** Watches from before this revision get 410. */
   #historyFrom = 0;
 
@@ -117,6 +125,20 @@
     for (const wake of this.#waiting) wake();
   }
 
+  /** Copies what the stand-in holds, for `restore`. */
+  copy(): ObjectStoreCopy {
+    return { objects: new Map(this.#objects), revision: this.#revision };
+  }
+
+  /** Goes back to an earlier copy, as after a loss of data. Revisions are assigned again. */
+  restore({ objects, revision }: ObjectStoreCopy): void {
+    this.#era += 1;
+    this.#objects.clear();
+    for (const [key, object] of objects) this.#objects.set(key, object);
+    this.#revision = revision;
+    this.compact();
+  }
+
   /** Answers nothing more on the connections that are open, which stay open. */
   silenceConnections(): void {
     for (const connection of this.#connections) this.#silentConnections.add(connection);
@@ -133,6 +155,7 @@
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.calls += 1;
+    response.setHeader('store-era', String(this.#era));
     this.#connections.add(request.socket);
     request.socket.once('close', () => this.#connections.delete(request.socket));
     if (this.#silentConnections.has(request.socket)) return;
@@ -195,14 +218,14 @@
           eventKind === kind && rev > revision && at <= performance.now() - age,
       );
     const endsAt = performance.now() + Number(parameters.get('wait_ms'));
-    while (since().length === 0 && revision >= this.#historyFrom && performance.now() < endsAt) {
+    while (since().length === 0 && !this.#isGone(revision) && performance.now() < endsAt) {
       await this.#sleep(
         Math.min(endsAt - performance.now(), age > 0 ? stalePollMilliseconds : Infinity),
       );
     }
     if (response.socket !== null && this.#silentConnections.has(response.socket)) return;
     if (this.faults.silentWatches && parameters.get('allow_stale') !== '1') return;
-    if (revision < this.#historyFrom) {
+    if (this.#isGone(revision)) {
       sendJson(response, {}, 410);
       return;
     }
@@ -210,6 +233,11 @@
     sendJson(response, { events, at: this.#revision });
   }
 
+  /** Whether no watch can continue from a revision: its history is dropped, or a restore undid it. */
+  #isGone(revision: number): boolean {
+    return revision < this.#historyFrom || revision > this.#revision;
+  }
+
   async #sleep(milliseconds: number): Promise<void> {
     await new Promise<void>((resolve) => {
       const wake = () => {
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,2 +1,3 @@
 export * from './HttpPlatformStore.js';
 export * from './PlatformStore.js';
+export * from './storeVersion.js';
