Send requests only to hosts in the regions that their route and tenant allow

Cause: a request carries the regions that its route and its tenant allow, but nothing read them.

Change: HostChoice considers only hosts in these regions, for first attempts, hedges, retries and the predicted wait. A request that no region may serve is refused at once as not run. RequestRun checks the region again before it sends. A node connects to as many hosts of each combination of regions that routes and tenants of a service name (findRegionSets) as it otherwise does of its own region; without such routes or tenants, connections stay as they were.

--- a/packages/host-node/src/__tests__/HostChoice.test.ts
+++ b/packages/host-node/src/__tests__/HostChoice.test.ts
@@ -41,6 +41,7 @@
 async function chooseAmong(
   entries: readonly HostEntry[],
   onLoadRequest: (nodeId: string, choice: HostChoice) => boolean,
+  allowedRegions?: readonly string[],
 ): Promise<string | undefined> {
   const parts: { choice?: HostChoice } = {};
   const loadProber = new LoadProber({
@@ -76,9 +77,15 @@
     deadline: now + 1200,
     callerDeadline: now + 2000,
     depth: 0,
+    ...(allowedRegions === undefined ? {} : { allowedRegions }),
     signal: new AbortController().signal,
   } as const;
-  return (await choice.choose(request, new Set()))?.entry.nodeId;
+  const chosen = await choice.choose(request, new Set());
+  if (allowedRegions !== undefined) {
+    const free = await choice.chooseFree(request, new Set());
+    assert.ok(free === undefined || allowedRegions.includes(free.entry.location.region));
+  }
+  return chosen?.entry.nodeId;
 }
 
 const fullLoad = { limit: 9, inFlight: 9, queued: 9, serviceMilliseconds: 300, rampShare: 1 };
@@ -108,6 +115,20 @@
     assert.equal(chosen, 'older');
   });
 
+  it('overload of a region: guards against a first attempt, hedge or retry outside the allowed regions', async () => {
+    const entries = [createEntry('near', 'r'), createEntry('far', 's')];
+    // Only the host that must not get the request is free.
+    const onLoadRequest = (nodeId: string, choice: HostChoice) => {
+      const load = nodeId === 'far' ? fullLoad : { ...fullLoad, inFlight: 0, queued: 0 };
+      choice.loadOf(nodeId).recordReport(load, systemClock.now());
+      return true;
+    };
+    assert.equal(await chooseAmong(entries, onLoadRequest, ['s']), 'far');
+    assert.equal(await chooseAmong(entries, onLoadRequest, ['r', 's']), 'near');
+    assert.equal(await chooseAmong(entries, onLoadRequest, ['t']), undefined);
+    assert.equal(await chooseAmong(entries, onLoadRequest, []), undefined);
+  });
+
   it('large subset: guards against probes of more hosts than improve the choice', async () => {
     const entries = ['a', 'b', 'c', 'd', 'e', 'f'].map((name) => createEntry(name, 'r'));
     const probed: string[] = [];
--- a/packages/host-node/src/__tests__/PeerConnectionManager.test.ts
+++ b/packages/host-node/src/__tests__/PeerConnectionManager.test.ts
@@ -2,7 +2,7 @@
 import { silentLogger } from '@hickorybridge/logger';
 import type { HostDirectory, StoreWatchers } from '@hickorybridge/membership';
 import type { PeerPool } from '@hickorybridge/peer-protocol';
-import { connectionSubsetSizes, HostSubset } from '@hickorybridge/routing';
+import { connectionSubsetSizes, HostSubset, type RegionSet } from '@hickorybridge/routing';
 import { fail, succeed, type HostEntry } from '@hickorybridge/types';
 import { RandomSource } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
@@ -12,11 +12,11 @@
 
 const location = { region: 'r', failureDomain: 'd' };
 
-function createEntry(index: number): HostEntry {
+function createEntry(index: number, region = 'r'): HostEntry {
   return {
     nodeId: `host-${index}`,
     peerAddress: { host: '10.0.0.1', port: 1 },
-    location,
+    location: { ...location, region },
     service: 'desk',
     backendServerId: `b-${index}`,
     slots: 4,
@@ -25,9 +25,13 @@
 }
 
 /** Manages the connections of one node to a fleet in which some hosts cannot be reached. */
-function start(t: TestContext, hosts: number) {
+function start(t: TestContext, hosts: number, regionSets: readonly RegionSet[] = []) {
   const clock = new SimulatedClock();
-  const entries = Array.from({ length: hosts }, (_, index) => createEntry(index));
+  const far = regionSets.length > 0 ? hosts : 0;
+  const entries = [
+    ...Array.from({ length: hosts }, (_, index) => createEntry(index)),
+    ...Array.from({ length: far }, (_, index) => createEntry(hosts + index, 's')),
+  ];
   const connected = new Set<string>();
   const unreachable = new Set<string>();
   const state = { opened: 0, checks: 0 };
@@ -53,6 +57,7 @@
     nodeId: 'host-0',
     directory,
     subset: new HostSubset('host-0', location, () => entries),
+    regionSetsOf: () => regionSets,
     watchers: { others: () => [] } as unknown as StoreWatchers,
     pool,
     clock,
@@ -66,7 +71,10 @@
     await clock.advance(10_000);
     await running;
   });
-  return { clock, connected, manager, state, unreachable };
+  const countConnected = (region: string) =>
+    entries.filter(({ location: at, nodeId }) => at.region === region && connected.has(nodeId))
+      .length;
+  return { clock, connected, countConnected, manager, state, unreachable };
 }
 
 describe('connections with the hosts of a subset', () => {
@@ -88,6 +96,14 @@
     assert.ok(connected.has(returned), 'a host that came back is not used again');
   });
 
+  it('routes restricted to another region: guards against requests that all go to the two hosts connected there', async (t) => {
+    const { ownRegion, otherRegions } = connectionSubsetSizes;
+    const { clock, countConnected } = start(t, 60, [['s']]);
+    await clock.advance(5000);
+    assert.equal(countConnected('r'), ownRegion);
+    assert.equal(countConnected('s'), ownRegion + otherRegions);
+  });
+
   it('slow start: guards against further connections while the first ones are being opened', async (t) => {
     const { clock, state } = start(t, 60);
     await clock.advance(5000);
--- a/packages/host-node/src/__tests__/RequestRun.test.ts
+++ b/packages/host-node/src/__tests__/RequestRun.test.ts
@@ -71,6 +71,7 @@
   readonly freeHostDelayMilliseconds: number;
   readonly idempotent: boolean;
   readonly body: RequestBody;
+  readonly allowedRegions: readonly string[];
   /** Error that sending fails with. */
   readonly sendError: Error;
   /** Gives the outcome at one host, in place of the answer after a time. */
@@ -138,6 +139,9 @@
       deadline: arrivedAt + timeoutMilliseconds,
       callerDeadline: arrivedAt + 2000,
       depth: 0,
+      ...(overrides.allowedRegions === undefined
+        ? {}
+        : { allowedRegions: overrides.allowedRegions }),
       signal: callerAbort.signal,
     },
   );
@@ -185,6 +189,24 @@
     assert.equal(result.type === 'failed' && result.mayHaveRun, true);
   });
 
+  it('no allowed region: guards against a request that waits although no host may ever get it', async () => {
+    const startedAt = systemClock.now();
+    const { askedHosts, outcome } = startRun(2000, { allowedRegions: [] });
+    const result = await outcome;
+    // A request without a usable host waits for 50 ms otherwise.
+    assert.ok(systemClock.now() - startedAt < 40, 'the refusal was late');
+    assert.equal(result.type === 'failed' && result.mayHaveRun, false);
+    assert.deepEqual(askedHosts, []);
+  });
+
+  it('fault of the choice: guards against sending to a host outside the allowed regions', async () => {
+    // The choice of this test ignores the regions, and its hosts are all in region "r".
+    const { askedHosts, outcome } = startRun(2000, { allowedRegions: ['s'] });
+    const result = await outcome;
+    assert.equal(result.type === 'failed' && result.mayHaveRun, false);
+    assert.deepEqual(askedHosts, []);
+  });
+
   it('burst: guards against a hedged request that reads a streamed body beside the first attempt', async () => {
     const source = new StreamedBody(new PassThrough());
     const body: RequestBody = { type: 'stream', source };
--- a/packages/host-node/src/control/PeerConnectionManager.ts
+++ b/packages/host-node/src/control/PeerConnectionManager.ts
@@ -1,7 +1,12 @@
 import type { Logger } from '@hickorybridge/logger';
 import type { HostDirectory, StoreWatchers } from '@hickorybridge/membership';
 import type { PeerPool } from '@hickorybridge/peer-protocol';
-import { connectionSubsetSizes, type HostSubset } from '@hickorybridge/routing';
+import {
+  connectionSubsetSizes,
+  isInAllowedRegion,
+  type HostSubset,
+  type RegionSet,
+} from '@hickorybridge/routing';
 import type { HostEntry } from '@hickorybridge/types';
 import type { Clock, RandomSource } from '@hickorybridge/utils';
 
@@ -9,6 +14,8 @@
   readonly nodeId: string;
   readonly directory: HostDirectory;
   readonly subset: HostSubset;
+  /** The restrictions to regions that requests for a service may have, without duplicates. */
+  readonly regionSetsOf: (service: string) => readonly RegionSet[];
   /** Nodes of the region that watch the store on behalf of the others. */
   readonly watchers: StoreWatchers;
   readonly pool: PeerPool;
@@ -88,16 +95,22 @@
 
   /** Selects the hosts of the subset, with others in the place of those that are unreachable. */
   #selectPeers(): HostEntry[] {
-    const { directory, nodeId, subset, watchers } = this.#options;
+    const { directory, nodeId, regionSetsOf, subset, watchers } = this.#options;
     const isUsable = (entry: HostEntry) => entry.nodeId !== nodeId && !entry.leaving;
     const isPromising = (entry: HostEntry) =>
       isUsable(entry) && (this.#retries.get(entry.nodeId)?.failures ?? 0) < replacedAfterFailures;
     const selectEach = (isEligible: (entry: HostEntry) => boolean) =>
-      directory
-        .services()
-        .flatMap((service) =>
-          subset.select(service, directory.ofService(service), connectionSubsetSizes, isEligible),
-        );
+      directory.services().flatMap((service) =>
+        // Requests that are restricted to other regions need as many hosts there as others need here.
+        [undefined, ...regionSetsOf(service)].flatMap((regions) =>
+          subset.select(
+            service,
+            directory.ofService(service),
+            connectionSubsetSizes,
+            (entry) => isInAllowedRegion(entry, regions) && isEligible(entry),
+          ),
+        ),
+      );
     const watcherEntries = watchers.others().map((watcher) => directory.entry(watcher));
     return [
       ...new Set([
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -14,7 +14,13 @@
   type RequestExecutor,
 } from '@hickorybridge/peer-protocol';
 import { configurationPrefix, ObjectStore, readinessPath } from '@hickorybridge/platform';
-import { HostSelector, HostSubset, RouteWorkEstimator } from '@hickorybridge/routing';
+import {
+  findRegionSets,
+  HostSelector,
+  HostSubset,
+  RouteWorkEstimator,
+  type RegionSet,
+} from '@hickorybridge/routing';
 import {
   HostSpeedModel,
   StallDetector,
@@ -99,6 +105,7 @@
   let configurationFollower: StoreFollower;
   let configurationCheck: StoreFollower;
   let connectionManager: PeerConnectionManager;
+  let regionSets: ReadonlyMap<string, readonly RegionSet[]> = new Map();
   const backendServers = new BackendServerRegistry({
     isLocalReport: ({ address, service }) => {
       const { backendServerAddress, service: ownService } = settings.current;
@@ -208,8 +215,11 @@
   const configurationReceiver = new ConfigurationReceiver({
     apply: (configuration) => {
       const applied = router.apply(configuration);
-      if (applied) callers.applyLimits(configuration.limits);
-      return applied;
+      if (!applied) return false;
+      callers.applyLimits(configuration.limits);
+      regionSets = findRegionSets(configuration);
+      connectionManager.wake();
+      return true;
     },
     onStored: (document) => exchange.publish(document),
     logger,
@@ -302,6 +312,7 @@
     nodeId,
     directory,
     subset,
+    regionSetsOf: (service) => regionSets.get(service) ?? [],
     watchers,
     pool,
     clock,
--- a/packages/host-node/src/routing/HostChoice.ts
+++ b/packages/host-node/src/routing/HostChoice.ts
@@ -4,6 +4,7 @@
   selectHostsToProbe,
   HostLoad,
   hasFreshReport,
+  isInAllowedRegion,
   type HostCandidate,
   type HostRequest,
   type HostSelector,
@@ -54,6 +55,9 @@
  */
 const maxProbedHosts = 3;
 
+/** The properties of a request that restrict which hosts may get it. */
+type RestrictedRequest = Pick<CallerRequest, 'allowedRegions' | 'service'>;
+
 /** Chooses hosts for requests and tracks the known load of each host. */
 export class HostChoice {
   readonly #options: HostChoiceOptions;
@@ -132,9 +136,9 @@
     return { now: clock.now(), depth, usefulUntil, speed, workMilliseconds };
   }
 
-  #usableCandidates({ service }: CallerRequest, excluded: ReadonlySet<string>): HostCandidate[] {
+  #usableCandidates(request: CallerRequest, excluded: ReadonlySet<string>): HostCandidate[] {
     return this.#candidates(
-      service,
+      request,
       (entry) => !excluded.has(entry.nodeId) && this.#isUsable(entry),
     );
   }
@@ -144,22 +148,27 @@
     return !leaving && isReachable(nodeId) && !this.loadOf(nodeId).isAvoided(clock.now());
   }
 
-  /** Predicts the shortest queueing time among the hosts of a service, in milliseconds. */
-  shortestWait(service: string): number {
+  /** Predicts the shortest queueing time among the hosts that may get the request, in milliseconds. */
+  shortestWait(request: RestrictedRequest): number {
     const { clock, speed } = this.#options;
     const now = clock.now();
     const isReachable = (entry: HostEntry) =>
       !entry.leaving && this.#options.isReachable(entry.nodeId);
-    const waits = this.#candidates(service, isReachable).map(({ load }) =>
+    const waits = this.#candidates(request, isReachable).map(({ load }) =>
       load.expectedWait(speed, now),
     );
     return waits.length === 0 ? 0 : Math.min(...waits);
   }
 
-  #candidates(service: string, isUsable: (entry: HostEntry) => boolean): HostCandidate[] {
+  #candidates(
+    { allowedRegions, service }: RestrictedRequest,
+    isUsable: (entry: HostEntry) => boolean,
+  ): HostCandidate[] {
     const { directory, subset } = this.#options;
+    const isEligible = (entry: HostEntry) =>
+      isInAllowedRegion(entry, allowedRegions) && isUsable(entry);
     return subset
-      .select(service, directory.ofService(service), requestSubsetSizes, isUsable)
+      .select(service, directory.ofService(service), requestSubsetSizes, isEligible)
       .map((entry) => this.#candidate(entry));
   }
 
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -10,6 +10,7 @@
 import type { Logger } from '@hickorybridge/logger';
 import {
   computeRetryAfter,
+  isInAllowedRegion,
   type HostCandidate,
   type RouteWorkEstimator,
 } from '@hickorybridge/routing';
@@ -146,7 +147,8 @@
 
   async #selectHost(): Promise<HostCandidate | undefined> {
     const { clock, hosts } = this.#options;
-    const { arrivedAt, route } = this.#request;
+    const { allowedRegions, arrivedAt, route } = this.#request;
+    if (allowedRegions?.length === 0) return undefined;
     const waitUntil = arrivedAt + route.targetMilliseconds * noHostWaitShare;
     for (;;) {
       const candidate = await hosts.choose(this.#request, this.#attemptedHosts);
@@ -196,9 +198,12 @@
 
   async #send({ entry, load }: HostCandidate, signal: AbortSignal): Promise<ExecutionOutcome> {
     const { clock, routeWorkEstimator, send } = this.#options;
-    const { body, route } = this.#request;
+    const { allowedRegions, body, route } = this.#request;
     const head = this.#headFor(entry.nodeId, entry.backendServerId);
-    const outcome = await send(entry.nodeId, head, body, signal);
+    // Only a fault of the choice gets here with another region. Even then nothing may be sent there.
+    const outcome: ExecutionOutcome = isInAllowedRegion(entry, allowedRegions)
+      ? await send(entry.nodeId, head, body, signal)
+      : { type: 'refused', reason: 'not-sent', report: undefined };
     const now = clock.now();
     if (outcome.type === 'refused') {
       this.#possibleRuns -= 1;
@@ -380,7 +385,7 @@
     if (this.#possibleRuns > 0) return { type: 'failed', reason, mayHaveRun: true, detail };
     const { clock, hosts, random } = this.#options;
     const returnMilliseconds = computeRetryAfter({
-      waitMilliseconds: hosts.shortestWait(this.#request.service),
+      waitMilliseconds: hosts.shortestWait(this.#request),
       remainingMilliseconds: this.#request.callerDeadline - clock.now(),
       random,
     });
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,6 +4,8 @@
 export * from './HostLoad.js';
 export * from './HostSelector.js';
 export * from './HostSubset.js';
+export * from './findRegionSets.js';
+export * from './isInAllowedRegion.js';
 export * from './RouteTable.js';
 export * from './RouteWorkEstimator.js';
 export * from './SelectorOptions.js';
