Serve waiting requests by the tenant's priority, the route's and the target latency

Cause: the queue of a backend server ignored tenants. Requests of equal value density were served in the order of arrival, so a burst with a target of 1500 ms held up work with 150 ms.

Change: while a request with a tenant waits, TenantServiceOrder ranks by call, starvation, tenant priority and value density, which is lowered for long targets. A tenant or kind that is served less than 0.35 times as often as all goes first, so that strict priority starves nobody. Without tenants the former code decides.

--- a/packages/admission/src/SlotAdmissionController.ts
+++ b/packages/admission/src/SlotAdmissionController.ts
@@ -188,7 +188,7 @@
         onAbort: () => this.#refuse(waiting, 'cancelled'),
       };
       entry.request.signal.addEventListener('abort', waiting.onAbort, { once: true });
-      this.#queue.add(waiting);
+      this.#queue.add(waiting, this.#clock.now());
       this.#updateOccupancy();
       this.#dispatchQueued();
       this.#refuseUnservable();
@@ -202,6 +202,8 @@
   #refuse(waiting: WaitingRequest, reason: RefusalReason): void {
     if (!this.#queue.remove(waiting)) return;
     waiting.request.signal.removeEventListener('abort', waiting.onAbort);
+    // A refusal while leaving says nothing about how often the tenant or the kind is served.
+    if (reason !== 'leaving') this.#queue.recordDecision(waiting.request, false, this.#clock.now());
     waiting.settle({ type: 'refused', reason });
     this.#onQueueChanged();
   }
@@ -234,7 +236,10 @@
       this.#queue.remove(waiting);
       waiting.request.signal.removeEventListener('abort', waiting.onAbort);
       if (!isUnlikelyToMeetDeadline(waiting, now)) waiting.settle(this.#dispatch(waiting));
-      else waiting.settle({ type: 'refused', reason: 'deadline-unreachable' });
+      else {
+        this.#queue.recordDecision(waiting.request, false, now);
+        waiting.settle({ type: 'refused', reason: 'deadline-unreachable' });
+      }
     }
     this.#onQueueChanged();
   }
@@ -247,6 +252,7 @@
     const startWork = this.#settings.speed.completedWorkAt(now);
     const concurrency = this.#running.size + 1;
     this.#running.set(permit, { ...entry, startedAt: now, startWork, concurrency });
+    this.#queue.recordDecision(entry.request, true, now);
     this.#updateOccupancy();
     if (entry.request.depth > 0) this.#callUtilization.add(entry.expectedMilliseconds, now);
     if (isTimely(entry, now)) this.#timelyUtilization.add(entry.expectedMilliseconds, now);
--- a/packages/admission/src/ValueDensityQueue.ts
+++ b/packages/admission/src/ValueDensityQueue.ts
@@ -1,6 +1,7 @@
 import { onTimeProbability } from '@hickorybridge/utils';
 
 import type { AdmissionRequest } from './AdmissionController.js';
+import { compareServiceRanks, TenantServiceOrder, type ServiceRank } from './TenantServiceOrder.js';
 
 /** A request with its expected duration. */
 export interface EstimatedRequest {
@@ -32,10 +33,17 @@
 /**
  * Waiting requests of one backend server, ordered by value density: the expected value of serving
  * a request now per slot millisecond. Under overload the newest requests are the most likely to be
- * answered in time, while a first-in-first-out queue would answer all requests late.
+ * answered in time, while a first-in-first-out queue would answer all requests late. While requests
+ * with a tenant wait, `TenantServiceOrder` decides instead.
  */
 export class ValueDensityQueue<Entry extends EstimatedRequest> {
-  readonly #entries = new Set<Entry>();
+  /** The time for which each entry could have its full value when it was added, in milliseconds. */
+  readonly #entries = new Map<Entry, number>();
+
+  readonly #tenantOrder = new TenantServiceOrder();
+
+  /** Number of entries with a tenant. */
+  #tenantEntries = 0;
 
   get length(): number {
     return this.#entries.size;
@@ -44,29 +52,38 @@
   /** Counts the entries that can still be answered in time. */
   countTimely(now: number): number {
     let count = 0;
-    for (const entry of this.#entries) if (isTimely(entry, now)) count += 1;
+    for (const entry of this.#entries.keys()) if (isTimely(entry, now)) count += 1;
     return count;
   }
 
   /** Lists all entries, in no particular order. */
   entries(): Entry[] {
-    return [...this.#entries];
+    return [...this.#entries.keys()];
   }
 
-  add(entry: Entry): void {
-    this.#entries.add(entry);
+  add(entry: Entry, now: number): void {
+    this.#entries.set(entry, targetOf(entry.request) - now);
+    if (entry.request.tenant !== undefined) this.#tenantEntries += 1;
   }
 
   /** Removes an entry. Returns `false` if it is not in the queue. */
   remove(entry: Entry): boolean {
-    return this.#entries.delete(entry);
+    const isRemoved = this.#entries.delete(entry);
+    if (isRemoved && entry.request.tenant !== undefined) this.#tenantEntries -= 1;
+    return isRemoved;
+  }
+
+  /** Records whether a request got a slot or was refused for lack of one. */
+  recordDecision(request: AdmissionRequest, isServed: boolean, now: number): void {
+    this.#tenantOrder.record(request, isServed, now);
   }
 
   /** Returns the entry to run next without removing it. */
   findNext(now: number): Entry | undefined {
+    if (this.#tenantEntries > 0) return this.#findNextByRank(now);
     let best: Entry | undefined;
     let highestDensity = -Infinity;
-    for (const entry of this.#entries) {
+    for (const entry of this.#entries.keys()) {
       const density = valueDensityOf(entry, now);
       if (density > highestDensity) {
         best = entry;
@@ -80,9 +97,7 @@
   findUnservable(snapshot: LoadSnapshot): Entry[] {
     const { now } = snapshot;
     const unservable: Entry[] = [];
-    const ordered = [...this.#entries]
-      .map((entry) => ({ entry, density: valueDensityOf(entry, now) }))
-      .sort((first, second) => second.density - first.density);
+    const ordered = this.#tenantEntries > 0 ? this.#sortByRank(now) : this.#sortByDensity(now);
     let workAhead = snapshot.workInFlight;
     for (const { entry } of ordered) {
       if (wouldStartTooLate(entry, workAhead, snapshot)) unservable.push(entry);
@@ -90,6 +105,36 @@
     }
     return unservable;
   }
+
+  #sortByDensity(now: number): { entry: Entry }[] {
+    return [...this.#entries.keys()]
+      .map((entry) => ({ entry, density: valueDensityOf(entry, now) }))
+      .sort((first, second) => second.density - first.density);
+  }
+
+  #sortByRank(now: number): { entry: Entry }[] {
+    return [...this.#entries]
+      .map(([entry, target]) => ({ entry, rank: this.#rankOf(entry, target, now) }))
+      .sort((first, second) => compareServiceRanks(first.rank, second.rank));
+  }
+
+  #findNextByRank(now: number): Entry | undefined {
+    let best: Entry | undefined;
+    let bestRank: ServiceRank | undefined;
+    for (const [entry, target] of this.#entries) {
+      const rank = this.#rankOf(entry, target, now);
+      if (bestRank === undefined || compareServiceRanks(rank, bestRank) < 0) {
+        best = entry;
+        bestRank = rank;
+      }
+    }
+    return best;
+  }
+
+  #rankOf(entry: Entry, targetMilliseconds: number, now: number): ServiceRank {
+    const density = valueDensityOf(entry, now);
+    return this.#tenantOrder.rank({ request: entry.request, density, targetMilliseconds, now });
+  }
 }
 
 /** Whether a request is likely to be answered in time if it starts now. Calls always count. */
