Share the slots between tenants under overload by deficit round robin

Cause: a tenant that sends 8 times its usual rate got as large a part of the slots as its part of the requests.

Change: FairShares counts the slot time that each tenant used by priority and target latency. While requests wait, the round that a tenant has reached comes before priority and urgency, for the next request to run as well as for the prediction which requests are refused. A long queue is sorted for that prediction at most every 10 ms.

--- a/packages/admission/src/SlotAdmissionController.ts
+++ b/packages/admission/src/SlotAdmissionController.ts
@@ -7,6 +7,7 @@
   AdmissionRequest,
   Permit,
 } from './AdmissionController.js';
+import type { EstimatedRequest } from './EstimatedRequest.js';
 import { KneeEstimator } from './KneeEstimator.js';
 import { OccupancyMeter, type OccupancySummary } from './OccupancyMeter.js';
 import { ServiceTimes } from './ServiceTimes.js';
@@ -16,9 +17,9 @@
   isTimely,
   ValueDensityQueue,
   type LoadSnapshot,
-  type EstimatedRequest,
 } from './ValueDensityQueue.js';
 import { SlotUtilization } from './SlotUtilization.js';
+import type { TenantServiceOrder } from './TenantServiceOrder.js';
 
 /** Settings of a slot admission controller for one backend server. */
 export interface SlotAdmissionSettings {
@@ -29,6 +30,8 @@
   /** Speed of this host. */
   readonly speed: HostSpeedModel;
   readonly clock: Clock;
+  /** Order of service while requests with a tenant wait; replaced in comparisons. */
+  readonly tenantOrder?: TenantServiceOrder;
 }
 
 interface WaitingRequest extends EstimatedRequest {
@@ -83,7 +86,7 @@
 
   readonly #occupancy: OccupancyMeter;
 
-  readonly #queue = new ValueDensityQueue<WaitingRequest>();
+  readonly #queue: ValueDensityQueue<WaitingRequest>;
 
   readonly #running = new Map<Permit, RunningRequest>();
 
@@ -97,6 +100,7 @@
     this.#settings = settings;
     this.#clock = settings.clock;
     this.#startedAt = settings.clock.now();
+    this.#queue = new ValueDensityQueue(settings.tenantOrder);
     this.#kneeEstimator = new KneeEstimator(settings.slots);
     this.#timelyUtilization = new SlotUtilization(settings.slots);
     this.#callUtilization = new SlotUtilization(settings.slots);
@@ -203,7 +207,7 @@
     if (!this.#queue.remove(waiting)) return;
     waiting.request.signal.removeEventListener('abort', waiting.onAbort);
     // A refusal while leaving says nothing about how often the tenant or the kind is served.
-    if (reason !== 'leaving') this.#queue.recordDecision(waiting.request, false, this.#clock.now());
+    if (reason !== 'leaving') this.#queue.recordRefused(waiting.request, this.#clock.now());
     waiting.settle({ type: 'refused', reason });
     this.#onQueueChanged();
   }
@@ -237,7 +241,7 @@
       waiting.request.signal.removeEventListener('abort', waiting.onAbort);
       if (!isUnlikelyToMeetDeadline(waiting, now)) waiting.settle(this.#dispatch(waiting));
       else {
-        this.#queue.recordDecision(waiting.request, false, now);
+        this.#queue.recordRefused(waiting.request, now);
         waiting.settle({ type: 'refused', reason: 'deadline-unreachable' });
       }
     }
@@ -252,7 +256,7 @@
     const startWork = this.#settings.speed.completedWorkAt(now);
     const concurrency = this.#running.size + 1;
     this.#running.set(permit, { ...entry, startedAt: now, startWork, concurrency });
-    this.#queue.recordDecision(entry.request, true, now);
+    this.#queue.recordServed(entry, now);
     this.#updateOccupancy();
     if (entry.request.depth > 0) this.#callUtilization.add(entry.expectedMilliseconds, now);
     if (isTimely(entry, now)) this.#timelyUtilization.add(entry.expectedMilliseconds, now);
@@ -263,6 +267,8 @@
     const running = this.#running.get(permit);
     if (running === undefined) return;
     this.#running.delete(permit);
+    const now = this.#clock.now();
+    this.#queue.recordFinished(running, now - running.startedAt, now);
     this.#updateOccupancy();
     if (serviceMilliseconds !== undefined) {
       this.#record(running);
--- a/packages/admission/src/TenantServiceOrder.ts
+++ b/packages/admission/src/TenantServiceOrder.ts
@@ -1,5 +1,9 @@
 import type { AdmissionRequest } from './AdmissionController.js';
+import type { EstimatedRequest } from './EstimatedRequest.js';
+import { FairShares } from './FairShares.js';
 import { ServiceRatios } from './ServiceRatios.js';
+import { compareServiceRanks, type ServiceRank } from './ServiceRank.js';
+import { slotCharge } from './slotCharge.js';
 
 /** A waiting request, and what its rank depends on. */
 export interface RankedRequest {
@@ -11,17 +15,6 @@
   readonly now: number;
 }
 
-/** Position of a waiting request in the order of service. */
-export interface ServiceRank {
-  /** Calls, whose callers hold slots elsewhere until the call ends. */
-  readonly isCall: boolean;
-  /** Whether the request's tenant or kind is served far less often than all. */
-  readonly isStarved: boolean;
-  readonly tenantPriority: number;
-  /** Value density, lowered for requests with a long target latency. */
-  readonly urgency: number;
-}
-
 /**
  * A tenant or kind that is served less often than this fraction of all requests goes first. The
  * limit is a quarter; the margin covers the time until a low ratio is noticed. All tenants together
@@ -30,6 +23,12 @@
 const starvationFraction = 0.35;
 /** Target latency at which the urgency is half the value density. */
 const targetScaleMilliseconds = 150;
+/**
+ * Slot time that a tenant may use in one round, enough for about two requests. With 1000 ms, a
+ * small tenant beside two hot ones waits too long in each round; without a quantum, neither
+ * priority nor target latency counts between tenants that have the same share left.
+ */
+export const defaultQuantumMilliseconds = 100;
 
 /** Order of service of the waiting requests of one backend server that has tenants. */
 export class TenantServiceOrder {
@@ -37,10 +36,17 @@
 
   readonly #ratiosByKind = new ServiceRatios();
 
+  readonly #shares: FairShares;
+
+  constructor(quantumMilliseconds = defaultQuantumMilliseconds) {
+    this.#shares = new FairShares(quantumMilliseconds);
+  }
+
   rank({ density, now, request, targetMilliseconds }: RankedRequest): ServiceRank {
     return {
       isCall: request.depth > 0,
       isStarved: this.#isStarved(request, now),
+      round: request.depth > 0 ? 0 : this.#shares.roundOf(accountOf(request)),
       tenantPriority: request.tenantPriority ?? 0,
       // The target on arrival and not the remaining time, which would favour requests that are
       // about to be late over new ones, and under overload answer fewer of them in time.
@@ -48,8 +54,64 @@
     };
   }
 
-  /** Records whether a request got a slot or was refused for lack of one. */
-  record(request: AdmissionRequest, isServed: boolean, now: number): void {
+  /** Returns the requests in the predicted order of service. */
+  sort<Ranked extends { readonly entry: EstimatedRequest; readonly rank: ServiceRank }>(
+    ranked: readonly Ranked[],
+    now: number,
+  ): Ranked[] {
+    const compare = (first: Ranked, second: Ranked) => compareServiceRanks(first.rank, second.rank);
+    const furtherByAccount = new Map<string, number>();
+    return [...ranked]
+      .sort(compare)
+      .map((item) => {
+        const { expectedMilliseconds, request } = item.entry;
+        if (request.depth > 0) return item;
+        const account = accountOf(request);
+        const further = furtherByAccount.get(account) ?? 0;
+        const charge = slotCharge(request, expectedMilliseconds, now);
+        furtherByAccount.set(account, further + charge);
+        const round = this.#shares.roundOf(account, further);
+        return { ...item, rank: { ...item.rank, round } };
+      })
+      .sort(compare);
+  }
+
+  /** Sets the lowest round of all waiting requests. */
+  advanceTo(round: number): void {
+    this.#shares.advanceTo(round);
+  }
+
+  /** Records a request that gets a slot. */
+  recordServed(
+    { expectedMilliseconds, request }: EstimatedRequest,
+    isQueueEmpty: boolean,
+    now: number,
+  ): void {
+    this.#recordDecision(request, true, now);
+    if (request.depth > 0) return;
+    const account = accountOf(request);
+    // Nobody waits, so the use of a free slot leaves no debt.
+    if (isQueueEmpty) this.#shares.advanceTo(this.#shares.roundOf(account));
+    this.#shares.charge(account, slotCharge(request, expectedMilliseconds, now));
+  }
+
+  /** Corrects the charge of a request that has left its slot. */
+  recordFinished(
+    { expectedMilliseconds, request }: EstimatedRequest,
+    milliseconds: number,
+    now: number,
+  ): void {
+    if (request.depth > 0) return;
+    const difference = milliseconds - expectedMilliseconds;
+    this.#shares.charge(accountOf(request), slotCharge(request, difference, now - milliseconds));
+  }
+
+  /** Records a request that was refused for lack of a slot. */
+  recordRefused(request: AdmissionRequest, now: number): void {
+    this.#recordDecision(request, false, now);
+  }
+
+  #recordDecision(request: AdmissionRequest, isServed: boolean, now: number): void {
     if (request.tenant === undefined || request.depth > 0) return;
     this.#ratiosByTenant.record(request.tenant, isServed, now);
     this.#ratiosByKind.record(request.kind, isServed, now);
@@ -64,12 +126,7 @@
   }
 }
 
-/** Compares for sorting: negative if the first request goes before the second. */
-export function compareServiceRanks(first: ServiceRank, second: ServiceRank): number {
-  return (
-    Number(second.isCall) - Number(first.isCall) ||
-    Number(second.isStarved) - Number(first.isStarved) ||
-    first.tenantPriority - second.tenantPriority ||
-    second.urgency - first.urgency
-  );
+/** Requests without a tenant share one account beside those of the tenants. */
+function accountOf({ tenant }: AdmissionRequest): string {
+  return tenant ?? '';
 }
--- a/packages/admission/src/ValueDensityQueue.ts
+++ b/packages/admission/src/ValueDensityQueue.ts
@@ -1,14 +1,9 @@
 import { onTimeProbability } from '@hickorybridge/utils';
 
 import type { AdmissionRequest } from './AdmissionController.js';
-import { compareServiceRanks, TenantServiceOrder, type ServiceRank } from './TenantServiceOrder.js';
-
-/** A request with its expected duration. */
-export interface EstimatedRequest {
-  readonly request: AdmissionRequest;
-  /** Expected processing time in the backend server, in milliseconds. */
-  readonly expectedMilliseconds: number;
-}
+import type { EstimatedRequest } from './EstimatedRequest.js';
+import { compareServiceRanks, type ServiceRank } from './ServiceRank.js';
+import { TenantServiceOrder } from './TenantServiceOrder.js';
 
 /** Load of the backend server from which waiting times are predicted. */
 export interface LoadSnapshot {
@@ -29,6 +24,10 @@
 /** A request counts as timely from this probability of an answer within its target time. */
 const timelyProbability = 0.3;
 const minimumExpectedMilliseconds = 1;
+/** Up to this length the queue is sorted for each new request with a tenant. */
+const shortQueueLength = 32;
+/** Delays a refusal by less than the sweep of the controller does. */
+const predictionIntervalMilliseconds = 10;
 
 /**
  * Waiting requests of one backend server, ordered by value density: the expected value of serving
@@ -40,11 +39,17 @@
   /** The time for which each entry could have its full value when it was added, in milliseconds. */
   readonly #entries = new Map<Entry, number>();
 
-  readonly #tenantOrder = new TenantServiceOrder();
+  readonly #tenantOrder: TenantServiceOrder;
+
+  #predictedAt = -Infinity;
 
   /** Number of entries with a tenant. */
   #tenantEntries = 0;
 
+  constructor(tenantOrder = new TenantServiceOrder()) {
+    this.#tenantOrder = tenantOrder;
+  }
+
   get length(): number {
     return this.#entries.size;
   }
@@ -73,9 +78,19 @@
     return isRemoved;
   }
 
-  /** Records whether a request got a slot or was refused for lack of one. */
-  recordDecision(request: AdmissionRequest, isServed: boolean, now: number): void {
-    this.#tenantOrder.record(request, isServed, now);
+  /** Records a request that gets a slot, after its removal from the queue. */
+  recordServed(entry: EstimatedRequest, now: number): void {
+    this.#tenantOrder.recordServed(entry, this.#entries.size === 0, now);
+  }
+
+  /** Records a request that has left its slot after the given time. */
+  recordFinished(entry: EstimatedRequest, milliseconds: number, now: number): void {
+    this.#tenantOrder.recordFinished(entry, milliseconds, now);
+  }
+
+  /** Records a request that was refused for lack of a slot. */
+  recordRefused(request: AdmissionRequest, now: number): void {
+    this.#tenantOrder.recordRefused(request, now);
   }
 
   /** Returns the entry to run next without removing it. */
@@ -97,6 +112,8 @@
   findUnservable(snapshot: LoadSnapshot): Entry[] {
     const { now } = snapshot;
     const unservable: Entry[] = [];
+    if (!this.#isPredictionDue(now)) return unservable;
+    this.#predictedAt = now;
     const ordered = this.#tenantEntries > 0 ? this.#sortByRank(now) : this.#sortByDensity(now);
     let workAhead = snapshot.workInFlight;
     for (const { entry } of ordered) {
@@ -106,6 +123,12 @@
     return unservable;
   }
 
+  /** Whether to predict again; a long queue with tenants is sorted at most once in an interval. */
+  #isPredictionDue(now: number): boolean {
+    if (this.#tenantEntries === 0 || this.#entries.size <= shortQueueLength) return true;
+    return now - this.#predictedAt >= predictionIntervalMilliseconds;
+  }
+
   #sortByDensity(now: number): { entry: Entry }[] {
     return [...this.#entries.keys()]
       .map((entry) => ({ entry, density: valueDensityOf(entry, now) }))
@@ -113,21 +136,26 @@
   }
 
   #sortByRank(now: number): { entry: Entry }[] {
-    return [...this.#entries]
-      .map(([entry, target]) => ({ entry, rank: this.#rankOf(entry, target, now) }))
-      .sort((first, second) => compareServiceRanks(first.rank, second.rank));
+    const ranked = [...this.#entries].map(([entry, target]) => ({
+      entry,
+      rank: this.#rankOf(entry, target, now),
+    }));
+    return this.#tenantOrder.sort(ranked, now);
   }
 
   #findNextByRank(now: number): Entry | undefined {
     let best: Entry | undefined;
     let bestRank: ServiceRank | undefined;
+    let lowestRound = Infinity;
     for (const [entry, target] of this.#entries) {
       const rank = this.#rankOf(entry, target, now);
+      if (!rank.isCall) lowestRound = Math.min(lowestRound, rank.round);
       if (bestRank === undefined || compareServiceRanks(rank, bestRank) < 0) {
         best = entry;
         bestRank = rank;
       }
     }
+    if (lowestRound < Infinity) this.#tenantOrder.advanceTo(lowestRound);
     return best;
   }
 
--- a/packages/admission/src/__tests__/simulateLoad.ts
+++ b/packages/admission/src/__tests__/simulateLoad.ts
@@ -3,6 +3,7 @@
 
 import type { Permit } from '../AdmissionController.js';
 import { SlotAdmissionController } from '../SlotAdmissionController.js';
+import { TenantServiceOrder } from '../TenantServiceOrder.js';
 
 /** Requests of one kind from one tenant, with Poisson arrivals. */
 export interface LoadSource {
@@ -34,6 +35,8 @@
   readonly milliseconds: number;
   readonly seed: number;
   readonly slots?: number;
+  /** Slot time of a tenant in each round, for comparisons: 0.001 is fair queueing, 1e12 none. */
+  readonly quantumMilliseconds?: number | undefined;
   /** Called with each outcome in order, for comparisons of decisions. */
   readonly onOutcome?: (request: number, outcome: string, now: number) => void;
 }
@@ -56,13 +59,19 @@
  * the deployments that tenants share: slower when nearly full, and on a host that is slow at times.
  */
 export async function simulateLoad(options: SimulationOptions): Promise<SourceResult[]> {
-  const { milliseconds, onOutcome, seed, slots = 9, sources } = options;
+  const { milliseconds, onOutcome, quantumMilliseconds, seed, slots = 9, sources } = options;
   const random = new RandomSource(seed);
   let now = 0;
   const clock = { now: () => now, wallTime: () => now, sleep: async () => {} };
   mock.timers.enable({ apis: ['setInterval'] });
   const speed = new HostSpeedModel();
-  const admission = new SlotAdmissionController({ slots, coldMilliseconds: 0, speed, clock });
+  const admission = new SlotAdmissionController({
+    slots,
+    coldMilliseconds: 0,
+    speed,
+    clock,
+    tenantOrder: new TenantServiceOrder(quantumMilliseconds),
+  });
   const events = sources.map((): SourceEvent[] => []);
   const arrivals: ScheduledEvent[] = [];
   const completions: ScheduledEvent[] = [];
