--- a/packages/admission/src/ValueDensityQueue.ts
+++ b/packages/admission/src/ValueDensityQueue.ts
@@ -1,13 +1,9 @@
 import { onTimeProbability } from '@hickorybridge/utils';
 
 import type { AdmissionRequest } from './AdmissionController.js';
-
-/** A request with its expected duration. */
-export interface EstimatedRequest {
-  readonly request: AdmissionRequest;
-  /** Expected processing time in the backend server, in milliseconds. */
-  readonly expectedMilliseconds: number;
-}
+import type { EstimatedRequest } from './EstimatedRequest.js';
+import { compareServiceRanks, type ServiceRank } from './ServiceRank.js';
+import { TenantServiceOrder } from './TenantServiceOrder.js';
 
 /** Load of the backend server from which waiting times are predicted. */
 export interface LoadSnapshot {
@@ -28,14 +24,31 @@
 /** A request counts as timely from this probability of an answer within its target time. */
 const timelyProbability = 0.3;
 const minimumExpectedMilliseconds = 1;
+/** Up to this length the queue is sorted for each new request with a tenant. */
+const shortQueueLength = 32;
+/** Delays a refusal by less than the sweep of the controller does. */
+const predictionIntervalMilliseconds = 10;
 
 /**
  * Waiting requests of one backend server, ordered by value density: the expected value of serving
  * a request now per slot millisecond. Under overload the newest requests are the most likely to be
- * answered in time, while a first-in-first-out queue would answer all requests late.
+ * answered in time, while a first-in-first-out queue would answer all requests late. While requests
+ * with a tenant wait, `TenantServiceOrder` decides instead.
  */
 export class ValueDensityQueue<Entry extends EstimatedRequest> {
-  readonly #entries = new Set<Entry>();
+  /** The time for which each entry could have its full value when it was added, in milliseconds. */
+  readonly #entries = new Map<Entry, number>();
+
+  readonly #tenantOrder: TenantServiceOrder;
+
+  #predictedAt = -Infinity;
+
+  /** Number of entries with a tenant. */
+  #tenantEntries = 0;
+
+  constructor(tenantOrder = new TenantServiceOrder()) {
+    this.#tenantOrder = tenantOrder;
+  }
 
   get length(): number {
     return this.#entries.size;
@@ -44,29 +57,48 @@
   /** Counts the entries that can still be answered in time. */
   countTimely(now: number): number {
     let count = 0;
-    for (const entry of this.#entries) if (isTimely(entry, now)) count += 1;
+    for (const entry of this.#entries.keys()) if (isTimely(entry, now)) count += 1;
     return count;
   }
 
   /** Lists all entries, in no particular order. */
   entries(): Entry[] {
-    return [...this.#entries];
+    return [...this.#entries.keys()];
   }
 
-  add(entry: Entry): void {
-    this.#entries.add(entry);
+  add(entry: Entry, now: number): void {
+    this.#entries.set(entry, targetOf(entry.request) - now);
+    if (entry.request.tenant !== undefined) this.#tenantEntries += 1;
   }
 
   /** Removes an entry. Returns `false` if it is not in the queue. */
   remove(entry: Entry): boolean {
-    return this.#entries.delete(entry);
+    const isRemoved = this.#entries.delete(entry);
+    if (isRemoved && entry.request.tenant !== undefined) this.#tenantEntries -= 1;
+    return isRemoved;
+  }
+
+  /** Records a request that gets a slot, after its removal from the queue. */
+  recordServed(entry: EstimatedRequest, now: number): void {
+    this.#tenantOrder.recordServed(entry, this.#entries.size === 0, now);
+  }
+
+  /** Records a request that has left its slot after the given time. */
+  recordFinished(entry: EstimatedRequest, milliseconds: number, now: number): void {
+    this.#tenantOrder.recordFinished(entry, milliseconds, now);
+  }
+
+  /** Records a request that was refused for lack of a slot. */
+  recordRefused(request: AdmissionRequest, now: number): void {
+    this.#tenantOrder.recordRefused(request, now);
   }
 
   /** Returns the entry to run next without removing it. */
   findNext(now: number): Entry | undefined {
+    if (this.#tenantEntries > 0) return this.#findNextByRank(now);
     let best: Entry | undefined;
     let highestDensity = -Infinity;
-    for (const entry of this.#entries) {
+    for (const entry of this.#entries.keys()) {
       const density = valueDensityOf(entry, now);
       if (density > highestDensity) {
         best = entry;
@@ -80,9 +112,9 @@
   findUnservable(snapshot: LoadSnapshot): Entry[] {
     const { now } = snapshot;
     const unservable: Entry[] = [];
-    const ordered = [...this.#entries]
-      .map((entry) => ({ entry, density: valueDensityOf(entry, now) }))
-      .sort((first, second) => second.density - first.density);
+    if (!this.#isPredictionDue(now)) return unservable;
+    this.#predictedAt = now;
+    const ordered = this.#tenantEntries > 0 ? this.#sortByRank(now) : this.#sortByDensity(now);
     let workAhead = snapshot.workInFlight;
     for (const { entry } of ordered) {
       if (wouldStartTooLate(entry, workAhead, snapshot)) unservable.push(entry);
@@ -90,6 +122,47 @@
     }
     return unservable;
   }
+
+  /** Whether to predict again; a long queue with tenants is sorted at most once in an interval. */
+  #isPredictionDue(now: number): boolean {
+    if (this.#tenantEntries === 0 || this.#entries.size <= shortQueueLength) return true;
+    return now - this.#predictedAt >= predictionIntervalMilliseconds;
+  }
+
+  #sortByDensity(now: number): { entry: Entry }[] {
+    return [...this.#entries.keys()]
+      .map((entry) => ({ entry, density: valueDensityOf(entry, now) }))
+      .sort((first, second) => second.density - first.density);
+  }
+
+  #sortByRank(now: number): { entry: Entry }[] {
+    const ranked = [...this.#entries].map(([entry, target]) => ({
+      entry,
+      rank: this.#rankOf(entry, target, now),
+    }));
+    return this.#tenantOrder.sort(ranked, now);
+  }
+
+  #findNextByRank(now: number): Entry | undefined {
+    let best: Entry | undefined;
+    let bestRank: ServiceRank | undefined;
+    let lowestRound = Infinity;
+    for (const [entry, target] of this.#entries) {
+      const rank = this.#rankOf(entry, target, now);
+      if (!rank.isCall) lowestRound = Math.min(lowestRound, rank.round);
+      if (bestRank === undefined || compareServiceRanks(rank, bestRank) < 0) {
+        best = entry;
+        bestRank = rank;
+      }
+    }
+    if (lowestRound < Infinity) this.#tenantOrder.advanceTo(lowestRound);
+    return best;
+  }
+
+  #rankOf(entry: Entry, targetMilliseconds: number, now: number): ServiceRank {
+    const density = valueDensityOf(entry, now);
+    return this.#tenantOrder.rank({ request: entry.request, density, targetMilliseconds, now });
+  }
 }
 
 /** Whether a request is likely to be answered in time if it starts now. Calls always count. */
