Hedge requests within hedge_share of the settings

For services that have a share, RequestRun asks RequestHedging for the delay and the limit, HostChoice.chooseForHedge for a host that was probed, and the retry budget for a token, in this order of cost. Services without a share are hedged as before.

A test shows that a service without a share uses the former delay and host.

--- a/packages/host-node/src/NodeTelemetry.ts
+++ b/packages/host-node/src/NodeTelemetry.ts
@@ -1,5 +1,6 @@
 import type { OccupancySummary } from '@hickorybridge/admission';
 import type { Logger } from '@hickorybridge/logger';
+import type { HedgeEvent } from '@hickorybridge/routing';
 import { Counter, LatencyHistogram } from '@hickorybridge/telemetry';
 
 import type { FinishedRequest } from './callers/CallersListener.js';
@@ -12,6 +13,8 @@
 
   readonly #durations = new Map<string, LatencyHistogram>();
 
+  readonly #hedges = new Map<string, Counter>();
+
   readonly #storeCalls = new Map<string, Counter>();
 
   /** The seconds in flight and waiting are sums over all requests. */
@@ -25,6 +28,11 @@
     getOrCreateCounter(this.#storeCalls, `operation="${operation}",result="${result}"`).add();
   }
 
+  /** Counts a hedge that was sent, won, was cancelled, or was suppressed for a reason. */
+  recordHedge(route: string, event: HedgeEvent): void {
+    getOrCreateCounter(this.#hedges, `route="${route}",result="${event}"`).add();
+  }
+
   /** Adds the usage of the backend server since the previous summary to the totals. */
   recordBackendServerUsage(summary: OccupancySummary): void {
     this.#backendServerUsage.inFlightSeconds += summary.inFlightMilliseconds / 1000;
@@ -65,6 +73,7 @@
   render(): string {
     const lines = [
       ...renderCounters('hickorybridge_requests_total', this.#requests),
+      ...renderCounters('hickorybridge_hedged_requests_total', this.#hedges),
       ...renderCounters('hickorybridge_store_calls_total', this.#storeCalls),
     ];
     for (const [route, histogram] of this.#durations) {
--- a/packages/host-node/src/__tests__/HostChoice.test.ts
+++ b/packages/host-node/src/__tests__/HostChoice.test.ts
@@ -1,10 +1,11 @@
 import type { HostDirectory } from '@hickorybridge/membership';
-import { HostSelector, HostSubset, RouteWorkEstimator } from '@hickorybridge/routing';
-import type { HostEntry, Route } from '@hickorybridge/types';
+import { HostLoad, HostSelector, HostSubset, RouteWorkEstimator } from '@hickorybridge/routing';
+import { Distance, type HostEntry, type Route } from '@hickorybridge/types';
 import { HostSpeedModel, RandomSource, systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
+import type { CallerRequest } from '../routing/CallerRequest.js';
 import { HostChoice } from '../routing/HostChoice.js';
 import { LoadProber } from '../routing/LoadProber.js';
 
@@ -41,6 +42,7 @@
 async function chooseAmong(
   entries: readonly HostEntry[],
   onLoadRequest: (nodeId: string, choice: HostChoice) => boolean,
+  select = (choice: HostChoice, request: CallerRequest) => choice.choose(request, new Set()),
 ): Promise<string | undefined> {
   const parts: { choice?: HostChoice } = {};
   const loadProber = new LoadProber({
@@ -78,7 +80,7 @@
     depth: 0,
     signal: new AbortController().signal,
   } as const;
-  return (await choice.choose(request, new Set()))?.entry.nodeId;
+  return (await select(choice, request))?.entry.nodeId;
 }
 
 const fullLoad = { limit: 9, inFlight: 9, queued: 9, serviceMilliseconds: 300, rampShare: 1 };
@@ -121,3 +123,31 @@
     assert.equal(chosen, probed[2]);
   });
 });
+
+describe('choice of a host for a hedge', () => {
+  const first = {
+    entry: { ...createEntry('first', 'r'), location: { region: 'r', failureDomain: 'other' } },
+    distance: Distance.sameRegion,
+    load: new HostLoad(),
+    roundTripMilliseconds: 1,
+  };
+  /** Chooses among the hosts that answer a probe with the given number of requests in flight. */
+  const chooseFor = async (inFlightOf: Readonly<Record<string, number>>) => {
+    const entries = Object.keys(inFlightOf).map((name) => createEntry(name, 'r'));
+    const onLoadRequest = (nodeId: string, choice: HostChoice) => {
+      const report = { ...fullLoad, inFlight: inFlightOf[nodeId] ?? 0, queued: 0 };
+      choice.loadOf(nodeId).recordReport(report, systemClock.now());
+      return true;
+    };
+    return chooseAmong(entries, onLoadRequest, async (choice, request) => {
+      const chosen = await choice.chooseForHedge(request, new Set(['first']), first);
+      return chosen.type === 'host' ? chosen.candidate : undefined;
+    });
+  };
+
+  it('guards against a hedge to a host whose load is not known or that has no free slot', async () => {
+    assert.equal(await chooseFor({ full: 9, free: 1 }), 'free');
+    assert.equal(await chooseFor({ full: 9, nearly: 8 }), undefined);
+    assert.equal(await chooseFor({}), undefined);
+  });
+});
--- a/packages/host-node/src/__tests__/RequestRun.test.ts
+++ b/packages/host-node/src/__tests__/RequestRun.test.ts
@@ -5,7 +5,13 @@
   type ExecutionOutcome,
   type RequestBody,
 } from '@hickorybridge/peer-protocol';
-import { HostLoad, RouteWorkEstimator, type HostCandidate } from '@hickorybridge/routing';
+import {
+  HedgeEvent,
+  HostLoad,
+  RequestHedging,
+  RouteWorkEstimator,
+  type HostCandidate,
+} from '@hickorybridge/routing';
 import { Distance, type Route } from '@hickorybridge/types';
 import { RandomSource, systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
@@ -73,6 +79,8 @@
   readonly body: RequestBody;
   /** Error that sending fails with. */
   readonly sendError: Error;
+  readonly hedging: RequestHedging;
+  readonly maxAttempts: number;
   /** Gives the outcome at one host, in place of the answer after a time. */
   readonly outcomeAt: (nodeId: string, signal: AbortSignal) => Promise<ExecutionOutcome>;
 }
@@ -93,7 +101,14 @@
     await sleep(freeHostDelayMilliseconds);
     return chooseFirst(request, excluded);
   };
-  const hosts = { choose: chooseFirst, chooseFree, shortestWait: () => 0 };
+  const hedgeEvents: HedgeEvent[] = [];
+  const chooseForHedge = async (request: CallerRequest, excluded: ReadonlySet<string>) => {
+    const candidate = await chooseFree(request, excluded);
+    return candidate === undefined
+      ? { type: 'none', reason: HedgeEvent.noHost }
+      : { type: 'host', candidate };
+  };
+  const hosts = { choose: chooseFirst, chooseForHedge, chooseFree, shortestWait: () => 0 };
   const routeWorkEstimator = new RouteWorkEstimator();
   routeWorkEstimator.record(route.name, 5);
   const callerAbort = new AbortController();
@@ -121,13 +136,15 @@
           clock: systemClock,
         }),
       routeWorkEstimator,
+      ...(overrides.hedging === undefined ? {} : { hedging: overrides.hedging }),
+      onHedge: (_route, event) => hedgeEvents.push(event),
       clock: systemClock,
       random: new RandomSource(2026),
       logger: silentLogger,
     },
     {
       requestId: 'r',
-      route: { ...route, idempotent },
+      route: { ...route, idempotent, maxAttempts: overrides.maxAttempts ?? route.maxAttempts },
       service: 'desk',
       method: 'POST',
       target: '/',
@@ -141,7 +158,26 @@
       signal: callerAbort.signal,
     },
   );
-  return { askedHosts, callerAbort, outcome: run.run() };
+  return { askedHosts, callerAbort, hedgeEvents, outcome: run.run() };
+}
+
+/** Hedging that has learnt a response time, with work left for a number of hedges. */
+async function learnHedging(share: number | undefined, requests: number) {
+  const hedging = new RequestHedging({ shareOf: () => share, clock: systemClock });
+  for (let count = 0; count < 20; count += 1)
+    hedging.recordAttempt('desk', route.name, { milliseconds: 10, answered: true });
+  for (let count = 0; count < requests; count += 1) hedging.recordRequest('desk', 5);
+  return hedging;
+}
+
+/** Host "one" works until it is cancelled; the others answer at once. */
+function slowFirstHost(cancelled: string[]) {
+  return async (nodeId: string, signal: AbortSignal): Promise<ExecutionOutcome> => {
+    if (nodeId !== 'one') return createAnswer();
+    await once(signal, 'abort');
+    cancelled.push(nodeId);
+    return { type: 'refused', reason: 'cancelled', report: undefined };
+  };
 }
 
 describe('routing of one request', () => {
@@ -244,3 +280,94 @@
     assert.equal(result.type === 'failed' && result.mayHaveRun, true);
   });
 });
+
+describe('hedged requests with a limit', () => {
+  it('guards against a late request that is not hedged, and a first attempt that goes on', async () => {
+    const cancelled: string[] = [];
+    const { askedHosts, hedgeEvents, outcome } = startRun(2000, {
+      idempotent: true,
+      hedging: await learnHedging(0.1, 50),
+      outcomeAt: slowFirstHost(cancelled),
+    });
+    assert.equal((await outcome).type, 'answered');
+    await sleep(10);
+    assert.deepEqual(askedHosts, ['one', 'two']);
+    assert.deepEqual(cancelled, ['one']);
+    assert.deepEqual(hedgeEvents, [HedgeEvent.sent, HedgeEvent.won]);
+  });
+
+  it('guards against a hedge that goes on after the first host has answered', async () => {
+    let isCancelled = false;
+    const { askedHosts, hedgeEvents, outcome } = startRun(2000, {
+      idempotent: true,
+      hedging: await learnHedging(0.1, 50),
+      outcomeAt: async (nodeId, signal) => {
+        if (nodeId === 'one') {
+          await sleep(80);
+          return createAnswer();
+        }
+        await once(signal, 'abort');
+        isCancelled = true;
+        return { type: 'refused', reason: 'cancelled', report: undefined };
+      },
+    });
+    assert.equal((await outcome).type, 'answered');
+    await sleep(10);
+    assert.deepEqual(askedHosts, ['one', 'two']);
+    assert.equal(isCancelled, true);
+    assert.deepEqual(hedgeEvents, [HedgeEvent.sent, HedgeEvent.cancelled]);
+  });
+
+  it('guards against a hedge beyond the limit', async () => {
+    const { askedHosts, hedgeEvents, outcome } = startRun(100, {
+      idempotent: true,
+      hedging: await learnHedging(0.1, 1),
+    });
+    await outcome;
+    assert.deepEqual(askedHosts, ['one']);
+    assert.deepEqual(hedgeEvents, [HedgeEvent.limit]);
+  });
+
+  it('guards against a hedge beyond the attempts of the route, of a non-idempotent request, or with the share 0', async () => {
+    const hedging = await learnHedging(0.1, 50);
+    const variants: Partial<RunOverrides>[] = [
+      { idempotent: true, maxAttempts: 1, hedging },
+      { idempotent: false, hedging },
+      { idempotent: true, hedging: await learnHedging(0, 50) },
+    ];
+    for (const variant of variants) {
+      const { askedHosts, hedgeEvents, outcome } = startRun(100, variant);
+      await outcome;
+      assert.deepEqual(askedHosts, ['one']);
+      assert.deepEqual(hedgeEvents, []);
+    }
+  });
+
+  it('guards against a hedge after a refusal, which shows that slots are short', async () => {
+    const { askedHosts, hedgeEvents, outcome } = startRun(100, {
+      idempotent: true,
+      maxAttempts: 3,
+      hedging: await learnHedging(0.1, 50),
+      outcomeAt: async (nodeId, signal) => {
+        if (nodeId === 'one') return { type: 'refused', reason: 'queue-full', report: undefined };
+        await once(signal, 'abort');
+        return { type: 'refused', reason: 'cancelled', report: undefined };
+      },
+    });
+    await outcome;
+    assert.deepEqual(askedHosts, ['one', 'two']);
+    assert.deepEqual(hedgeEvents, []);
+  });
+
+  it('guards against another behaviour of a service without a limit', async () => {
+    const cancelled: string[] = [];
+    const { askedHosts, hedgeEvents, outcome } = startRun(2000, {
+      idempotent: true,
+      hedging: await learnHedging(undefined, 50),
+      outcomeAt: slowFirstHost(cancelled),
+    });
+    assert.equal((await outcome).type, 'answered');
+    assert.deepEqual(askedHosts, ['one', 'two']);
+    assert.deepEqual(hedgeEvents, []);
+  });
+});
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -14,7 +14,12 @@
   type RequestExecutor,
 } from '@hickorybridge/peer-protocol';
 import { configurationPrefix, ObjectStore, readinessPath } from '@hickorybridge/platform';
-import { HostSelector, HostSubset, RouteWorkEstimator } from '@hickorybridge/routing';
+import {
+  HostSelector,
+  HostSubset,
+  RequestHedging,
+  RouteWorkEstimator,
+} from '@hickorybridge/routing';
 import {
   HostSpeedModel,
   StallDetector,
@@ -185,6 +190,14 @@
     nodeCount: () => directory.size,
     isNewNode: () => registration.isNew,
     routeWorkEstimator,
+    hedging: new RequestHedging({
+      shareOf: (service) => {
+        const { hedgeShare } = settings.current;
+        return typeof hedgeShare === 'object' ? hedgeShare.get(service) : hedgeShare;
+      },
+      clock,
+    }),
+    onHedge: (route, event) => telemetry.recordHedge(route, event),
     clock,
     random: random.fork(),
     logger,
--- a/packages/host-node/src/routing/HostChoice.ts
+++ b/packages/host-node/src/routing/HostChoice.ts
@@ -1,6 +1,11 @@
 import type { HostDirectory } from '@hickorybridge/membership';
 import {
+  areManyHostsBusy,
+  canTakeHedge,
+  hasHedgeReport,
+  HedgeEvent,
   requestSubsetSizes,
+  selectHedgePlaces,
   selectHostsToProbe,
   HostLoad,
   hasFreshReport,
@@ -54,6 +59,11 @@
  */
 const maxProbedHosts = 3;
 
+/** The host of a hedge, or why there is none. */
+export type HedgeChoice =
+  | { readonly type: 'host'; readonly candidate: HostCandidate }
+  | { readonly type: 'none'; readonly reason: HedgeEvent };
+
 /** Chooses hosts for requests and tracks the known load of each host. */
 export class HostChoice {
   readonly #options: HostChoiceOptions;
@@ -115,6 +125,33 @@
     return wait === 0 ? candidate : undefined;
   }
 
+  /**
+   * Chooses a host for a hedge: one that other requests may use, too, and that is known to have a
+   * free slot and its usual speed.
+   */
+  async chooseForHedge(
+    request: CallerRequest,
+    excluded: ReadonlySet<string>,
+    first: HostCandidate,
+  ): Promise<HedgeChoice> {
+    const { clock, loadProber, selector } = this.#options;
+    const usable = this.#usableCandidates(request, excluded);
+    if (areManyHostsBusy(usable, clock.now())) return { type: 'none', reason: HedgeEvent.busy };
+    const ranked = selector
+      .rank(selectHedgePlaces(usable, first), this.#hostRequest(request))
+      .slice(0, maxProbedHosts);
+    const outdated = ranked.filter((candidate) => !hasHedgeReport(candidate, clock.now()));
+    if (outdated.length > 0) await loadProber.probe(outdated.map(({ entry }) => entry.nodeId));
+    const hostRequest = this.#hostRequest(request);
+    const eligible = ranked.filter(
+      (candidate) => this.#isUsable(candidate.entry) && canTakeHedge(candidate, hostRequest),
+    );
+    const candidate = selector.select(eligible, hostRequest);
+    return candidate === undefined
+      ? { type: 'none', reason: HedgeEvent.noHost }
+      : { type: 'host', candidate };
+  }
+
   /** Selects the most promising of the hosts whose load is worth a probe. */
   #selectHostsToProbe(
     request: CallerRequest,
--- a/packages/host-node/src/routing/RequestRouter.ts
+++ b/packages/host-node/src/routing/RequestRouter.ts
@@ -60,6 +60,7 @@
     this.#splits = new Map();
     const names = new Set(configuration.routes.map(({ name }) => name));
     this.#options.routeWorkEstimator.retain(names);
+    this.#options.hedging?.retain(names);
     this.callerTimeoutEstimator.retain(names);
     return true;
   }
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -10,7 +10,9 @@
 import type { Logger } from '@hickorybridge/logger';
 import {
   computeRetryAfter,
+  HedgeEvent,
   type HostCandidate,
+  type RequestHedging,
   type RouteWorkEstimator,
 } from '@hickorybridge/routing';
 import type { RefusalReason, RequestHead } from '@hickorybridge/types';
@@ -34,6 +36,9 @@
   readonly send: SendToHost;
   readonly retryBudgetFor: (service: string) => RetryAllowance;
   readonly routeWorkEstimator: RouteWorkEstimator;
+  /** Hedging with a limit, for the services that have one; other requests use a fixed delay. */
+  readonly hedging?: RequestHedging;
+  readonly onHedge?: (route: string, event: HedgeEvent) => void;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
@@ -81,6 +86,9 @@
 
   #refusals = 0;
 
+  /** The second attempt of limited hedging, which a request makes at most once. */
+  #limitedHedge: HostAttempt | undefined;
+
   #lastHost: string | undefined;
 
   readonly #errorAnswer = new KeptErrorAnswer();
@@ -97,6 +105,8 @@
     // Nested calls add nothing to the retry budget. Those of a repeated run use it up.
     if (depth === 0) this.#options.retryBudgetFor(service).recordFirstAttempt();
     else if (isBelowRepeat === true) this.#options.retryBudgetFor(service).recordRetry();
+    // Calls of a repeated run are extra work themselves and earn no hedges.
+    if (isBelowRepeat !== true) this.#options.hedging?.recordRequest(service, this.#expectedWork());
     return new Promise((resolve) => {
       const settle = (outcome: CallerOutcome) => {
         resolve(outcome);
@@ -135,6 +145,7 @@
         delayMilliseconds: this.#hedgeDelay(),
         startHedge: () => this.#startHedge(),
       });
+      if (winner === this.#limitedHedge && isServed(outcome)) this.#recordHedge(HedgeEvent.won);
       if (this.#cancellation.signal.aborted) {
         if (outcome.type === 'answered') discardBody(outcome.body);
         return this.#noHost();
@@ -158,20 +169,30 @@
 
   /** Delay after which an idempotent request is also sent to a second host. */
   #hedgeDelay(): number | undefined {
-    const { body, route } = this.#request;
+    const { body, isBelowRepeat = false, route, service } = this.#request;
     // A streamed body has one reader, and the first attempt still waits for its turn to read it.
     if (!route.idempotent || body.type === 'stream') return undefined;
-    const expected = this.#options.routeWorkEstimator.expectedWork(
-      route.name,
-      route.targetMilliseconds,
-    );
-    return Math.max(minimumHedgeDelayMilliseconds, expected * hedgeDelayFactor);
+    const hedging = this.#limitedHedging();
+    if (hedging !== undefined) {
+      // A refusal shows that slots are short, and hedges give way first.
+      const isOff = this.#refusals > 0 || this.#limitedHedge !== undefined || isBelowRepeat;
+      return isOff ? undefined : hedging.delayFor(service, route.name);
+    }
+    return Math.max(minimumHedgeDelayMilliseconds, this.#expectedWork() * hedgeDelayFactor);
+  }
+
+  /** The hedging of the service with a limit; `undefined` if none is set. */
+  #limitedHedging(): RequestHedging | undefined {
+    const { hedging } = this.#options;
+    return hedging?.isSetFor(this.#request.service) === true ? hedging : undefined;
   }
 
   /** Sends the request to a second host, if one is free and the retry budget allows it. */
   async #startHedge(): Promise<HostAttempt | undefined> {
     const { hosts } = this.#options;
     if (this.#cancellation.signal.aborted || !this.#mayRepeat()) return undefined;
+    const hedging = this.#limitedHedging();
+    if (hedging !== undefined) return this.#startLimitedHedge(hedging);
     const candidate = await hosts.chooseFree(this.#request, this.#attemptedHosts);
     // The first attempt may have ended while the hosts were probed.
     const isWanted = this.#runningAttempts.size > 0 && !this.#cancellation.signal.aborted;
@@ -180,20 +201,67 @@
     return this.#startAttempt(candidate);
   }
 
-  #startAttempt(candidate: HostCandidate): HostAttempt {
+  /** Sends a hedge within the limit, after the cheap checks to a host that was just probed. */
+  async #startLimitedHedge(hedging: RequestHedging): Promise<HostAttempt | undefined> {
+    const { service } = this.#request;
+    const work = this.#expectedWork();
+    if (!hedging.allows(service, work)) return this.#recordHedge(HedgeEvent.limit);
+    const [first] = this.#runningAttempts;
+    if (first === undefined) return undefined;
+    const choice = await this.#options.hosts.chooseForHedge(
+      this.#request,
+      this.#attemptedHosts,
+      first.candidate,
+    );
+    // The first attempt may have ended while the hosts were probed.
+    if (this.#runningAttempts.size === 0 || this.#cancellation.signal.aborted) return undefined;
+    if (choice.type === 'none') return this.#recordHedge(choice.reason);
+    // Other hedges may have used the limit meanwhile.
+    if (!hedging.allows(service, work)) return this.#recordHedge(HedgeEvent.limit);
+    if (!this.#tryTakeRetry()) return this.#recordHedge(HedgeEvent.retryBudget);
+    hedging.recordHedge(service, work);
+    this.#recordHedge(HedgeEvent.sent);
+    this.#logHedge(first.candidate, choice.candidate);
+    this.#limitedHedge = this.#startAttempt(choice.candidate, true);
+    return this.#limitedHedge;
+  }
+
+  #recordHedge(event: HedgeEvent): undefined {
+    this.#options.onHedge?.(this.#request.route.name, event);
+  }
+
+  #startAttempt(candidate: HostCandidate, isLimitedHedge = false): HostAttempt {
     const { nodeId } = candidate.entry;
     candidate.load.recordSent();
     this.#attemptedHosts.add(nodeId);
     this.#lastHost = nodeId;
     this.#possibleRuns += 1;
     this.#backendAttempts += 1;
-    const attempt = new HostAttempt(candidate, (signal) => this.#send(candidate, signal));
+    const attempt = new HostAttempt(candidate, async (signal) => {
+      const startedAt = this.#options.clock.now();
+      const outcome = await this.#send(candidate, signal);
+      const isCancelled = signal.aborted;
+      if (!isLimitedHedge) this.#recordDuration(outcome, startedAt, isCancelled);
+      else if (isCancelled) this.#recordHedge(HedgeEvent.cancelled);
+      return outcome;
+    });
     this.#runningAttempts.add(attempt);
     const remove = () => this.#runningAttempts.delete(attempt);
     attempt.outcome.then(remove, remove);
     return attempt;
   }
 
+  /** Records how long an attempt took for the learnt delay of hedges. */
+  #recordDuration(outcome: ExecutionOutcome, startedAt: number, isCancelled: boolean): void {
+    const { clock, hedging } = this.#options;
+    const { route, service } = this.#request;
+    // Errors and refusals are often fast and say nothing about the usual response time.
+    const answered = isServed(outcome) && !isCancelled;
+    if (!answered && !isCancelled) return;
+    const milliseconds = clock.now() - startedAt;
+    hedging?.recordAttempt(service, route.name, { milliseconds, answered });
+  }
+
   async #send({ entry, load }: HostCandidate, signal: AbortSignal): Promise<ExecutionOutcome> {
     const { clock, routeWorkEstimator, send } = this.#options;
     const { body, route } = this.#request;
@@ -216,7 +284,6 @@
   }
 
   #headFor(nodeId: string, backendServerId: string): RequestHead {
-    const { routeWorkEstimator } = this.#options;
     const {
       deadline,
       depth,
@@ -243,10 +310,7 @@
       headers,
       deadline,
       usefulUntil,
-      expectedWorkMilliseconds: routeWorkEstimator.expectedWork(
-        route.name,
-        route.targetMilliseconds,
-      ),
+      expectedWorkMilliseconds: this.#expectedWork(),
       depth,
       isRepeat: isBelowRepeat === true || this.#backendAttempts > 1,
       attempts: 1,
@@ -325,12 +389,29 @@
 
   /** Whether the request allows one more attempt, whatever the budget has left. */
   #mayRepeat(): boolean {
-    const { clock, routeWorkEstimator } = this.#options;
+    const { clock } = this.#options;
     const { body, deadline, route } = this.#request;
     if (this.#possibleRuns > 0 && !route.idempotent) return false;
     if (this.#backendAttempts >= route.maxAttempts || !canSendBody(body)) return false;
-    const expected = routeWorkEstimator.expectedWork(route.name, route.targetMilliseconds);
-    return clock.now() + expected * minimumRetryShare <= deadline;
+    return clock.now() + this.#expectedWork() * minimumRetryShare <= deadline;
+  }
+
+  #expectedWork(): number {
+    const { name, targetMilliseconds } = this.#request.route;
+    return this.#options.routeWorkEstimator.expectedWork(name, targetMilliseconds);
+  }
+
+  #logHedge(first: HostCandidate, second: HostCandidate): void {
+    const { clock, logger } = this.#options;
+    const { arrivedAt, requestId, route } = this.#request;
+    logger.info('request-hedged', 'sending a late request to a second host', {
+      requestId,
+      route: route.name,
+      host: second.entry.nodeId,
+      firstHost: first.entry.nodeId,
+      milliseconds: Math.round(clock.now() - arrivedAt),
+      tries: this.#backendAttempts,
+    });
   }
 
   #logRetry(host: string, detail: string): void {
@@ -388,6 +469,10 @@
   }
 }
 
+function isServed(outcome: ExecutionOutcome): boolean {
+  return outcome.type === 'answered' && outcome.head.status < minServerErrorStatus;
+}
+
 /** Whether a backend server rejected the request. Such an arrival counts although it did not run. */
 function hasArrived(reason: RefusalReason): boolean {
   return reason === 'backend-server-shed' || reason === 'misdirected';
--- a/packages/types/src/hostSettings.ts
+++ b/packages/types/src/hostSettings.ts
@@ -19,6 +19,11 @@
   readonly memoryBytes?: number;
   /** File descriptors that the process may use; absent if not limited. */
   readonly maxDescriptors?: number;
+  /**
+   * Work of hedged requests as a share of the work of all requests, from 0 to 1: one for all
+   * services, or one for each service by name. Absent if the setting is not in the file.
+   */
+  readonly hedgeShare?: number | ReadonlyMap<string, number>;
 }
 
 /** The addresses on which a node listens. */
