--- a/packages/host-node/src/__tests__/HostChoice.test.ts
+++ b/packages/host-node/src/__tests__/HostChoice.test.ts
@@ -1,10 +1,11 @@
 import type { HostDirectory } from '@hickorybridge/membership';
-import { HostSelector, HostSubset, RouteWorkEstimator } from '@hickorybridge/routing';
-import type { HostEntry, Route } from '@hickorybridge/types';
+import { HostLoad, HostSelector, HostSubset, RouteWorkEstimator } from '@hickorybridge/routing';
+import { Distance, type HostEntry, type Route } from '@hickorybridge/types';
 import { HostSpeedModel, RandomSource, systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
+import type { CallerRequest } from '../routing/CallerRequest.js';
 import { HostChoice } from '../routing/HostChoice.js';
 import { LoadProber } from '../routing/LoadProber.js';
 
@@ -41,6 +42,7 @@
 async function chooseAmong(
   entries: readonly HostEntry[],
   onLoadRequest: (nodeId: string, choice: HostChoice) => boolean,
+  select = (choice: HostChoice, request: CallerRequest) => choice.choose(request, new Set()),
   allowedRegions?: readonly string[],
 ): Promise<string | undefined> {
   const parts: { choice?: HostChoice } = {};
@@ -80,7 +82,7 @@
     ...(allowedRegions === undefined ? {} : { allowedRegions }),
     signal: new AbortController().signal,
   } as const;
-  const chosen = await choice.choose(request, new Set());
+  const chosen = await select(choice, request);
   if (allowedRegions !== undefined) {
     const free = await choice.chooseFree(request, new Set());
     assert.ok(free === undefined || allowedRegions.includes(free.entry.location.region));
@@ -123,10 +125,10 @@
       choice.loadOf(nodeId).recordReport(load, systemClock.now());
       return true;
     };
-    assert.equal(await chooseAmong(entries, onLoadRequest, ['s']), 'far');
-    assert.equal(await chooseAmong(entries, onLoadRequest, ['r', 's']), 'near');
-    assert.equal(await chooseAmong(entries, onLoadRequest, ['t']), undefined);
-    assert.equal(await chooseAmong(entries, onLoadRequest, []), undefined);
+    assert.equal(await chooseAmong(entries, onLoadRequest, undefined, ['s']), 'far');
+    assert.equal(await chooseAmong(entries, onLoadRequest, undefined, ['r', 's']), 'near');
+    assert.equal(await chooseAmong(entries, onLoadRequest, undefined, ['t']), undefined);
+    assert.equal(await chooseAmong(entries, onLoadRequest, undefined, []), undefined);
   });
 
   it('large subset: guards against probes of more hosts than improve the choice', async () => {
@@ -142,3 +144,31 @@
     assert.equal(chosen, probed[2]);
   });
 });
+
+describe('choice of a host for a hedge', () => {
+  const first = {
+    entry: { ...createEntry('first', 'r'), location: { region: 'r', failureDomain: 'other' } },
+    distance: Distance.sameRegion,
+    load: new HostLoad(),
+    roundTripMilliseconds: 1,
+  };
+  /** Chooses among the hosts that answer a probe with the given number of requests in flight. */
+  const chooseFor = async (inFlightOf: Readonly<Record<string, number>>) => {
+    const entries = Object.keys(inFlightOf).map((name) => createEntry(name, 'r'));
+    const onLoadRequest = (nodeId: string, choice: HostChoice) => {
+      const report = { ...fullLoad, inFlight: inFlightOf[nodeId] ?? 0, queued: 0 };
+      choice.loadOf(nodeId).recordReport(report, systemClock.now());
+      return true;
+    };
+    return chooseAmong(entries, onLoadRequest, async (choice, request) => {
+      const chosen = await choice.chooseForHedge(request, new Set(['first']), first);
+      return chosen.type === 'host' ? chosen.candidate : undefined;
+    });
+  };
+
+  it('guards against a hedge to a host whose load is not known or that has no free slot', async () => {
+    assert.equal(await chooseFor({ full: 9, free: 1 }), 'free');
+    assert.equal(await chooseFor({ full: 9, nearly: 8 }), undefined);
+    assert.equal(await chooseFor({}), undefined);
+  });
+});
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -18,6 +18,7 @@
   findRegionSets,
   HostSelector,
   HostSubset,
+  RequestHedging,
   RouteWorkEstimator,
   type RegionSet,
 } from '@hickorybridge/routing';
@@ -197,6 +198,14 @@
     nodeCount: () => directory.size,
     isNewNode: () => registration.isNew,
     routeWorkEstimator,
+    hedging: new RequestHedging({
+      shareOf: (service) => {
+        const { hedgeShare } = settings.current;
+        return typeof hedgeShare === 'object' ? hedgeShare.get(service) : hedgeShare;
+      },
+      clock,
+    }),
+    onHedge: (route, event) => telemetry.recordHedge(route, event),
     clock,
     random: random.fork(),
     logger,
