Refuse requests to evacuated failure domains

Cause: operators request an evacuation with an object evacuations/ZONE in the store; nothing read it.

Change: with the setting evac, the nodes that watch the configuration also watch evacuations/, with a second watch that may be stale, and a second DocumentExchange spreads the set. Its documents are ordered by the era of the store (WatchResult.era, not set by ObjectStore yet) and then by its revision. The node beside the backend server refuses new and queued requests with the reason leaving, and with not-ready until it knows the set. Other nodes stop choosing its hosts and connect to others in their place; their connections stay open for the time after a withdrawal.

--- a/packages/host-node/src/NodeTelemetry.ts
+++ b/packages/host-node/src/NodeTelemetry.ts
@@ -17,6 +17,8 @@
   /** The seconds in flight and waiting are sums over all requests. */
   readonly #backendServerUsage = { inFlightSeconds: 0, waitingSeconds: 0, fullSeconds: 0 };
 
+  #evacuatedFailureDomains = 0;
+
   constructor(logger: Logger) {
     this.#logger = logger;
   }
@@ -25,6 +27,11 @@
     getOrCreateCounter(this.#storeCalls, `operation="${operation}",result="${result}"`).add();
   }
 
+  /** Sets the number of failure domains whose backend servers get no requests. */
+  setEvacuatedFailureDomains(count: number): void {
+    this.#evacuatedFailureDomains = count;
+  }
+
   /** Adds the usage of the backend server since the previous summary to the totals. */
   recordBackendServerUsage(summary: OccupancySummary): void {
     this.#backendServerUsage.inFlightSeconds += summary.inFlightMilliseconds / 1000;
@@ -83,6 +90,7 @@
       `hickorybridge_requests_waiting_seconds_total ${waitingSeconds}`,
       `hickorybridge_backend_server_full_seconds_total ${fullSeconds}`,
     );
+    lines.push(`hickorybridge_evacuated_failure_domains ${this.#evacuatedFailureDomains}`);
     lines.push(`hickorybridge_resident_memory_bytes ${process.memoryUsage.rss()}`);
     return `${lines.join('\n')}\n`;
   }
--- a/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
+++ b/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
@@ -37,6 +37,7 @@
     hasLeft: () => hasLeft,
     maxConnectionsOf: () => 10,
     drainMilliseconds: 500,
+    reasonToRefuse: () => undefined,
     onCurrentChanged: () => {},
     speed: new HostSpeedModel(),
     clock: systemClock,
--- a/packages/host-node/src/__tests__/HostChoice.test.ts
+++ b/packages/host-node/src/__tests__/HostChoice.test.ts
@@ -58,6 +58,7 @@
     routeWorkEstimator: new RouteWorkEstimator(),
     speed: new HostSpeedModel(),
     isReachable: () => true,
+    isEvacuated: () => false,
     localLoad: () => undefined,
     roundTripTo: () => 1,
     clock: systemClock,
--- a/packages/host-node/src/__tests__/PeerConnectionManager.test.ts
+++ b/packages/host-node/src/__tests__/PeerConnectionManager.test.ts
@@ -58,6 +58,7 @@
     directory,
     subset: new HostSubset('host-0', location, () => entries),
     regionSetsOf: () => regionSets,
+    isEvacuated: () => false,
     watchers: { others: () => [] } as unknown as StoreWatchers,
     pool,
     clock,
--- a/packages/host-node/src/__tests__/SimulatedFleet.ts
+++ b/packages/host-node/src/__tests__/SimulatedFleet.ts
@@ -130,6 +130,7 @@
       routeWorkEstimator,
       speed: new HostSpeedModel(),
       isReachable: () => true,
+      isEvacuated: () => false,
       localLoad: () => this.#hosts.get(nodeId)?.report,
       roundTripTo: () => oneWayMilliseconds * 2,
       clock,
--- a/packages/host-node/src/backend/BackendServerRegistry.ts
+++ b/packages/host-node/src/backend/BackendServerRegistry.ts
@@ -1,7 +1,13 @@
 import type { OccupancySummary } from '@hickorybridge/admission';
 import type { Logger } from '@hickorybridge/logger';
 import type { ExecutionOutcome, RequestBody, RequestExecutor } from '@hickorybridge/peer-protocol';
-import type { BackendServerReport, HostEntry, LoadReport, RequestHead } from '@hickorybridge/types';
+import type {
+  BackendServerReport,
+  HostEntry,
+  LoadReport,
+  RefusalReason,
+  RequestHead,
+} from '@hickorybridge/types';
 import type { Clock, HostSpeedModel } from '@hickorybridge/utils';
 
 import { IncarnationHistory, ReportVerdict } from './IncarnationHistory.js';
@@ -17,6 +23,8 @@
   readonly hasLeft: (report: BackendServerReport) => boolean;
   readonly maxConnectionsOf: (service: string) => number;
   readonly drainMilliseconds: number;
+  /** Why requests may not reach the backend servers of this host at present, if so. */
+  readonly reasonToRefuse: () => RefusalReason | undefined;
   /** Called when the current backend server is replaced, removed or starts to leave. */
   readonly onCurrentChanged: () => void;
   readonly speed: HostSpeedModel;
@@ -100,9 +108,16 @@
     if (current.report.backendServerId !== head.backendServerId) {
       return refusal('no-such-backend-server');
     }
+    const reason = this.#options.reasonToRefuse();
+    if (reason !== undefined) return refusal(reason);
     return current.execute(head, body, signal);
   }
 
+  /** Refuses the requests that wait for a slot; requests in flight continue. */
+  refuseQueued(): void {
+    this.#current?.refuseQueued();
+  }
+
   /** Whether the id is that of a call made by a request that the backend server is running. */
   isNestedCall(requestId: string): boolean {
     return this.#current?.isNestedCall(requestId) ?? false;
@@ -191,6 +206,6 @@
   }
 }
 
-function refusal(reason: 'not-ready' | 'no-such-backend-server'): ExecutionOutcome {
+function refusal(reason: RefusalReason): ExecutionOutcome {
   return { type: 'refused', reason, report: undefined };
 }
--- a/packages/host-node/src/backend/LocalBackendServer.ts
+++ b/packages/host-node/src/backend/LocalBackendServer.ts
@@ -119,6 +119,11 @@
     );
   }
 
+  /** Refuses the requests that wait for a slot; requests in flight continue. */
+  refuseQueued(): void {
+    this.#admission.refuseQueued();
+  }
+
   /** A nested call has the id of its parent request, a dot and an id of its own. */
   isNestedCall(requestId: string): boolean {
     return this.#parentOf(requestId) !== undefined;
--- a/packages/host-node/src/control/PeerConnectionManager.ts
+++ b/packages/host-node/src/control/PeerConnectionManager.ts
@@ -16,6 +16,8 @@
   readonly subset: HostSubset;
   /** The restrictions to regions that requests for a service may have, without duplicates. */
   readonly regionSetsOf: (service: string) => readonly RegionSet[];
+  /** Whether no request may reach the backend servers of a failure domain. */
+  readonly isEvacuated: (failureDomain: string) => boolean;
   /** Nodes of the region that watch the store on behalf of the others. */
   readonly watchers: StoreWatchers;
   readonly pool: PeerPool;
@@ -95,10 +97,12 @@
 
   /** Selects the hosts of the subset, with others in the place of those that are unreachable. */
   #selectPeers(): HostEntry[] {
-    const { directory, nodeId, regionSetsOf, subset, watchers } = this.#options;
+    const { directory, isEvacuated, nodeId, regionSetsOf, subset, watchers } = this.#options;
     const isUsable = (entry: HostEntry) => entry.nodeId !== nodeId && !entry.leaving;
     const isPromising = (entry: HostEntry) =>
-      isUsable(entry) && (this.#retries.get(entry.nodeId)?.failures ?? 0) < replacedAfterFailures;
+      isUsable(entry) &&
+      !isEvacuated(entry.location.failureDomain) &&
+      (this.#retries.get(entry.nodeId)?.failures ?? 0) < replacedAfterFailures;
     const selectEach = (isEligible: (entry: HostEntry) => boolean) =>
       directory.services().flatMap((service) =>
         // Requests that are restricted to other regions need as many hosts there as others need here.
@@ -115,7 +119,8 @@
     return [
       ...new Set([
         ...selectEach(isPromising),
-        // These are still tried now and then, because they may come back.
+        // These are still tried now and then, because they may come back, and connections to evacuated
+        // hosts are kept, because the evacuation may be withdrawn.
         ...selectEach(isUsable),
         ...watcherEntries.filter((entry) => entry !== undefined),
       ]),
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -1,4 +1,4 @@
-import { DocumentExchange } from '@hickorybridge/coordination';
+import { DocumentExchange, type VersionedDocument } from '@hickorybridge/coordination';
 import { taskFailureLogger, type Logger } from '@hickorybridge/logger';
 import {
   HostDirectory,
@@ -13,7 +13,12 @@
   type PeerLiveness,
   type RequestExecutor,
 } from '@hickorybridge/peer-protocol';
-import { configurationPrefix, ObjectStore, readinessPath } from '@hickorybridge/platform';
+import {
+  configurationPrefix,
+  evacuationPrefix,
+  ObjectStore,
+  readinessPath,
+} from '@hickorybridge/platform';
 import {
   findRegionSets,
   HostSelector,
@@ -21,6 +26,7 @@
   RouteWorkEstimator,
   type RegionSet,
 } from '@hickorybridge/routing';
+import type { WatchResult } from '@hickorybridge/store';
 import {
   HostSpeedModel,
   StallDetector,
@@ -33,6 +39,8 @@
 import { CallersListener } from './callers/CallersListener.js';
 import { ConfigurationReceiver, ConfigurationSource } from './control/ConfigurationReceiver.js';
 import { ConfigurationPeerSelector } from './control/ConfigurationPeerSelector.js';
+import { EvacuationReader } from './control/EvacuationReader.js';
+import { Evacuations } from './control/Evacuations.js';
 import { OccupancyReporter } from './control/OccupancyReporter.js';
 import { PeerConnectionManager } from './control/PeerConnectionManager.js';
 import { ReportsListener } from './control/ReportsListener.js';
@@ -97,6 +105,8 @@
   const directory = new HostDirectory(logger);
   const speed = new HostSpeedModel();
   const subset = new HostSubset(nodeId, location, () => directory.list());
+  let evacuations: Evacuations | undefined;
+  const isEvacuated = (failureDomain: string) => evacuations?.has(failureDomain) === true;
   let node: HostNode;
   let router: RequestRouter;
   let choice: HostChoice;
@@ -123,6 +133,7 @@
       return isSame && entry.leaving && (entry.startedAt ?? -1) >= startedAt;
     },
     drainMilliseconds: bounds.drainMilliseconds,
+    reasonToRefuse: () => evacuations?.reasonToRefuse(location.failureDomain),
     onCurrentChanged: () => node.register(),
     speed,
     clock,
@@ -169,6 +180,7 @@
       if (peer !== nodeId) return pool.isConnected(peer);
       return backendServers.current !== undefined && !backendServers.current.leaving;
     },
+    isEvacuated,
     localLoad: () => backendServers.load(),
     roundTripTo: (peer) => pool.roundTripTo(peer),
     clock,
@@ -230,19 +242,33 @@
     connectedPeers: () => pool.connectedPeers(),
     random: random.fork(),
   });
-  const isFollowingConfigurations = () =>
-    configurationFollower.isFollowing &&
-    configurationCheck.isFollowing &&
-    (configurationCheck.ageMilliseconds ?? Infinity) < maxCheckAgeMilliseconds;
-  exchange = new DocumentExchange({
+  const createExchange = ({
+    name,
+    boundMilliseconds,
+    followers: pair,
+    onDocument,
+    onInvalidData,
+  }: ExchangeVariant) =>
+    new DocumentExchange({
+      name,
+      channel: pool,
+      clock,
+      pollIntervalMilliseconds: boundMilliseconds * askIntervalShare,
+      chooseAnnouncementPeers: () => peerSelector.chooseAnnouncementPeers(),
+      choosePollPeers: () => peerSelector.chooseAskedPeers(),
+      isInOtherRegion: (peer) => peerSelector.isFar(peer),
+      isWatchingSource: () => {
+        const [watch, check] = pair();
+        const isCheckCurrent = (check.ageMilliseconds ?? Infinity) < maxCheckAgeMilliseconds;
+        return watch.isFollowing && check.isFollowing && isCheckCurrent;
+      },
+      onDocument,
+      onInvalidData,
+    });
+  exchange = createExchange({
     name: 'configuration',
-    channel: pool,
-    clock,
-    pollIntervalMilliseconds: bounds.configurationMilliseconds * askIntervalShare,
-    chooseAnnouncementPeers: () => peerSelector.chooseAnnouncementPeers(),
-    choosePollPeers: () => peerSelector.chooseAskedPeers(),
-    isInOtherRegion: (peer) => peerSelector.isFar(peer),
-    isWatchingSource: isFollowingConfigurations,
+    boundMilliseconds: bounds.configurationMilliseconds,
+    followers: () => [configurationFollower, configurationCheck],
     onDocument: (document, peer) => configurationReceiver.receiveFromPeer(document, peer),
     onInvalidData: (detail, peer) =>
       logger.error('configuration-unreadable', 'cannot decode the document that a peer sent', {
@@ -257,12 +283,15 @@
     if (entry !== undefined) backendServers.handleStoredEntry(entry);
     registration.seen(entry, version);
   });
-  const maxExchangeAgeMilliseconds =
-    bounds.configurationMilliseconds *
-    (maxExchangeAgeShare + maxExchangeAgeJitterShare * random.next());
-  const mustFollowStore = () =>
-    watchers.includesSelf || exchange.ageMilliseconds > maxExchangeAgeMilliseconds;
-  const untilMustFollowStore = () => maxExchangeAgeMilliseconds - exchange.ageMilliseconds;
+  const createFollowRule = (documents: DocumentExchange, boundMilliseconds: number): FollowRule => {
+    const maxAgeMilliseconds =
+      boundMilliseconds * (maxExchangeAgeShare + maxExchangeAgeJitterShare * random.next());
+    return {
+      isNeeded: () => watchers.includesSelf || documents.ageMilliseconds > maxAgeMilliseconds,
+      untilNeededMilliseconds: () => maxAgeMilliseconds - documents.ageMilliseconds,
+    };
+  };
+  const followRule = createFollowRule(exchange, bounds.configurationMilliseconds);
   const createFollower = (prefix: string, variant: StoreFollowerVariant) => {
     const follower = new StoreFollower({
       store,
@@ -279,8 +308,7 @@
     mayBeStale: false,
     waitMilliseconds: configurationWaitMilliseconds,
     pauseMilliseconds: configurationPauseMilliseconds,
-    isNeeded: mustFollowStore,
-    untilNeededMilliseconds: untilMustFollowStore,
+    ...followRule,
     onChange: (result, { calledAt, silentMilliseconds }) => {
       configurationReceiver.receiveFromStore(result, {
         source: ConfigurationSource.watch,
@@ -294,8 +322,8 @@
     mayBeStale: true,
     waitMilliseconds: configurationCheckWaitMilliseconds,
     pauseMilliseconds: configurationPauseMilliseconds,
-    isNeeded: () => mustFollowStore() && configurationFollower.isFollowing,
-    untilNeededMilliseconds: untilMustFollowStore,
+    ...followRule,
+    isNeeded: () => followRule.isNeeded() && configurationFollower.isFollowing,
     onChange: (result, { silentMilliseconds }) =>
       configurationReceiver.receiveFromStore(result, {
         source: ConfigurationSource.check,
@@ -312,6 +340,7 @@
     nodeId,
     directory,
     subset,
+    isEvacuated,
     regionSetsOf: (service) => regionSets.get(service) ?? [],
     watchers,
     pool,
@@ -323,6 +352,61 @@
   supervisor.start('configuration', (signal) => configurationFollower.run(signal));
   supervisor.start('configuration-check', (signal) => configurationCheck.run(signal));
   supervisor.start('configuration-exchange', (signal) => exchange.run(signal));
+  if (bounds.evacuationMilliseconds !== undefined) {
+    const boundMilliseconds = bounds.evacuationMilliseconds;
+    let evacuationFollower: StoreFollower;
+    let evacuationCheck: StoreFollower;
+    const current = new Evacuations({
+      onChange: () => {
+        telemetry.setEvacuatedFailureDomains(current.size);
+        if (current.has(location.failureDomain)) backendServers.refuseQueued();
+        connectionManager.wake();
+      },
+      logger,
+    });
+    evacuations = current;
+    const evacuationExchange = createExchange({
+      name: 'evacuations',
+      boundMilliseconds,
+      followers: () => [evacuationFollower, evacuationCheck],
+      onDocument: (document, peer) => current.applyFromPeer(document, peer),
+      onInvalidData: (detail, peer) =>
+        logger.error('evacuations-unreadable', 'cannot decode the list that a peer sent', {
+          peer,
+          detail,
+        }),
+    });
+    const evacuationRule = createFollowRule(evacuationExchange, boundMilliseconds);
+    const createReceiver = () => {
+      const reader = new EvacuationReader(logger);
+      return (result: WatchResult) => {
+        const document = reader.read(result);
+        if (current.applyStored(document)) evacuationExchange.publish(document);
+      };
+    };
+    const receive = createReceiver();
+    evacuationFollower = createFollower(evacuationPrefix, {
+      mayBeStale: false,
+      waitMilliseconds: configurationWaitMilliseconds,
+      pauseMilliseconds: configurationPauseMilliseconds,
+      ...evacuationRule,
+      onChange: (result, { calledAt }) => {
+        receive(result);
+        evacuationExchange.confirm(calledAt);
+      },
+    });
+    evacuationCheck = createFollower(evacuationPrefix, {
+      mayBeStale: true,
+      waitMilliseconds: configurationCheckWaitMilliseconds,
+      pauseMilliseconds: configurationPauseMilliseconds,
+      ...evacuationRule,
+      isNeeded: () => evacuationRule.isNeeded() && evacuationFollower.isFollowing,
+      onChange: createReceiver(),
+    });
+    supervisor.start('evacuations', (signal) => evacuationFollower.run(signal));
+    supervisor.start('evacuations-check', (signal) => evacuationCheck.run(signal));
+    supervisor.start('evacuations-exchange', (signal) => evacuationExchange.run(signal));
+  }
   supervisor.start('hosts', (signal) => hostsFollower.run(signal));
   supervisor.start('registration', (signal) => registration.run(signal));
   supervisor.start('peers', (signal) => connectionManager.run(signal));
@@ -380,6 +464,18 @@
   | 'onChange'
 >;
 
+type FollowRule = Required<Pick<StoreFollowerVariant, 'isNeeded' | 'untilNeededMilliseconds'>>;
+
+interface ExchangeVariant {
+  readonly name: string;
+  /** Time within which a document must be in force everywhere. */
+  readonly boundMilliseconds: number;
+  /** The watch that reads current data, and the second watch, which may read stale data. */
+  readonly followers: () => readonly [StoreFollower, StoreFollower];
+  readonly onDocument: (document: VersionedDocument, peer: string) => boolean;
+  readonly onInvalidData: (detail: string, peer: string) => void;
+}
+
 async function refuseAsLeaving(): Promise<ExecutionOutcome> {
   return { type: 'refused', reason: 'leaving', report: undefined };
 }
--- a/packages/host-node/src/routing/HostChoice.ts
+++ b/packages/host-node/src/routing/HostChoice.ts
@@ -35,6 +35,8 @@
   readonly speed: HostSpeedModel;
   /** Whether a node is connected, so that a request can be sent to it immediately. */
   readonly isReachable: (nodeId: string) => boolean;
+  /** Whether no request may reach the backend servers of a failure domain. */
+  readonly isEvacuated: (failureDomain: string) => boolean;
   /** Current load of the backend server of this host. */
   readonly localLoad: () => LoadReport | undefined;
   readonly roundTripTo: (nodeId: string) => number | undefined;
@@ -97,7 +99,10 @@
     }
     const probed = await loadProber.probe(candidatesToProbe.map(({ entry }) => entry.nodeId));
     const hostRequest = this.#hostRequest(request);
-    const usable = candidates.filter(({ entry }) => this.#isUsable(entry));
+    const usable = candidates.filter(
+      ({ entry }) =>
+        this.#isUsable(entry) && !this.#options.isEvacuated(entry.location.failureDomain),
+    );
     const hasAnswered = (candidate: HostCandidate) =>
       hasFreshReport(candidate, hostRequest, startedAt);
     if (!usable.some(hasAnswered)) return selector.select(usable, hostRequest);
@@ -164,9 +169,11 @@
     { allowedRegions, service }: RestrictedRequest,
     isUsable: (entry: HostEntry) => boolean,
   ): HostCandidate[] {
-    const { directory, subset } = this.#options;
+    const { directory, isEvacuated, subset } = this.#options;
     const isEligible = (entry: HostEntry) =>
-      isInAllowedRegion(entry, allowedRegions) && isUsable(entry);
+      isInAllowedRegion(entry, allowedRegions) &&
+      !isEvacuated(entry.location.failureDomain) &&
+      isUsable(entry);
     return subset
       .select(service, directory.ofService(service), requestSubsetSizes, isEligible)
       .map((entry) => this.#candidate(entry));
--- a/packages/stand-ins/src/objectStore/StandInObjectStore.ts
+++ b/packages/stand-ins/src/objectStore/StandInObjectStore.ts
@@ -106,6 +106,12 @@
     this.#publish({ kind, rev: this.#revision, deleted: false, object });
   }
 
+  /** Removes an object as the operator does. */
+  remove(kind: string, name: string): void {
+    const key = `${kind}/${name}`;
+    this.#remove(kind, key, this.#objects.get(key));
+  }
+
   specOf(kind: string, name: string): unknown {
     return this.#objects.get(`${kind}/${name}`)?.spec;
   }
