Limit the rate of requests to cold backend servers

Cause: a cold backend server crashes well above cold_per_s requests a second; its node limited only the requests in flight, and read cold_time from the first report of an incarnation only.

Change: ColdRateLimiter, a token bucket in packages/admission, limits the dispatches of SlotAdmissionController while the backend server is cold: for the time cold of the service after a start, and as long as its latest report says. A request waits for at most a fifth of the time until its target, and is then refused as not run (shed). The reported limit is what this rate keeps in flight. Without the settings, or cold_per_s, nothing changes.

--- a/packages/admission/src/SlotAdmissionController.ts
+++ b/packages/admission/src/SlotAdmissionController.ts
@@ -7,6 +7,7 @@
   AdmissionRequest,
   Permit,
 } from './AdmissionController.js';
+import type { ColdRateLimiter } from './ColdRateLimiter.js';
 import { KneeEstimator } from './KneeEstimator.js';
 import { OccupancyMeter, type OccupancySummary } from './OccupancyMeter.js';
 import { ServiceTimes } from './ServiceTimes.js';
@@ -26,6 +27,8 @@
   readonly slots: number;
   /** How long the backend server stays slow after its start, in milliseconds. */
   readonly coldMilliseconds: number;
+  /** Limits the rate of requests while the backend server is cold. */
+  readonly coldRateLimiter?: ColdRateLimiter;
   /** Speed of this host. */
   readonly speed: HostSpeedModel;
   readonly clock: Clock;
@@ -34,6 +37,8 @@
 interface WaitingRequest extends EstimatedRequest {
   readonly settle: (outcome: AdmissionOutcome) => void;
   readonly onAbort: () => void;
+  /** Until when the request waits for a cold backend server. */
+  readonly coldWaitUntil: number;
 }
 
 interface RunningRequest extends EstimatedRequest {
@@ -54,6 +59,11 @@
 const minimumConcurrentCallsForReserve = 0.25;
 /** Maximum share of the limit that is reserved for calls. */
 const maxReservedShare = 0.34;
+/**
+ * Share of the time until the target latency that a request waits because the backend server is
+ * cold. Most of the time is left for another host.
+ */
+const maxColdWaitShare = 0.2;
 /** Interval at which waiting requests are checked while no request completes. */
 const sweepIntervalMilliseconds = 25;
 
@@ -107,7 +117,8 @@
     const reason = this.#reasonToRefuse(request);
     if (reason !== undefined) return Promise.resolve({ type: 'refused', reason });
     const entry = { request, expectedMilliseconds: this.#expectedDuration(request.kind) };
-    if (this.#queue.length === 0 && this.#running.size < this.#limitFor(request)) {
+    const isFree = this.#running.size < this.#limitFor(request) && this.#coldWait(1) === 0;
+    if (this.#queue.length === 0 && isFree) {
       return Promise.resolve(this.#dispatch(entry));
     }
     return this.#enqueue(entry);
@@ -139,9 +150,10 @@
   }
 
   report(workMilliseconds?: number): LoadReport {
+    const limit = this.#reportedLimit();
     return {
-      limit: this.#limit,
-      reserved: this.#reserved,
+      limit,
+      reserved: Math.min(this.#reserved, limit - 1),
       slowness: this.#currentSlowness(),
       inFlight: this.#running.size,
       // New requests overtake those that are already late.
@@ -177,7 +189,33 @@
   #reasonToRefuse(request: AdmissionRequest): RefusalReason | undefined {
     if (request.signal.aborted) return 'cancelled';
     if (this.#clock.now() >= request.deadline) return 'deadline-passed';
-    return this.#leaving ? 'leaving' : undefined;
+    if (this.#leaving) return 'leaving';
+    return this.#wouldWaitTooLongForCold(request) ? 'shed' : undefined;
+  }
+
+  /** Time until the rate limit of a cold backend server allows this number of requests. */
+  #coldWait(requests: number): number {
+    return this.#settings.coldRateLimiter?.waitFor(requests) ?? 0;
+  }
+
+  #wouldWaitTooLongForCold(request: AdmissionRequest): boolean {
+    if (this.#coldWait(1) === 0 && this.#queue.length === 0) return false;
+    // Calls overtake other requests.
+    const ahead =
+      request.depth === 0
+        ? this.#queue.length
+        : this.#queue.entries().filter((waiting) => waiting.request.depth > 0).length;
+    return this.#coldWait(ahead + 1) > maxColdWait(request, this.#clock.now());
+  }
+
+  /** Lower than the limit while the rate is limited, so that other nodes send fewer requests. */
+  #reportedLimit(): number {
+    const requestsPerSecond = this.#settings.coldRateLimiter?.requestsPerSecond;
+    if (requestsPerSecond === undefined) return this.#limit;
+    // As many requests are in flight at this rate, or as many as now if no further one may start.
+    const sustained = (requestsPerSecond * this.#expectedServiceTime()) / 1000;
+    const concurrency = this.#coldWait(1) > 0 ? this.#running.size : Math.ceil(sustained);
+    return Math.max(1, Math.min(this.#limit, concurrency));
   }
 
   #enqueue(entry: EstimatedRequest): Promise<AdmissionOutcome> {
@@ -186,16 +224,14 @@
         ...entry,
         settle,
         onAbort: () => this.#refuse(waiting, 'cancelled'),
+        coldWaitUntil: this.#clock.now() + maxColdWait(entry.request, this.#clock.now()),
       };
       entry.request.signal.addEventListener('abort', waiting.onAbort, { once: true });
       this.#queue.add(waiting);
       this.#updateOccupancy();
       this.#dispatchQueued();
       this.#refuseUnservable();
-      this.#sweeper ??= setInterval(
-        () => this.#refuseUnservable(),
-        sweepIntervalMilliseconds,
-      ).unref();
+      this.#sweeper ??= setInterval(() => this.#sweep(), sweepIntervalMilliseconds).unref();
     });
   }
 
@@ -206,6 +242,17 @@
     this.#onQueueChanged();
   }
 
+  #sweep(): void {
+    // The rate limit of a cold backend server may allow further requests, or may have ended.
+    if (this.#settings.coldRateLimiter !== undefined) this.#dispatchQueued();
+    this.#refuseUnservable();
+    if (this.#coldWait(1) === 0) return;
+    const now = this.#clock.now();
+    for (const waiting of this.#queue.entries()) {
+      if (now > waiting.coldWaitUntil) this.#refuse(waiting, 'shed');
+    }
+  }
+
   #refuseUnservable(): void {
     for (const waiting of this.#queue.findUnservable(this.#loadSnapshot())) {
       this.#refuse(waiting, 'deadline-unreachable');
@@ -231,6 +278,7 @@
       const now = this.#clock.now();
       const waiting = this.#queue.findNext(now);
       if (waiting === undefined || this.#running.size >= this.#limitFor(waiting.request)) break;
+      if (this.#coldWait(1) > 0) break;
       this.#queue.remove(waiting);
       waiting.request.signal.removeEventListener('abort', waiting.onAbort);
       if (!isUnlikelyToMeetDeadline(waiting, now)) waiting.settle(this.#dispatch(waiting));
@@ -246,6 +294,7 @@
     };
     const startWork = this.#settings.speed.completedWorkAt(now);
     const concurrency = this.#running.size + 1;
+    this.#settings.coldRateLimiter?.take();
     this.#running.set(permit, { ...entry, startedAt: now, startWork, concurrency });
     this.#updateOccupancy();
     if (entry.request.depth > 0) this.#callUtilization.add(entry.expectedMilliseconds, now);
@@ -303,6 +352,7 @@
   }
 
   #isCold(): boolean {
+    if (this.#settings.coldRateLimiter?.requestsPerSecond !== undefined) return true;
     return this.#clock.now() - this.#startedAt < this.#settings.coldMilliseconds;
   }
 
@@ -329,3 +379,8 @@
     for (const resolve of waiters) resolve();
   }
 }
+
+/** Longest wait of a request because the backend server is cold, in milliseconds. */
+function maxColdWait({ deadline, usefulUntil }: AdmissionRequest, now: number): number {
+  return Math.max(0, (usefulUntil ?? deadline) - now) * maxColdWaitShare;
+}
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,4 +1,5 @@
 export * from './AdmissionController.js';
+export * from './ColdRateLimiter.js';
 export * from './createAdaptiveAdmissionController.js';
 export type { AdaptiveAdmissionSettings } from './AdaptiveAdmissionController.js';
 export type { OccupancySummary } from './OccupancyMeter.js';
--- a/packages/host-node/src/NodeTelemetry.ts
+++ b/packages/host-node/src/NodeTelemetry.ts
@@ -19,6 +19,8 @@
 
   #evacuatedFailureDomains = 0;
 
+  #isRateLimited = false;
+
   constructor(logger: Logger) {
     this.#logger = logger;
   }
@@ -32,6 +34,11 @@
     this.#evacuatedFailureDomains = count;
   }
 
+  /** Sets whether the rate of requests to the backend server is limited because it is cold. */
+  setRateLimited(isRateLimited: boolean): void {
+    this.#isRateLimited = isRateLimited;
+  }
+
   /** Adds the usage of the backend server since the previous summary to the totals. */
   recordBackendServerUsage(summary: OccupancySummary): void {
     this.#backendServerUsage.inFlightSeconds += summary.inFlightMilliseconds / 1000;
@@ -90,6 +97,7 @@
       `hickorybridge_requests_waiting_seconds_total ${waitingSeconds}`,
       `hickorybridge_backend_server_full_seconds_total ${fullSeconds}`,
     );
+    lines.push(`hickorybridge_backend_server_rate_limited ${this.#isRateLimited ? 1 : 0}`);
     lines.push(`hickorybridge_evacuated_failure_domains ${this.#evacuatedFailureDomains}`);
     lines.push(`hickorybridge_resident_memory_bytes ${process.memoryUsage.rss()}`);
     return `${lines.join('\n')}\n`;
--- a/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
+++ b/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
@@ -1,3 +1,4 @@
+import type { ColdLimit } from '@hickorybridge/admission';
 import { silentLogger } from '@hickorybridge/logger';
 import type { BackendServerReport, HostEntry } from '@hickorybridge/types';
 import { HostSpeedModel, systemClock } from '@hickorybridge/utils';
@@ -31,11 +32,16 @@
 };
 
 /** A registry of a node that has just been started. */
-function startRegistry(t: TestContext, hasLeft = false): BackendServerRegistry {
+function startRegistry(
+  t: TestContext,
+  hasLeft = false,
+  coldLimit?: ColdLimit,
+): BackendServerRegistry {
   const registry = new BackendServerRegistry({
     isLocalReport: () => true,
     hasLeft: () => hasLeft,
     maxConnectionsOf: () => 10,
+    coldLimitOf: () => coldLimit,
     drainMilliseconds: 500,
     reasonToRefuse: () => undefined,
     onCurrentChanged: () => {},
@@ -153,3 +159,32 @@
     }
   });
 });
+
+describe('cold backend servers', () => {
+  const limit = { requestsPerSecond: 20, overFactor: 1.5, slack: 8, startMilliseconds: 3000 };
+  const isCold = (registry: BackendServerRegistry) => (registry.load()?.rampShare ?? 1) < 1;
+
+  it('guards against full load on a backend server that reports later that it is cold', (t) => {
+    const registry = startRegistry(t, false, limit);
+    registry.handleReport(report);
+    assert.equal(isCold(registry), false);
+    registry.handleReport({ ...report, sequence: 8, coldMilliseconds: 2000 });
+    assert.equal(isCold(registry), true);
+    registry.handleReport({ ...report, sequence: 9, coldMilliseconds: 0 });
+    assert.equal(isCold(registry), false);
+  });
+
+  it('start during traffic: guards against full load on a new incarnation that reports no cold time', (t) => {
+    const registry = startRegistry(t, false, limit);
+    registry.handleReport(report);
+    registry.handleReport({ ...report, sequence: 1, startedAt: 2000 });
+    assert.equal(isCold(registry), true);
+  });
+
+  it('earlier deployments: guards against an effect of later reports without the settings', (t) => {
+    const registry = startRegistry(t);
+    registry.handleReport(report);
+    registry.handleReport({ ...report, sequence: 8, coldMilliseconds: 2000 });
+    assert.equal(isCold(registry), false);
+  });
+});
--- a/packages/host-node/src/backend/BackendServerRegistry.ts
+++ b/packages/host-node/src/backend/BackendServerRegistry.ts
@@ -1,4 +1,4 @@
-import type { OccupancySummary } from '@hickorybridge/admission';
+import type { ColdLimit, OccupancySummary } from '@hickorybridge/admission';
 import type { Logger } from '@hickorybridge/logger';
 import type { ExecutionOutcome, RequestBody, RequestExecutor } from '@hickorybridge/peer-protocol';
 import type {
@@ -22,6 +22,8 @@
    */
   readonly hasLeft: (report: BackendServerReport) => boolean;
   readonly maxConnectionsOf: (service: string) => number;
+  /** Limit on the requests to a cold backend server; `undefined` if there is none. */
+  readonly coldLimitOf: (service: string) => ColdLimit | undefined;
   readonly drainMilliseconds: number;
   /** Why requests may not reach the backend servers of this host at present, if so. */
   readonly reasonToRefuse: () => RefusalReason | undefined;
@@ -74,6 +76,7 @@
         this.#replaceCurrent(report);
         break;
       case ReportVerdict.newest:
+        this.#current?.recordColdTime(report.coldMilliseconds);
         if (report.draining) this.handleLeave(report.backendServerId, report.startedAt);
         break;
       case ReportVerdict.leave:
@@ -165,6 +168,8 @@
     const next = new LocalBackendServer({
       report,
       maxConnections: this.#options.maxConnectionsOf(report.service),
+      coldLimit: () => this.#options.coldLimitOf(report.service),
+      startedAt: this.#startOf(report),
       drainMilliseconds: this.#options.drainMilliseconds,
       speed: this.#options.speed,
       clock: this.#options.clock,
@@ -176,6 +181,16 @@
     this.#options.onCurrentChanged();
   }
 
+  /** Estimates when a backend server was started, in monotonic milliseconds. */
+  #startOf({ startedAt }: BackendServerReport): number {
+    const { clock } = this.#options;
+    // A node that was restarted finds a backend server that may have started long before. One that
+    // replaces another has just started, whatever its wall clock says.
+    const isOlder = this.#current === undefined && startedAt > 0;
+    const age = isOlder ? Math.max(0, clock.wallTime() - startedAt) : 0;
+    return clock.now() - age;
+  }
+
   #leaveCurrent(): void {
     const current = this.#current;
     if (current === undefined) return;
--- a/packages/host-node/src/backend/LocalBackendServer.ts
+++ b/packages/host-node/src/backend/LocalBackendServer.ts
@@ -1,5 +1,7 @@
 import {
+  ColdRateLimiter,
   SlotAdmissionController,
+  type ColdLimit,
   type OccupancySummary,
   type Permit,
 } from '@hickorybridge/admission';
@@ -24,6 +26,10 @@
 export interface LocalBackendServerOptions {
   readonly report: BackendServerReport;
   readonly maxConnections: number;
+  /** Limit on the requests that it gets while it is cold; `undefined` while there is none. */
+  readonly coldLimit: () => ColdLimit | undefined;
+  /** Start of the backend server, in monotonic milliseconds. */
+  readonly startedAt: number;
   /** Time from the acknowledged leave notice until the last request may start. */
   readonly drainMilliseconds: number;
   readonly speed: HostSpeedModel;
@@ -74,6 +80,8 @@
 
   readonly #admission: SlotAdmissionController;
 
+  readonly #coldRateLimiter: ColdRateLimiter;
+
   readonly #agent: ConnectionAgent;
 
   /** The running requests, by request id. */
@@ -84,11 +92,19 @@
   #drainTimer: NodeJS.Timeout | undefined;
 
   constructor(options: LocalBackendServerOptions) {
-    const { clock, report, speed } = options;
+    const { clock, coldLimit, report, speed, startedAt } = options;
     this.#options = options;
     this.report = report;
     const { coldMilliseconds, slots } = report;
-    this.#admission = new SlotAdmissionController({ slots, coldMilliseconds, speed, clock });
+    this.#coldRateLimiter = new ColdRateLimiter({ limit: coldLimit, startedAt, clock });
+    this.#coldRateLimiter.recordReport(coldMilliseconds);
+    this.#admission = new SlotAdmissionController({
+      slots,
+      coldMilliseconds,
+      coldRateLimiter: this.#coldRateLimiter,
+      speed,
+      clock,
+    });
     this.#agent = new ConnectionAgent(Math.max(1, options.maxConnections));
   }
 
@@ -119,6 +135,27 @@
     );
   }
 
+  /** Records the remaining cold time of a later report. */
+  recordColdTime(coldMilliseconds: number): void {
+    const wasLimited = this.isRateLimited;
+    this.#coldRateLimiter.recordReport(coldMilliseconds);
+    if (wasLimited || !this.isRateLimited) return;
+    this.#options.logger.info(
+      'backend-server-cold',
+      'the backend server is cold again, and the rate of its requests is limited',
+      {
+        backendServer: this.report.backendServerId,
+        coldMilliseconds,
+        requestsPerSecond: this.#coldRateLimiter.requestsPerSecond,
+      },
+    );
+  }
+
+  /** Whether the rate of requests is limited because the backend server is cold. */
+  get isRateLimited(): boolean {
+    return this.#coldRateLimiter.requestsPerSecond !== undefined;
+  }
+
   /** Refuses the requests that wait for a slot; requests in flight continue. */
   refuseQueued(): void {
     this.#admission.refuseQueued();
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -127,6 +127,16 @@
     },
     maxConnectionsOf: (service) =>
       router.configuration?.services.get(service)?.maxConnections ?? Infinity,
+    coldLimitOf: (service) => {
+      const definition = router.configuration?.services.get(service);
+      const { coldMilliseconds = 0, coldRequestsPerSecond } = definition ?? {};
+      if (bounds.cold === undefined || coldRequestsPerSecond === undefined) return undefined;
+      return {
+        ...bounds.cold,
+        requestsPerSecond: coldRequestsPerSecond,
+        startMilliseconds: coldMilliseconds,
+      };
+    },
     hasLeft: ({ backendServerId, startedAt }) => {
       const { entry } = directory.stored(nodeId);
       const isSame = entry?.backendServerId === backendServerId;
@@ -419,9 +429,11 @@
   const readiness = new StatusListener(
     new Map([[readinessPath, () => ({ status: node.ready ? 200 : 503, text: '' })]]),
   );
-  const metrics = new StatusListener(
-    new Map([['/metrics', () => ({ status: 200, text: telemetry.render() })]]),
-  );
+  const renderMetrics = () => {
+    telemetry.setRateLimited(backendServers.current?.isRateLimited ?? false);
+    return { status: 200, text: telemetry.render() };
+  };
+  const metrics = new StatusListener(new Map([['/metrics', renderMetrics]]));
   node = new HostNode({
     settings,
     backendServers,
