--- a/packages/host-node/src/NodeTelemetry.ts
+++ b/packages/host-node/src/NodeTelemetry.ts
@@ -20,6 +20,10 @@
   /** The seconds in flight and waiting are sums over all requests. */
   readonly #backendServerUsage = { inFlightSeconds: 0, waitingSeconds: 0, fullSeconds: 0 };
 
+  #evacuatedFailureDomains = 0;
+
+  #isRateLimited = false;
+
   constructor(logger: Logger) {
     this.#logger = logger;
   }
@@ -33,6 +37,16 @@
     getOrCreateCounter(this.#hedges, `route="${route}",result="${event}"`).add();
   }
 
+  /** Sets the number of failure domains whose backend servers get no requests. */
+  setEvacuatedFailureDomains(count: number): void {
+    this.#evacuatedFailureDomains = count;
+  }
+
+  /** Sets whether the rate of requests to the backend server is limited because it is cold. */
+  setRateLimited(isRateLimited: boolean): void {
+    this.#isRateLimited = isRateLimited;
+  }
+
   /** Adds the usage of the backend server since the previous summary to the totals. */
   recordBackendServerUsage(summary: OccupancySummary): void {
     this.#backendServerUsage.inFlightSeconds += summary.inFlightMilliseconds / 1000;
@@ -92,6 +106,8 @@
       `hickorybridge_requests_waiting_seconds_total ${waitingSeconds}`,
       `hickorybridge_backend_server_full_seconds_total ${fullSeconds}`,
     );
+    lines.push(`hickorybridge_backend_server_rate_limited ${this.#isRateLimited ? 1 : 0}`);
+    lines.push(`hickorybridge_evacuated_failure_domains ${this.#evacuatedFailureDomains}`);
     lines.push(`hickorybridge_resident_memory_bytes ${process.memoryUsage.rss()}`);
     return `${lines.join('\n')}\n`;
   }
