Quotas: token buckets of brokers and token batches of nodes

Cause: a tenant's limit holds across all nodes, and nothing counts its requests yet. Change: packages/coordination/src/quotas has the division of a limit among brokers, their buckets, the batches of a node and the class Quotas, which a listener asks. Nothing is wired yet.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -8,6 +8,7 @@
 export * from './FencedLease.js';
 export * from './FencedWriter.js';
 export * from './MonotonicRegister.js';
+export * from './quotas/index.js';
 export * from './RetryAllowance.js';
 export * from './RetryBudget.js';
 export * from './SharedRetryBudget.js';
