Quotas: check the limit of a tenant before its request is routed

Cause: the parts of the quotas were not connected. Change: createHostNode wires Quotas to the peer pool, the list of hosts and the configuration; CallersListener asks it for requests of depth 0 with a tenant. A request over the limit gets 429 with Retry-After; the token of one that did not run is returned. StoreWatchers names the watchers of all regions, to which nodes connect where there are tenants and quota bounds. Metrics hickorybridge_quota_*, log event quota-unanswered.

--- a/packages/coordination/src/quotas/Quotas.ts
+++ b/packages/coordination/src/quotas/Quotas.ts
@@ -26,7 +26,7 @@
   readonly limitOf: (tenant: string) => QuotaLimit | undefined;
   /** Whether a node can be asked without opening a connection. */
   readonly isReachable: (nodeId: string) => boolean;
-  /** Called when no broker of a tenant has answered; at most one call a second for each tenant. */
+  /** Called after a round in which requests waited and no broker of their tenant has answered. */
   readonly onUnanswered: (tenant: string) => void;
 }
 
--- a/packages/host-node/src/NodeTelemetry.ts
+++ b/packages/host-node/src/NodeTelemetry.ts
@@ -1,4 +1,5 @@
 import type { OccupancySummary } from '@hickorybridge/admission';
+import type { QuotaCounts } from '@hickorybridge/coordination';
 import type { Logger } from '@hickorybridge/logger';
 import { Counter, LatencyHistogram } from '@hickorybridge/telemetry';
 
@@ -8,6 +9,8 @@
 export class NodeTelemetry {
   readonly #logger: Logger;
 
+  readonly #quotaCounts: () => QuotaCounts | undefined;
+
   readonly #requests = new Map<string, Counter>();
 
   readonly #durations = new Map<string, LatencyHistogram>();
@@ -17,8 +20,10 @@
   /** The seconds in flight and waiting are sums over all requests. */
   readonly #backendServerUsage = { inFlightSeconds: 0, waitingSeconds: 0, fullSeconds: 0 };
 
-  constructor(logger: Logger) {
+  /** Takes the logger, and what returns the counts of the limits; `undefined` without limits. */
+  constructor(logger: Logger, quotaCounts: () => QuotaCounts | undefined = () => undefined) {
     this.#logger = logger;
+    this.#quotaCounts = quotaCounts;
   }
 
   recordStoreCall(operation: string, result: string): void {
@@ -83,6 +88,8 @@
       `hickorybridge_requests_waiting_seconds_total ${waitingSeconds}`,
       `hickorybridge_backend_server_full_seconds_total ${fullSeconds}`,
     );
+    const counts = this.#quotaCounts();
+    if (counts !== undefined) lines.push(...renderQuotaCounts(counts));
     lines.push(`hickorybridge_resident_memory_bytes ${process.memoryUsage.rss()}`);
     return `${lines.join('\n')}\n`;
   }
@@ -104,6 +111,21 @@
   return counter;
 }
 
+function renderQuotaCounts(counts: QuotaCounts): string[] {
+  const requests = 'hickorybridge_quota_requests_total';
+  const tokens = 'hickorybridge_quota_tokens_total';
+  const calls = 'hickorybridge_quota_calls_total';
+  return [
+    `${requests}{result="granted"} ${counts.granted}`,
+    `${requests}{result="refused"} ${counts.refused}`,
+    `${tokens}{kind="unused"} ${counts.unused}`,
+    `${tokens}{kind="returned"} ${counts.returned}`,
+    `${tokens}{kind="brokered"} ${counts.brokered}`,
+    `${calls}{result="answered"} ${counts.calls - counts.failedCalls}`,
+    `${calls}{result="failed"} ${counts.failedCalls}`,
+  ];
+}
+
 function renderCounters(name: string, counters: ReadonlyMap<string, Counter>): string[] {
   return [...counters].map(([labels, counter]) => `${name}{${labels}} ${counter.value}`);
 }
--- a/packages/host-node/src/__tests__/PeerConnectionManager.test.ts
+++ b/packages/host-node/src/__tests__/PeerConnectionManager.test.ts
@@ -54,6 +54,7 @@
     directory,
     subset: new HostSubset('host-0', location, () => entries),
     watchers: { others: () => [] } as unknown as StoreWatchers,
+    quotaBrokers: () => [],
     pool,
     clock,
     random: new RandomSource(2026),
--- a/packages/host-node/src/__tests__/fleet.ts
+++ b/packages/host-node/src/__tests__/fleet.ts
@@ -1,6 +1,6 @@
 import { silentLogger } from '@hickorybridge/logger';
 import { StandInObjectStore, StandInPlatformBackend } from '@hickorybridge/stand-ins';
-import type { HostSettings, SocketAddress } from '@hickorybridge/types';
+import type { HostBounds, HostSettings, SocketAddress } from '@hickorybridge/types';
 import { RandomSource, systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
 import { randomInt } from 'node:crypto';
@@ -87,6 +87,7 @@
   t: TestContext,
   store: SocketAddress,
   name: string,
+  bounds: Partial<HostBounds> = {},
 ): Promise<FleetMember> {
   const backend = new StandInPlatformBackend(`i-${name}`);
   await backend.start();
@@ -114,6 +115,7 @@
       retryShare: 0.2,
       retrySlack: 60,
       retryWindowMilliseconds: 10_000,
+      ...bounds,
     },
   };
   const node = await startNode(t, settings);
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -1,3 +1,4 @@
+import type { Quotas } from '@hickorybridge/coordination';
 import type { Logger } from '@hickorybridge/logger';
 import { HeaderNames } from '@hickorybridge/platform';
 import { maxWholeBodyBytes, type RequestBody } from '@hickorybridge/peer-protocol';
@@ -37,6 +38,8 @@
   readonly isBelowRepeat: (requestId: string) => boolean;
   /** When the node ends, in monotonic milliseconds; `undefined` unless it is shutting down. */
   readonly endsAt: () => number | undefined;
+  /** Limits of the tenants; absent if the platform does not check them. */
+  readonly quotas?: Pick<Quotas, 'acquire' | 'release'>;
   readonly onFinished: (exchange: FinishedRequest) => void;
   readonly stallDetector: Pick<StallDetector, 'recordActivity' | 'unreadSince'>;
   readonly clock: Clock;
@@ -200,7 +203,7 @@
       outcome =
         match.type === 'failed'
           ? match
-          : await this.#route({
+          : await this.#routeWithinQuota({
               request,
               requestId,
               found: match,
@@ -224,6 +227,27 @@
     });
   }
 
+  /** Routes a request if its tenant may send one more. Nested calls do not count. */
+  async #routeWithinQuota(routable: RoutableRequest): Promise<CallerOutcome> {
+    const { quotas } = this.#options;
+    const { depth, tenant } = routable.found;
+    if (quotas === undefined || tenant === undefined || depth > 0) return this.#route(routable);
+    const pending = quotas.acquire(tenant);
+    const decision = pending instanceof Promise ? await pending : pending;
+    if (decision.type === 'over-quota') {
+      const returnMilliseconds = decision.retryMilliseconds;
+      const detail = 'the tenant has sent more requests than its limit allows';
+      return { ...failure(FailureReason.overQuota, detail), returnMilliseconds };
+    }
+    if (routable.signal.aborted) {
+      quotas.release(tenant, decision.token);
+      return failure(FailureReason.callerLeft, 'the caller has left');
+    }
+    const outcome = await this.#route(routable);
+    if (outcome.type === 'failed' && !outcome.mayHaveRun) quotas.release(tenant, decision.token);
+    return outcome;
+  }
+
   async #route(routable: RoutableRequest): Promise<CallerOutcome> {
     const { found, request } = routable;
     const body = await readBody(request, {
--- a/packages/host-node/src/callers/sendOutcome.ts
+++ b/packages/host-node/src/callers/sendOutcome.ts
@@ -10,6 +10,7 @@
   [FailureReason.noRoute]: 404,
   [FailureReason.badRequest]: 400,
   [FailureReason.unauthorized]: 401,
+  [FailureReason.overQuota]: 429,
   [FailureReason.bodyTooLarge]: 413,
   [FailureReason.headersTooLarge]: 431,
 };
--- a/packages/host-node/src/control/PeerConnectionManager.ts
+++ b/packages/host-node/src/control/PeerConnectionManager.ts
@@ -11,6 +11,8 @@
   readonly subset: HostSubset;
   /** Nodes of the region that watch the store on behalf of the others. */
   readonly watchers: StoreWatchers;
+  /** Nodes of all regions that grant tokens of the tenants' limits; empty without limits. */
+  readonly quotaBrokers: () => readonly string[];
   readonly pool: PeerPool;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -37,7 +39,7 @@
 
 /**
  * Keeps connections open to the hosts that requests may be sent to, so that no request waits for a
- * connection, and to the nodes that watch the store.
+ * connection, to the nodes that watch the store, and to those that grant tokens of limits.
  */
 export class PeerConnectionManager {
   readonly #options: PeerConnectionManagerOptions;
@@ -88,7 +90,7 @@
 
   /** Selects the hosts of the subset, with others in the place of those that are unreachable. */
   #selectPeers(): HostEntry[] {
-    const { directory, nodeId, subset, watchers } = this.#options;
+    const { directory, nodeId, quotaBrokers, subset, watchers } = this.#options;
     const isUsable = (entry: HostEntry) => entry.nodeId !== nodeId && !entry.leaving;
     const isPromising = (entry: HostEntry) =>
       isUsable(entry) && (this.#retries.get(entry.nodeId)?.failures ?? 0) < replacedAfterFailures;
@@ -98,13 +100,14 @@
         .flatMap((service) =>
           subset.select(service, directory.ofService(service), connectionSubsetSizes, isEligible),
         );
-    const watcherEntries = watchers.others().map((watcher) => directory.entry(watcher));
+    const brokers = quotaBrokers().filter((broker) => broker !== nodeId);
+    const controlEntries = [...watchers.others(), ...brokers].map((peer) => directory.entry(peer));
     return [
       ...new Set([
         ...selectEach(isPromising),
         // These are still tried now and then, because they may come back.
         ...selectEach(isUsable),
-        ...watcherEntries.filter((entry) => entry !== undefined),
+        ...controlEntries.filter((entry) => entry !== undefined),
       ]),
     ];
   }
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -1,4 +1,4 @@
-import { DocumentExchange } from '@hickorybridge/coordination';
+import { BrokerMembership, DocumentExchange, Quotas } from '@hickorybridge/coordination';
 import { taskFailureLogger, type Logger } from '@hickorybridge/logger';
 import {
   HostDirectory,
@@ -30,6 +30,7 @@
 import { OccupancyReporter } from './control/OccupancyReporter.js';
 import { PeerConnectionManager } from './control/PeerConnectionManager.js';
 import { ReportsListener } from './control/ReportsListener.js';
+import { TenantDirectory } from './control/TenantDirectory.js';
 import type { SettingsSource } from './control/SettingsFile.js';
 import { StatusListener } from './control/StatusListener.js';
 import { HostNode } from './HostNode.js';
@@ -81,7 +82,8 @@
 export function createHostNode(options: CreateHostNodeOptions): HostNode {
   const { clock, logger, random, settings } = options;
   const { bounds, location, nodeId, store: storeAddress } = settings.current;
-  const telemetry = new NodeTelemetry(logger);
+  let quotas: Quotas | undefined;
+  const telemetry = new NodeTelemetry(logger, () => quotas?.counts);
   const followers: StoreFollower[] = [];
   const store = new ObjectStore(storeAddress, {
     count: (operation, result) => telemetry.recordStoreCall(operation, result),
@@ -189,6 +191,27 @@
     random: random.fork(),
     logger,
   });
+  const watchers = new StoreWatchers({ nodeId, region: location.region, directory });
+  const brokerMembership = new BrokerMembership({ nodeId, clock });
+  const tenants = new TenantDirectory(() => router.configuration);
+  quotas =
+    bounds.quota === undefined
+      ? undefined
+      : new Quotas({
+          nodeId,
+          region: location.region,
+          channel: pool,
+          clock,
+          bounds: bounds.quota,
+          membership: brokerMembership,
+          limitOf: (tenant) => tenants.find(tenant),
+          isReachable: (peer) => pool.isConnected(peer),
+          onUnanswered: (tenant) =>
+            logger.warn('quota-unanswered', 'no broker granted or refused tokens of a tenant', {
+              tenant,
+              brokers: brokerMembership.listed.length,
+            }),
+        });
   const stallDetector = new StallDetector({ clock });
   const callers = new CallersListener({
     router,
@@ -196,6 +219,7 @@
     isNestedCall: (requestId) => backendServers.isNestedCall(requestId),
     isBelowRepeat: (requestId) => backendServers.isBelowRepeat(requestId),
     endsAt: () => node.endsAt,
+    ...(quotas === undefined ? {} : { quotas }),
     onFinished: (finished) => {
       telemetry.recordFinishedRequest(finished);
       const { depth, milliseconds, requestId } = finished;
@@ -214,7 +238,6 @@
     onStored: (document) => exchange.publish(document),
     logger,
   });
-  const watchers = new StoreWatchers({ nodeId, region: location.region, directory });
   const peerSelector = new ConfigurationPeerSelector({
     watchers,
     connectedPeers: () => pool.connectedPeers(),
@@ -242,6 +265,10 @@
   });
   directory.onChange(() => {
     choice.removeUnlistedHosts();
+    brokerMembership.update({
+      brokers: watchers.ofAllRegions(),
+      hasStepped: (host) => directory.entry(host) !== undefined,
+    });
     connectionManager.wake();
     const { entry, version } = directory.stored(nodeId);
     if (entry !== undefined) backendServers.handleStoredEntry(entry);
@@ -303,6 +330,10 @@
     directory,
     subset,
     watchers,
+    quotaBrokers: () =>
+      quotas === undefined || !tenants.hasTenants
+        ? []
+        : brokerMembership.listed.map((broker) => broker.nodeId),
     pool,
     clock,
     random: random.fork(),
--- a/packages/host-node/src/routing/CallerRequest.ts
+++ b/packages/host-node/src/routing/CallerRequest.ts
@@ -44,6 +44,7 @@
   nodeFault: 'node-fault',
   badRequest: 'bad-request',
   unauthorized: 'unauthorized',
+  overQuota: 'over-quota',
   bodyTooLarge: 'body-too-large',
   headersTooLarge: 'headers-too-large',
   headersTimeout: 'headers-timeout',
--- a/packages/membership/src/StoreWatchers.ts
+++ b/packages/membership/src/StoreWatchers.ts
@@ -15,14 +15,20 @@
   readonly directory: HostDirectory;
 }
 
+/** A node that follows the store for those of its region. */
+export interface Watcher {
+  readonly nodeId: string;
+  readonly region: string;
+}
+
 /**
- * Chooses the nodes of a region that follow the store, by a hash of their names, so that all nodes
+ * Chooses the nodes of each region that follow the store, by a hash of their names, so that all nodes
  * choose the same ones without agreeing on them. Nodes that see different lists choose a few more.
  */
 export class StoreWatchers {
   readonly #options: StoreWatchersOptions;
 
-  #chosen: readonly string[] | undefined;
+  #chosen: readonly Watcher[] | undefined;
 
   constructor(options: StoreWatchersOptions) {
     this.#options = options;
@@ -41,13 +47,31 @@
     return this.#all().filter((nodeId) => nodeId !== this.#options.nodeId);
   }
 
-  #all(): readonly string[] {
-    const { directory, region } = this.#options;
-    this.#chosen ??= chooseWatchers(
-      directory.list().filter(({ leaving, location }) => !leaving && location.region === region),
-    );
+  /** The watchers of all regions, this node included if it is one. */
+  ofAllRegions(): readonly Watcher[] {
+    this.#chosen ??= chooseInEachRegion(this.#options.directory.list());
     return this.#chosen;
   }
+
+  #all(): readonly string[] {
+    return this.ofAllRegions()
+      .filter(({ region }) => region === this.#options.region)
+      .map(({ nodeId }) => nodeId);
+  }
+}
+
+function chooseInEachRegion(hosts: readonly HostEntry[]): Watcher[] {
+  const byRegion = new Map<string, HostEntry[]>();
+  for (const host of hosts) {
+    if (host.leaving) continue;
+    const { region } = host.location;
+    const inRegion = byRegion.get(region);
+    if (inRegion === undefined) byRegion.set(region, [host]);
+    else inRegion.push(host);
+  }
+  return [...byRegion].flatMap(([region, inRegion]) =>
+    chooseWatchers(inRegion).map((nodeId) => ({ nodeId, region })),
+  );
 }
 
 function chooseWatchers(hosts: readonly HostEntry[]): readonly string[] {
