--- a/packages/host-node/src/__tests__/CallersListener.test.ts
+++ b/packages/host-node/src/__tests__/CallersListener.test.ts
@@ -1,4 +1,6 @@
+import { TokenBatch } from '@hickorybridge/coordination';
 import { createLogger } from '@hickorybridge/logger';
+import type { Tenant } from '@hickorybridge/types';
 import { systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
@@ -7,7 +9,11 @@
 import { text } from 'node:stream/consumers';
 import { describe, it, type TestContext } from 'node:test';
 
-import { CallersListener, type FinishedRequest } from '../callers/CallersListener.js';
+import {
+  CallersListener,
+  type CallersListenerOptions,
+  type FinishedRequest,
+} from '../callers/CallersListener.js';
 import type { CallerOutcome, CallerRequest } from '../routing/CallerRequest.js';
 import type { RequestRouter } from '../routing/RequestRouter.js';
 import { freePorts, host, sendRequest } from './fleet.js';
@@ -17,11 +23,13 @@
   t: TestContext,
   { findRoute, route }: Pick<RequestRouter, 'findRoute' | 'route'>,
   endsAt?: number,
+  changes: Pick<CallersListenerOptions, 'quotas'> & { tenantsByKey?: Map<string, Tenant> } = {},
 ) {
+  const { quotas, tenantsByKey } = changes;
   const events: string[] = [];
   const finished: FinishedRequest[] = [];
   const router = {
-    configuration: { limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536 } },
+    configuration: { limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536 }, tenantsByKey },
     callerTimeoutEstimator: { estimateElapsed: () => 0 },
     chooseService: () => 'desk',
     findRoute,
@@ -33,6 +41,7 @@
     isNestedCall: () => false,
     isBelowRepeat: () => false,
     endsAt: () => endsAt,
+    ...(quotas === undefined ? {} : { quotas }),
     onFinished: (exchange) => finished.push(exchange),
     stallDetector: { recordActivity: () => {}, unreadSince: () => systemClock.now() },
     clock: systemClock,
@@ -102,6 +111,41 @@
     assert.equal(listener.open, 0);
   });
 
+  it('guards against requests over a limit that run, and against tokens that are not returned', async (t) => {
+    const tenant: Tenant = { name: 'small', requestsPerSecond: 1, burst: 0 };
+    const token = new TokenBatch(tenant, 1, Infinity);
+    const released: unknown[] = [];
+    let left = 2;
+    let routed = 0;
+    const quotas: CallersListenerOptions['quotas'] = {
+      acquire: () => {
+        left -= 1;
+        return left < 0
+          ? { type: 'over-quota', retryMilliseconds: 250 }
+          : { type: 'granted', token };
+      },
+      release: (_tenant, returned) => released.push(returned),
+    };
+    const route = async (): Promise<CallerOutcome> => {
+      routed += 1;
+      return { type: 'failed', reason: 'overloaded', mayHaveRun: routed === 2, detail: '' };
+    };
+    const tenantsByKey = new Map([['key', tenant]]);
+    const { port } = await startListener(t, { findRoute, route }, undefined, {
+      quotas,
+      tenantsByKey,
+    });
+    const send = () =>
+      sendRequest(port, { path: '/reads/1', headers: { authorization: 'Bearer key' } });
+    assert.equal((await send()).status, 503);
+    assert.equal((await send()).status, 502);
+    const refusal = await send();
+    assert.equal(refusal.status, 429);
+    assert.equal(refusal.headers['retry-after'], '0.250');
+    assert.equal(routed, 2);
+    assert.deepEqual(released, [token]);
+  });
+
   it('guards against work for a caller of a stopping node that cannot end in time', async (t) => {
     const endsAt = systemClock.now() + 300;
     const deadlines: number[] = [];
