--- a/packages/host-node/src/__tests__/PeerConnectionManager.test.ts
+++ b/packages/host-node/src/__tests__/PeerConnectionManager.test.ts
@@ -60,6 +60,7 @@
     regionSetsOf: () => regionSets,
     isEvacuated: () => false,
     watchers: { others: () => [] } as unknown as StoreWatchers,
+    quotaBrokers: () => [],
     pool,
     clock,
     random: new RandomSource(2026),
--- a/packages/host-node/src/control/PeerConnectionManager.ts
+++ b/packages/host-node/src/control/PeerConnectionManager.ts
@@ -20,6 +20,8 @@
   readonly isEvacuated: (failureDomain: string) => boolean;
   /** Nodes of the region that watch the store on behalf of the others. */
   readonly watchers: StoreWatchers;
+  /** Nodes of all regions that grant tokens of the tenants' limits; empty without limits. */
+  readonly quotaBrokers: () => readonly string[];
   readonly pool: PeerPool;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -46,7 +48,7 @@
 
 /**
  * Keeps connections open to the hosts that requests may be sent to, so that no request waits for a
- * connection, and to the nodes that watch the store.
+ * connection, to the nodes that watch the store, and to those that grant tokens of limits.
  */
 export class PeerConnectionManager {
   readonly #options: PeerConnectionManagerOptions;
@@ -97,7 +99,8 @@
 
   /** Selects the hosts of the subset, with others in the place of those that are unreachable. */
   #selectPeers(): HostEntry[] {
-    const { directory, isEvacuated, nodeId, regionSetsOf, subset, watchers } = this.#options;
+    const { directory, isEvacuated, nodeId, quotaBrokers, regionSetsOf, subset, watchers } =
+      this.#options;
     const isUsable = (entry: HostEntry) => entry.nodeId !== nodeId && !entry.leaving;
     const isPromising = (entry: HostEntry) =>
       isUsable(entry) &&
@@ -115,14 +118,15 @@
           ),
         ),
       );
-    const watcherEntries = watchers.others().map((watcher) => directory.entry(watcher));
+    const brokers = quotaBrokers().filter((broker) => broker !== nodeId);
+    const controlEntries = [...watchers.others(), ...brokers].map((peer) => directory.entry(peer));
     return [
       ...new Set([
         ...selectEach(isPromising),
         // These are still tried now and then, because they may come back, and connections to evacuated
         // hosts are kept, because the evacuation may be withdrawn.
         ...selectEach(isUsable),
-        ...watcherEntries.filter((entry) => entry !== undefined),
+        ...controlEntries.filter((entry) => entry !== undefined),
       ]),
     ];
   }
