Pass on no answer with a malformed status, or with a body that 204 and 304 exclude

Cause: the exchange with a backend server took a 204 or 304 with a body for an answer without one, so its caller saw a success, and it believed a 204 with a body that said that the request had not run. sendOutcome sent any status from 100 to 999 that came from an older node.

Change: types/answerStatus decides which statuses are final and which exclude a body, for the exchange, the decoder of frames and sendOutcome. A 204 that declares a body is lost. Excess bytes beside the head of a 204 or 304 make it lost. A 304 that declares a length, as HTTP allows, is held for 20 ms and lost if bytes follow; its connection takes no other request.

Result: tests that failed before and pass now: 204 and 304 with a body (length, chunks, undeclared), 204 with a body and not-executed, sendOutcome with 100, 101, 199, 600 and 999. These cases held already: 000, 099, 600, 999, 1000 and 20 from a backend server; 1xx that is followed by a body or nothing; 101 with and without Upgrade; all of these between nodes (frameCodec), and 0 and 99 on the way to a caller.

--- a/packages/host-node/src/__tests__/exchange.property.test.ts
+++ b/packages/host-node/src/__tests__/exchange.property.test.ts
@@ -11,6 +11,7 @@
 import { host } from './fleet.js';
 import {
   createBody,
+  encodeAnswer,
   Ending,
   Framing,
   ScriptedServer,
@@ -41,7 +42,7 @@
 }
 
 const answerScript = record<AnswerScript>({
-  status: constantFrom(200, 500),
+  status: constantFrom(200, 200, 200, 500, 500, 0, 99, 100, 101, 102, 199, 204, 304, 600, 999),
   framing: constantFrom(...Object.values(Framing)),
   bodyBytes: constantFrom(0, 1, 1000, 33_000, 70_000, 100_000, 150_000),
   header: constantFrom('none', 'none', 'none', 'not-executed', 'malformed', 'other-id'),
@@ -107,8 +108,27 @@
   return framing === Framing.none && ending === Ending.close;
 }
 
+const requestId = 'x';
+const endOfHead = '\r\n\r\n';
+
+/** Whether no part of an answer with this status may be passed on, nor its word that nothing ran. */
+function isMalformed({ bodyBytes, framing, status }: AnswerScript): boolean {
+  const declaresBody = framing === Framing.chunked || (framing === Framing.length && bodyBytes > 0);
+  return status < 200 || status > 599 || (status === 204 && declaresBody);
+}
+
+/** Whether the first bytes of a body arrive with the head of an answer that may have none. */
+function hasExcludedBody(script: AnswerScript): boolean {
+  const answer = encodeAnswer(script, requestId);
+  const firstPart = Math.min(script.pieceBytes, Math.floor(answer.length * script.sentShare));
+  const isBodiless = script.status === 204 || script.status === 304;
+  return isBodiless && firstPart > answer.indexOf(endOfHead) + endOfHead.length;
+}
+
 async function checkAnswer(outcome: ExchangeOutcome, script: AnswerScript, caller: CallerScript) {
   if (outcome.type === 'not-run') {
+    const isTaken = isMalformed(script) && outcome.reason !== 'cancelled';
+    assert.ok(!isTaken, `a malformed answer says that the request has not run: ${script.status}`);
     const isCancelled = outcome.reason === 'cancelled' && caller.cancelAfterMilliseconds !== null;
     const isProved = script.header === 'not-executed' && outcome.reason === 'backend-server-shed';
     assert.ok(isCancelled || isProved, `not run: ${outcome.reason}`);
@@ -117,7 +137,10 @@
   if (outcome.type === 'lost') return;
   assert.equal(script.header, 'none', 'the answer is not that of the request');
   assert.equal(outcome.head.status, script.status);
-  const body = createBody(script.bodyBytes);
+  assert.ok(!isMalformed(script), `the status ${script.status} is passed on`);
+  assert.ok(!hasExcludedBody(script), `the status ${script.status} is passed on with a body`);
+  const isBodiless = script.status === 204 || script.status === 304;
+  const body = createBody(isBodiless ? 0 : script.bodyBytes);
   const { data, complete } =
     outcome.body.type === 'whole'
       ? { data: outcome.body.data, complete: true }
@@ -156,7 +179,7 @@
     host,
     port: server.port,
     head: {
-      requestId: 'x',
+      requestId,
       service: 'desk',
       backendServerId: 'b',
       incarnation: 0,
@@ -165,7 +188,7 @@
       weight: 1,
       method: 'POST',
       target: '/orders/1',
-      headers: ['host', 'a.example', 'request-id', 'x'],
+      headers: ['host', 'a.example', 'request-id', requestId],
       deadline: systemClock.now() + limitMilliseconds,
       depth: 0,
       attempts: 1,
--- a/packages/host-node/src/__tests__/scriptedServer.ts
+++ b/packages/host-node/src/__tests__/scriptedServer.ts
@@ -119,11 +119,12 @@
   Object.assign(received, { body: Buffer.concat(chunks), complete: request.complete });
 }
 
-function encodeAnswer(script: AnswerScript, requestId: string): Buffer {
+/** The bytes of an answer if all of it is sent. */
+export function encodeAnswer(script: AnswerScript, requestId: string): Buffer {
   const { bodyBytes, framing, header, status } = script;
   const body = createBody(bodyBytes);
   const lines = [
-    `HTTP/1.1 ${status} Answer`,
+    `HTTP/1.1 ${String(status).padStart(3, '0')} Answer`,
     `request-id: ${header === 'other-id' ? 'another' : requestId}`,
     'response-signature: signed',
   ];
--- a/packages/host-node/src/__tests__/sendOutcome.test.ts
+++ b/packages/host-node/src/__tests__/sendOutcome.test.ts
@@ -129,4 +129,15 @@
       assert.equal(body, '');
     });
   }
+
+  // Node.js sends any status from 100 to 999, and a node of an older version may pass one on.
+  for (const status of [0, 99, 100, 101, 199, 600, 999]) {
+    it(`guards against the status ${status} that reaches a caller`, async (t) => {
+      const bytes = Buffer.from('the whole answer');
+      const port = await startServer(t, () => whole({ status, headers: [] }, bytes));
+      const { body, head } = await sendRaw(port, 'GET / HTTP/1.1');
+      assert.match(head, /^http\/1\.1 502 /);
+      assert.doesNotMatch(body, /the whole answer/);
+    });
+  }
 });
--- a/packages/host-node/src/backend/BackendServerExchange.ts
+++ b/packages/host-node/src/backend/BackendServerExchange.ts
@@ -6,7 +6,14 @@
   type RequestBody,
 } from '@hickorybridge/peer-protocol';
 import { decodeLoadFigures, HeaderNames } from '@hickorybridge/platform';
-import type { AnswerHead, LoadFigures, RequestHead } from '@hickorybridge/types';
+import {
+  isBodilessStatus,
+  isFinalStatus,
+  mayDeclareBody,
+  type AnswerHead,
+  type LoadFigures,
+  type RequestHead,
+} from '@hickorybridge/types';
 import type { Clock } from '@hickorybridge/utils';
 import { request, type ClientRequest, type IncomingMessage } from 'node:http';
 import { PassThrough } from 'node:stream';
@@ -51,13 +58,15 @@
 /** 421 Misdirected Request: another backend server answers at this address. */
 const misdirectedStatus = 421;
 const minServerErrorStatus = 500;
-const minFinalStatus = 200;
-const maxFinalStatus = 599;
 /** With a larger body than this, closing the connection is cheaper than reading the rejection. */
 const maxRejectionBytes = 64 * 1024;
-const bodilessStatuses: readonly number[] = [204, 304];
 /** Any other last coding ends with the connection (RFC 9112, section 6.3). */
 const chunkedLast = /(?:^|[\s,])chunked\s*$/i;
+/**
+ * A 304 that declares a body is held for this long, since a body may follow although none is allowed.
+ * The backend server is on this host, so that its bytes arrive soon after the head.
+ */
+const bodyArrivalMilliseconds = 20;
 const noData = Buffer.alloc(0);
 
 /** How the end of an answer's body is told. */
@@ -153,6 +162,9 @@
     outgoing.on('error', (error) => {
       // Once the answer has started, onAnswerEnd reports whether it is complete.
       if (this.#answer === undefined) this.#fail(error.message);
+      // Excess bytes are a body here. After an answer with a length they do not belong to it.
+      else if (this.#isBodiless(this.#answer))
+        this.#reject('the answer has a body that its status excludes');
     });
     outgoing.once('close', () => {
       if (this.#answer === undefined) this.#fail('the connection was closed without an answer');
@@ -211,8 +223,10 @@
       this.#reject('the answer belongs to another request');
     } else if (malformedName !== undefined) {
       this.#reject(`the answer has a header with the malformed name "${malformedName}"`);
-    } else if (status < minFinalStatus || status > maxFinalStatus) {
+    } else if (!isFinalStatus(status)) {
       this.#reject(`the answer has the status ${status}`);
+    } else if (this.#isBodiless(answer) && !mayDeclareBody(status) && declaresBody(answer)) {
+      this.#reject(`the answer has the status ${status} and declares a body`);
     } else if (status === misdirectedStatus) {
       this.#settleNotRun(answer, NotRunReason.misdirected);
     } else if (headers[HeaderNames.notRun] !== undefined) {
@@ -248,6 +262,10 @@
       this.#streamBody(answer, head);
       return;
     }
+    if (this.#isBodiless(answer) && declaresBody(answer)) {
+      this.#awaitNoBody(answer, head);
+      return;
+    }
     const chunks: Buffer[] = [];
     let size = 0;
     answer.on('data', (chunk: Buffer) => {
@@ -269,6 +287,20 @@
     });
   }
 
+  /**
+   * Answers unless a body follows. The answer is not read, so that its connection takes no other
+   * request, and the connection is closed, because a body may still follow.
+   */
+  async #awaitNoBody({ socket }: IncomingMessage, head: AnswerHead): Promise<void> {
+    const rejectBody = () => this.#reject('the answer has a body that its status excludes');
+    socket.once('data', rejectBody);
+    await this.#options.clock.sleep(bodyArrivalMilliseconds);
+    socket.off('data', rejectBody);
+    this.#settle({ type: 'answered', head, body: { type: 'whole', data: noData } });
+    this.#end(true);
+    this.#request.destroy();
+  }
+
   /** Streams a large body as it arrives; the stream fails if the answer ends early. */
   #streamBody(answer: IncomingMessage, head: AnswerHead, first: readonly Buffer[] = []): void {
     const stream = keepErrorAsState(new PassThrough());
@@ -291,6 +323,11 @@
     onAnswerEnd(answer, endsWithConnection, (complete) => listener(complete && !this.#aborted));
   }
 
+  /** Whether the status of the answer, and not the method, excludes a body. */
+  #isBodiless({ statusCode = 0 }: IncomingMessage): boolean {
+    return this.#options.head.method !== 'HEAD' && isBodilessStatus(statusCode);
+  }
+
   #framingOf(answer: IncomingMessage): Framing {
     return this.#options.head.method === 'HEAD' ? Framing.none : framingOf(answer);
   }
@@ -354,13 +391,18 @@
 }
 
 function framingOf({ headers, statusCode = 0 }: IncomingMessage): Framing {
-  if (bodilessStatuses.includes(statusCode)) return Framing.none;
+  if (isBodilessStatus(statusCode)) return Framing.none;
   if (headers['content-length'] !== undefined) return Framing.length;
   return chunkedLast.test(headers['transfer-encoding'] ?? '')
     ? Framing.chunked
     : Framing.connection;
 }
 
+function declaresBody({ headers }: IncomingMessage): boolean {
+  const length = headers['content-length'];
+  return headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0');
+}
+
 function createAnswerHead(
   { headers, rawHeaders }: IncomingMessage,
   status: number,
--- a/packages/host-node/src/callers/sendOutcome.ts
+++ b/packages/host-node/src/callers/sendOutcome.ts
@@ -1,5 +1,6 @@
 import { discardBody } from '@hickorybridge/peer-protocol';
 import { HeaderNames } from '@hickorybridge/platform';
+import { isBodilessStatus, isFinalStatus } from '@hickorybridge/types';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { FailureReason, type CallerOutcome } from '../routing/CallerRequest.js';
@@ -20,7 +21,6 @@
 const lostStatus = 502;
 /** 204 must not have a length (RFC 9110, section 8.6). */
 const noContentStatus = 204;
-const bodilessStatuses: readonly number[] = [noContentStatus, 304];
 
 /**
  * Sends the outcome of a request to its caller. Returns the outcome that was sent: a failure if the
@@ -92,7 +92,9 @@
   answer: AnsweredOutcome,
 ): void {
   const { body, head } = answer;
-  const isBodiless = request.method === 'HEAD' || bodilessStatuses.includes(head.status);
+  // Node.js would send any status from 100 to 999.
+  if (!isFinalStatus(head.status)) throw new TypeError(`status ${head.status} is not final`);
+  const isBodiless = request.method === 'HEAD' || isBodilessStatus(head.status);
   const length = lengthOf(answer, isBodiless);
   const lengthHeader = length === undefined ? [] : ['content-length', String(length)];
   response.writeHead(head.status, [...head.headers, ...lengthHeader]);
--- a/packages/peer-protocol/src/__tests__/frameCodec.test.ts
+++ b/packages/peer-protocol/src/__tests__/frameCodec.test.ts
@@ -68,6 +68,13 @@
     }
   });
 
+  it('guards against a status between nodes that is not that of a final answer', () => {
+    for (const status of [0, 99, 100, 101, 199, 200.5, 600, 999, 65_536]) {
+      const fields = fieldsOfVersion4.with(2, status);
+      assert.equal(decodeFrame(encode(fields)).ok, false, String(status));
+    }
+  });
+
   it('guards against a declared length that is no count', () => {
     for (const length of [-1, 1.5, '9', Number.NaN]) {
       assert.equal(decodeFrame(encode([...fieldsOfVersion4, length])).ok, false);
--- a/packages/peer-protocol/src/frameCodec.ts
+++ b/packages/peer-protocol/src/frameCodec.ts
@@ -1,5 +1,6 @@
 import {
   fail,
+  isFinalStatus,
   succeed,
   type AnswerHead,
   type LoadReport,
@@ -325,7 +326,7 @@
 }
 
 function statusFrom(status: number): number {
-  if (status >= 200 && status <= 599) return status;
+  if (isFinalStatus(status)) return status;
   throw new TypeError(`status ${status} is not a final HTTP status`);
 }
 
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,3 +1,4 @@
+export * from './answerStatus.js';
 export * from './backendServer.js';
 export * from './controlChannel.js';
 export * from './directory.js';
