Add hickorybridge check for configurations of the users' platform

Cause: operators could only find out from the log of a node that a configuration is refused, and not at all that an entry has no effect.

Change: the command decodes the file with the decoder of the nodes and asks their route table which routes are hidden.

--- a/packages/command-line/src/commands.ts
+++ b/packages/command-line/src/commands.ts
@@ -1,4 +1,5 @@
 import { applyCommand } from './applyCommand.js';
+import { checkCommand } from './checkCommand.js';
 import type { CommandDefinition } from './CommandDefinition.js';
 import { diffCommand } from './diffCommand.js';
 import { drainCommand } from './drainCommand.js';
@@ -12,6 +13,7 @@
 export const commands: readonly CommandDefinition[] = [
   initCommand,
   validateCommand,
+  checkCommand,
   diffCommand,
   applyCommand,
   statusCommand,
