Refuse a hedge at a host without a free slot

Cause: the node beside the backend server could not tell a hedge from a retry, so that a hedge sent on an outdated report waited in the queue in place of other requests.

Change: attempts of limited hedging carry isHedge, an optional field of the open frame that older nodes ignore. LocalBackendServer refuses such a request if no slot is free, or if anybody waits. Frames of deployments without hedge_share are unchanged.

--- a/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
+++ b/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
@@ -2,6 +2,8 @@
 import type { BackendServerReport, HostEntry } from '@hickorybridge/types';
 import { HostSpeedModel, systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, type AddressInfo } from 'node:net';
 import { describe, it, type TestContext } from 'node:test';
 
 import { BackendServerRegistry } from '../backend/BackendServerRegistry.js';
@@ -152,3 +154,34 @@
     }
   });
 });
+
+describe('hedged requests at the host of the backend server', () => {
+  it('guards against a hedge that waits for a slot in place of other requests', async (t) => {
+    const server = createServer();
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    t.after(() => server.close());
+    const registry = startRegistry(t);
+    const { port } = server.address() as AddressInfo;
+    registry.handleReport({ ...report, slots: 1, address: { host: '127.0.0.1', port } });
+    const cancellation = new AbortController();
+    t.after(() => cancellation.abort());
+    const execute = (requestId: string, isHedge: boolean) => {
+      const now = systemClock.now();
+      const head = {
+        ...{ requestId, service: 'desk', backendServerId: 'b1', incarnation: 0, kind: 'reads' },
+        ...{ idempotent: true, weight: 1, method: 'GET', target: '/', headers: [], depth: 0 },
+        ...{ deadline: now + 2000, attempts: 1, isHedge },
+      };
+      return registry.execute(head, { type: 'none' }, cancellation.signal);
+    };
+    const settled: string[] = [];
+    const first = execute('first', true).then(() => settled.push('first'));
+    const waiting = execute('waiting', false).then(() => settled.push('waiting'));
+    const hedge = await execute('hedge', true);
+    assert.equal(hedge.type === 'refused' && hedge.reason, 'queue-full');
+    assert.deepEqual(settled, []);
+    cancellation.abort();
+    await Promise.all([first, waiting]);
+  });
+});
--- a/packages/host-node/src/__tests__/RequestRun.test.ts
+++ b/packages/host-node/src/__tests__/RequestRun.test.ts
@@ -92,6 +92,7 @@
 function startRun(timeoutMilliseconds: number, overrides: Partial<RunOverrides> = {}) {
   const { answerDelayMilliseconds, freeHostDelayMilliseconds = 0, idempotent = false } = overrides;
   const askedHosts: string[] = [];
+  const hedgedHosts: string[] = [];
   const chooseFirst = (_request: CallerRequest, excluded: ReadonlySet<string>) =>
     ['one', 'two', 'three']
       .filter((nodeId) => !excluded.has(nodeId))
@@ -116,8 +117,9 @@
   const run = new RequestRun(
     {
       hosts: hosts as unknown as HostChoice,
-      send: async (nodeId, _head, _body, signal): Promise<ExecutionOutcome> => {
+      send: async (nodeId, head, _body, signal): Promise<ExecutionOutcome> => {
         askedHosts.push(nodeId);
+        if (head.isHedge === true) hedgedHosts.push(nodeId);
         if (overrides.sendError !== undefined) throw overrides.sendError;
         if (overrides.outcomeAt !== undefined) return overrides.outcomeAt(nodeId, signal);
         if (answerDelayMilliseconds !== undefined) {
@@ -158,7 +160,7 @@
       signal: callerAbort.signal,
     },
   );
-  return { askedHosts, callerAbort, hedgeEvents, outcome: run.run() };
+  return { askedHosts, callerAbort, hedgedHosts, hedgeEvents, outcome: run.run() };
 }
 
 /** Hedging that has learnt a response time, with work left for a number of hedges. */
@@ -284,7 +286,7 @@
 describe('hedged requests with a limit', () => {
   it('guards against a late request that is not hedged, and a first attempt that goes on', async () => {
     const cancelled: string[] = [];
-    const { askedHosts, hedgeEvents, outcome } = startRun(2000, {
+    const { askedHosts, hedgedHosts, hedgeEvents, outcome } = startRun(2000, {
       idempotent: true,
       hedging: await learnHedging(0.1, 50),
       outcomeAt: slowFirstHost(cancelled),
@@ -293,6 +295,7 @@
     await sleep(10);
     assert.deepEqual(askedHosts, ['one', 'two']);
     assert.deepEqual(cancelled, ['one']);
+    assert.deepEqual(hedgedHosts, ['two']);
     assert.deepEqual(hedgeEvents, [HedgeEvent.sent, HedgeEvent.won]);
   });
 
@@ -361,7 +364,7 @@
 
   it('guards against another behaviour of a service without a limit', async () => {
     const cancelled: string[] = [];
-    const { askedHosts, hedgeEvents, outcome } = startRun(2000, {
+    const { askedHosts, hedgedHosts, hedgeEvents, outcome } = startRun(2000, {
       idempotent: true,
       hedging: await learnHedging(undefined, 50),
       outcomeAt: slowFirstHost(cancelled),
@@ -369,5 +372,6 @@
     assert.equal((await outcome).type, 'answered');
     assert.deepEqual(askedHosts, ['one', 'two']);
     assert.deepEqual(hedgeEvents, []);
+    assert.deepEqual(hedgedHosts, []);
   });
 });
--- a/packages/host-node/src/backend/LocalBackendServer.ts
+++ b/packages/host-node/src/backend/LocalBackendServer.ts
@@ -144,6 +144,9 @@
   ): Promise<ExecutionOutcome> {
     const { clock, speed } = this.#options;
     const arrivedAt = clock.now();
+    if (head.isHedge === true && !this.#hasFreeSlot()) {
+      return { type: 'refused', reason: 'queue-full', report: this.load() };
+    }
     const admission = await this.#admission.admit({ ...head, signal });
     if (admission.type === 'refused') {
       return { type: 'refused', reason: admission.reason, report: this.load() };
@@ -171,6 +174,12 @@
     this.#agent.destroy();
   }
 
+  /** Whether a slot is free that is not reserved for nested calls, and nobody waits for it. */
+  #hasFreeSlot(): boolean {
+    const { inFlight, limit, queued, reserved = 0 } = this.load();
+    return queued === 0 && inFlight + reserved < limit;
+  }
+
   /** Logs how the time of a late or unanswered request was spent. */
   #logLate(
     { depth, kind, requestId }: RequestHead,
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -239,7 +239,7 @@
     this.#backendAttempts += 1;
     const attempt = new HostAttempt(candidate, async (signal) => {
       const startedAt = this.#options.clock.now();
-      const outcome = await this.#send(candidate, signal);
+      const outcome = await this.#send(candidate, signal, isLimitedHedge);
       const isCancelled = signal.aborted;
       if (!isLimitedHedge) this.#recordDuration(outcome, startedAt, isCancelled);
       else if (isCancelled) this.#recordHedge(HedgeEvent.cancelled);
@@ -262,10 +262,17 @@
     hedging?.recordAttempt(service, route.name, { milliseconds, answered });
   }
 
-  async #send({ entry, load }: HostCandidate, signal: AbortSignal): Promise<ExecutionOutcome> {
+  async #send(
+    { entry, load }: HostCandidate,
+    signal: AbortSignal,
+    isLimitedHedge: boolean,
+  ): Promise<ExecutionOutcome> {
     const { clock, routeWorkEstimator, send } = this.#options;
     const { body, route } = this.#request;
-    const head = this.#headFor(entry.nodeId, entry.backendServerId);
+    const head = {
+      ...this.#headFor(entry.nodeId, entry.backendServerId),
+      ...(isLimitedHedge ? { isHedge: true } : {}),
+    };
     const outcome = await send(entry.nodeId, head, body, signal);
     const now = clock.now();
     if (outcome.type === 'refused') {
--- a/packages/peer-protocol/src/__tests__/frameCodec.test.ts
+++ b/packages/peer-protocol/src/__tests__/frameCodec.test.ts
@@ -45,6 +45,22 @@
   return decode(encodeFrame(frame).subarray(lengthPrefixBytes));
 }
 
+const requestHead: RequestHead = {
+  requestId: 'r',
+  service: 'desk',
+  backendServerId: 'b',
+  incarnation: 0,
+  kind: 'reads',
+  idempotent: true,
+  weight: 1,
+  method: 'GET',
+  target: '/',
+  headers: [],
+  deadline: 100,
+  depth: 0,
+  attempts: 1,
+};
+
 describe('frameCodec', () => {
   it('guards against a declared length that is lost or altered between nodes', () => {
     for (const head of [{ contentLength: 0 }, { contentLength: 5_000_000_000 }, {}]) {
@@ -83,21 +99,6 @@
 
   // Calls of a repeated run count as repeats, so the host that runs it has to know.
   it('guards against a repeat that another node does not know as one', () => {
-    const head: RequestHead = {
-      requestId: 'r',
-      service: 'desk',
-      backendServerId: 'b',
-      incarnation: 0,
-      kind: 'reads',
-      idempotent: true,
-      weight: 1,
-      method: 'GET',
-      target: '/',
-      headers: [],
-      deadline: 100,
-      depth: 0,
-      attempts: 1,
-    };
     const isRepeatIn = (data: Buffer) => {
       const decoded = decodeFrame(data);
       assert.ok(decoded.ok && decoded.value.type === FrameType.open);
@@ -107,7 +108,7 @@
       encodeFrame({
         type: FrameType.open,
         stream: 1,
-        head: { ...head, isRepeat },
+        head: { ...requestHead, isRepeat },
         bodyMode: BodyMode.none,
         body: undefined,
         clock: 5,
@@ -117,4 +118,23 @@
     const fieldsOfOlderNode = (decode(encoded[0] as Buffer) as unknown[]).slice(0, -1);
     assert.equal(isRepeatIn(encode(fieldsOfOlderNode)), false);
   });
+
+  it('guards against a hedge that another node does not know as one, or a field of tenants that shifts', () => {
+    const marks = [
+      {},
+      { isHedge: true },
+      { tenant: 'a', tenantPriority: 1 },
+      { tenant: 'a', isHedge: true },
+    ];
+    for (const mark of marks) {
+      const head = { ...requestHead, ...mark };
+      const frame = { type: FrameType.open, stream: 1, head, bodyMode: BodyMode.none } as const;
+      const encoded = encodeFrame({ ...frame, body: undefined, clock: 5 });
+      const decoded = decodeFrame(encoded.subarray(lengthPrefixBytes));
+      assert.ok(decoded.ok && decoded.value.type === FrameType.open);
+      const { isHedge, tenant, tenantPriority } = decoded.value.head;
+      const expected = { isHedge: undefined, tenant: undefined, tenantPriority: undefined };
+      assert.deepEqual({ isHedge, tenant, tenantPriority }, { ...expected, ...mark });
+    }
+  });
 });
--- a/packages/peer-protocol/src/frameCodec.ts
+++ b/packages/peer-protocol/src/frameCodec.ts
@@ -127,9 +127,10 @@
     clock ?? null,
     head.isRepeat === true,
   ];
-  const { tenant, tenantPriority } = head;
-  // Deployments without tenants have no such fields.
-  if (tenant !== undefined) fields.push(tenant, tenantPriority ?? null);
+  const { isHedge = false, tenant, tenantPriority } = head;
+  // Deployments without tenants and without a limit on hedges have no such fields.
+  if (tenant !== undefined || isHedge) fields.push(tenant ?? null, tenantPriority ?? null);
+  if (isHedge) fields.push(true);
   return fields;
 }
 
@@ -288,12 +289,14 @@
   const isRepeat = reader.optionalFlag();
   const tenant = reader.optionalString();
   const tenantPriority = reader.optionalNumber();
+  const isHedge = reader.optionalFlag();
   return {
     type: FrameType.open,
     stream,
     head: {
       ...headFromWire(head),
       ...(isRepeat ? { isRepeat } : {}),
+      ...(isHedge ? { isHedge } : {}),
       ...(tenant === undefined ? {} : { tenant }),
       ...(tenantPriority === undefined ? {} : { tenantPriority }),
     },
--- a/packages/types/src/requestHead.ts
+++ b/packages/types/src/requestHead.ts
@@ -26,6 +26,8 @@
   readonly depth: number;
   /** Whether this attempt repeats an earlier one, or is part of a run that does. */
   readonly isRepeat?: boolean | undefined;
+  /** Whether another attempt is running elsewhere, so that this one is refused rather than queued. */
+  readonly isHedge?: boolean | undefined;
   /** Name of the caller's tenant; absent if callers need no key. */
   readonly tenant?: string | undefined;
   /** Priority of the tenant, which takes precedence over `weight`; absent if it has none. */
