Account for the memory and descriptors that clients take

Cause: the parser read 64 KB at once and made an object of each request and of each chunk in it; nothing counted what a connection held, and nothing limited the connections.

Change: ConnectionAccount (limits from memory_mb and max_fds) closes the connections that hold the most and transfer the least. LimitedConnection stands between socket and HTTP server and passes on one head at a time, only while the connection is within its limits. Small chunks of bodies are joined. Bodies that make no progress occupy at most two backend servers of a node. The listeners for peers and for reports use the same account.

--- a/packages/host-node/src/NodeTelemetry.ts
+++ b/packages/host-node/src/NodeTelemetry.ts
@@ -1,6 +1,7 @@
 import type { OccupancySummary } from '@hickorybridge/admission';
 import type { Logger } from '@hickorybridge/logger';
 import { Counter, LatencyHistogram } from '@hickorybridge/telemetry';
+import type { ConnectionAccount, EvictionReason } from '@hickorybridge/utils';
 
 import type { FinishedRequest } from './callers/CallersListener.js';
 
@@ -14,6 +15,10 @@
 
   readonly #storeCalls = new Map<string, Counter>();
 
+  readonly #evictions = new Map<string, Counter>();
+
+  #account: ConnectionAccount | undefined;
+
   /** The seconds in flight and waiting are sums over all requests. */
   readonly #backendServerUsage = { inFlightSeconds: 0, waitingSeconds: 0, fullSeconds: 0 };
 
@@ -25,6 +30,21 @@
     getOrCreateCounter(this.#storeCalls, `operation="${operation}",result="${result}"`).add();
   }
 
+  /** Reports what an account holds. */
+  observe(account: ConnectionAccount): void {
+    this.#account = account;
+  }
+
+  /** Counts a connection that was closed to keep a limit. */
+  recordEviction(listener: string, reason: EvictionReason): void {
+    const labels = `listener="${listener}",reason="${reason}"`;
+    getOrCreateCounter(this.#evictions, labels).add();
+    this.#logger.warn('connection-evicted', 'closed a connection to keep a limit', {
+      listener,
+      reason,
+    });
+  }
+
   /** Adds the usage of the backend server since the previous summary to the totals. */
   recordBackendServerUsage(summary: OccupancySummary): void {
     this.#backendServerUsage.inFlightSeconds += summary.inFlightMilliseconds / 1000;
@@ -83,6 +103,11 @@
       `hickorybridge_requests_waiting_seconds_total ${waitingSeconds}`,
       `hickorybridge_backend_server_full_seconds_total ${fullSeconds}`,
     );
+    lines.push(...renderCounters('hickorybridge_connections_evicted_total', this.#evictions));
+    for (const [listener, count] of this.#account?.counts ?? []) {
+      lines.push(`hickorybridge_client_connections{listener="${listener}"} ${count}`);
+    }
+    lines.push(`hickorybridge_client_memory_bytes ${this.#account?.heldBytes ?? 0}`);
     lines.push(`hickorybridge_resident_memory_bytes ${process.memoryUsage.rss()}`);
     return `${lines.join('\n')}\n`;
   }
--- a/packages/host-node/src/__tests__/CallersListener.test.ts
+++ b/packages/host-node/src/__tests__/CallersListener.test.ts
@@ -1,5 +1,5 @@
 import { createLogger } from '@hickorybridge/logger';
-import { systemClock } from '@hickorybridge/utils';
+import { ConnectionAccount, systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { connect } from 'node:net';
@@ -8,6 +8,7 @@
 import { describe, it, type TestContext } from 'node:test';
 
 import { CallersListener, type FinishedRequest } from '../callers/CallersListener.js';
+import { clientLimits } from '../callers/clientLimits.js';
 import type { CallerOutcome, CallerRequest } from '../routing/CallerRequest.js';
 import type { RequestRouter } from '../routing/RequestRouter.js';
 import { freePorts, host, sendRequest } from './fleet.js';
@@ -35,6 +36,7 @@
     endsAt: () => endsAt,
     onFinished: (exchange) => finished.push(exchange),
     stallDetector: { recordActivity: () => {}, unreadSince: () => systemClock.now() },
+    account: new ConnectionAccount({ ...clientLimits({}), clock: systemClock }),
     clock: systemClock,
     logger: createLogger({
       level: 'info',
--- a/packages/host-node/src/__tests__/ClientCrowd.ts
+++ b/packages/host-node/src/__tests__/ClientCrowd.ts
@@ -19,8 +19,8 @@
 export class ClientCrowd {
   readonly #sockets: Socket[] = [];
 
-  /** Number of connections that took all of the data. */
-  #complete = 0;
+  /** Connections that took all of the data. */
+  readonly #complete = new Set<Socket>();
 
   /** Number of connections that are open. */
   get open(): number {
@@ -28,7 +28,13 @@
   }
 
   get complete(): number {
-    return this.#complete;
+    return this.#complete.size;
+  }
+
+  /** Number of connections that took all of the data and were neither answered nor closed. */
+  get unanswered(): number {
+    return [...this.#complete].filter((socket) => !socket.destroyed && socket.bytesRead === 0)
+      .length;
   }
 
   /** Opens the connections one after another, and then sends on all of them at once. */
@@ -59,6 +65,6 @@
         socket.once('close', () => resolve());
       });
     }
-    if (!socket.destroyed) this.#complete += 1;
+    if (!socket.destroyed) this.#complete.add(socket);
   }
 }
--- a/packages/host-node/src/__tests__/stoppingConnections.test.ts
+++ b/packages/host-node/src/__tests__/stoppingConnections.test.ts
@@ -1,11 +1,12 @@
 import { silentLogger } from '@hickorybridge/logger';
-import { systemClock } from '@hickorybridge/utils';
+import { ConnectionAccount, systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { connect, type Socket } from 'node:net';
 import { describe, it, type TestContext } from 'node:test';
 
 import { CallersListener } from '../callers/CallersListener.js';
+import { clientLimits } from '../callers/clientLimits.js';
 import type { CallerOutcome, CallerRequest } from '../routing/CallerRequest.js';
 import type { RequestRouter } from '../routing/RequestRouter.js';
 import { freePorts, host, waitUntil } from './fleet.js';
@@ -32,6 +33,7 @@
     endsAt: () => endsAt,
     onFinished: () => {},
     stallDetector: { recordActivity: () => {}, unreadSince: () => systemClock.now() },
+    account: new ConnectionAccount({ ...clientLimits({}), clock: systemClock }),
     clock: systemClock,
     logger: silentLogger,
   });
--- a/packages/host-node/src/__tests__/untrustedClients.alone.test.ts
+++ b/packages/host-node/src/__tests__/untrustedClients.alone.test.ts
@@ -186,8 +186,9 @@
       data: Buffer.from('\r\n'.repeat(32 * 1024)),
       repeat: 64,
     });
-    // 4 MB of empty lines on each connection begin no request.
-    assert.equal(crowd.complete, 0, 'connections that sent all of their empty lines');
+    // 4 MB of empty lines begin no request. The system buffers up to about as much, so that a client
+    // may have sent all of it on a connection that the node has refused.
+    assert.equal(crowd.unanswered, 0, 'connections that sent all of their empty lines');
   });
 
   it('guards against pipelined requests without the usual headers whose answers nobody reads', async (t) => {
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -12,6 +12,7 @@
 import {
   ListenerOpener,
   type Clock,
+  type ConnectionAccount,
   type ListenError,
   type StallDetector,
 } from '@hickorybridge/utils';
@@ -23,6 +24,7 @@
 import { createCallersServer } from './createCallersServer.js';
 import { HeadErrorResponder } from './HeadErrorResponder.js';
 import { identifyTenant } from './identifyTenant.js';
+import { limitConnections } from './limitConnections.js';
 import { PipelinedResponses } from './PipelinedResponses.js';
 import { readBody } from './readBody.js';
 import { abortAnswer, sendOutcome } from './sendOutcome.js';
@@ -39,6 +41,7 @@
   readonly endsAt: () => number | undefined;
   readonly onFinished: (exchange: FinishedRequest) => void;
   readonly stallDetector: Pick<StallDetector, 'recordActivity' | 'unreadSince'>;
+  readonly account: ConnectionAccount;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -59,6 +62,10 @@
 // Above any configured limit; the configured limit is checked for each request.
 const maxParsedHeaderBytes = 256 * 1024;
 const defaultIdleMilliseconds = 15_000;
+/** Until a configuration is known. */
+const defaultMaxHeaderBytes = 64 * 1024;
+/** For the request line, and for what a piece holds beside the head. */
+const requestLineBytes = 24 * 1024;
 // Node.js looks for heads that took too long only every 30 s by default.
 const headTimeoutCheckMilliseconds = 1000;
 // Suggested retry delay: a node reads its configuration, or restarts, within about this time.
@@ -102,6 +109,8 @@
 
   #stoppedAccepting = false;
 
+  #maxHeadBytes = defaultMaxHeaderBytes + requestLineBytes;
+
   constructor(options: CallersListenerOptions) {
     this.#options = options;
     this.#server = createCallersServer({
@@ -111,6 +120,11 @@
     });
     this.#server.keepAliveTimeout = defaultIdleMilliseconds + idleMarginMilliseconds;
     this.#server.requestTimeout = 0;
+    limitConnections(this.#server, {
+      account: options.account,
+      listener: 'callers',
+      maxHeadBytes: () => this.#maxHeadBytes,
+    });
     this.#server.on('connection', () => options.stallDetector.recordActivity());
     this.#server.on('request', (request, response) => this.#accept(request, response));
     this.#server.on('clientError', (error, socket) => this.#headErrors.reject(error, socket));
@@ -132,6 +146,7 @@
   applyLimits(limits: CallerLimits): void {
     this.#server.keepAliveTimeout = limits.idleTimeoutMilliseconds + idleMarginMilliseconds;
     this.#server.headersTimeout = limits.headerTimeoutMilliseconds + idleMarginMilliseconds;
+    this.#maxHeadBytes = limits.maxHeaderBytes + requestLineBytes;
   }
 
   /** Refuses further requests, because their answers would come after the shutdown. */
--- a/packages/host-node/src/callers/readBody.ts
+++ b/packages/host-node/src/callers/readBody.ts
@@ -2,6 +2,8 @@
 import type { IncomingMessage } from 'node:http';
 import { PassThrough } from 'node:stream';
 
+import { ChunkCoalescer } from './ChunkCoalescer.js';
+
 export interface BodyLimits {
   readonly maxBytes: number;
   /** Bodies up to this size are buffered, so that they can be sent again. */
@@ -30,18 +32,25 @@
   limits: BodyLimits,
 ): Promise<RequestBody | 'too-large' | 'broken'> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const parts: Buffer[] = [];
+    const coalescer = new ChunkCoalescer((part) => parts.push(part));
     let size = 0;
     const onData = (chunk: Buffer) => {
-      chunks.push(chunk);
       size += chunk.length;
+      // Most bodies are a single chunk, which needs no copy.
+      if (size === chunk.length) parts.push(chunk);
+      else coalescer.add(chunk);
       if (size <= limits.maxBufferedBytes) return;
       request.off('data', onData);
       request.pause();
-      resolve({ type: 'stream', source: limitedStream(request, limits, chunks) });
+      coalescer.flush();
+      resolve({ type: 'stream', source: limitedStream(request, limits, parts) });
     };
     request.on('data', onData);
-    request.once('end', () => resolve({ type: 'buffered', data: Buffer.concat(chunks) }));
+    request.once('end', () => {
+      coalescer.flush();
+      resolve({ type: 'buffered', data: Buffer.concat(parts) });
+    });
     request.once('close', () => resolve('broken'));
     request.once('error', () => resolve('broken'));
   });
@@ -54,18 +63,40 @@
   first: readonly Buffer[] = [],
 ): StreamedBody {
   const stream = new PassThrough();
+  const body = new StreamedBody(stream);
   let size = 0;
+  let isFlushScheduled = false;
+  const send = (data: Buffer) => {
+    if (!stream.destroyed && !stream.write(data)) request.pause();
+  };
+  const coalescer = new ChunkCoalescer(send);
+  const flush = () => {
+    isFlushScheduled = false;
+    coalescer.flush();
+  };
   for (const chunk of first) {
     size += chunk.length;
-    stream.write(chunk);
+    send(chunk);
   }
   request.on('data', (chunk: Buffer) => {
     size += chunk.length;
     if (size > limits.maxBytes) stream.destroy(new Error('the body is larger than allowed'));
+    coalescer.add(chunk);
+    if (isFlushScheduled) return;
+    isFlushScheduled = true;
+    process.nextTick(flush);
+  });
+  stream.on('drain', () => request.resume());
+  stream.once('close', () => {
+    if (!request.complete) request.pause();
+  });
+  request.once('end', () => {
+    flush();
+    stream.end();
   });
   request.once('close', () => {
     if (!request.complete) stream.destroy(new Error('the caller broke off the body'));
   });
-  request.pipe(stream);
-  return new StreamedBody(stream);
+  if (!stream.writableNeedDrain) request.resume();
+  return body;
 }
--- a/packages/host-node/src/control/ReportsListener.ts
+++ b/packages/host-node/src/control/ReportsListener.ts
@@ -1,14 +1,20 @@
 import type { Logger } from '@hickorybridge/logger';
 import { decodeLeaveStart, decodeReport, matchReportCall } from '@hickorybridge/platform';
 import type { Result, SocketAddress } from '@hickorybridge/types';
-import { ListenerOpener, type ListenError } from '@hickorybridge/utils';
+import { ListenerOpener, type ConnectionAccount, type ListenError } from '@hickorybridge/utils';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
 import type { BackendServerRegistry } from '../backend/BackendServerRegistry.js';
+import { ChunkCoalescer } from '../callers/ChunkCoalescer.js';
+import { limitConnections } from '../callers/limitConnections.js';
 
 const maxBodyBytes = 64 * 1024;
 // The backend server sends a report every 1 to 2 s and reuses its connection.
 const keepAliveMilliseconds = 60_000;
+/** A report is sent at once; the defaults of Node.js are 60 s and 300 s. */
+const headTimeoutMilliseconds = 5000;
+const requestTimeoutMilliseconds = 10_000;
+const maxHeadBytes = 16 * 1024;
 
 /** Receives the reports of the backend server on this host. */
 export class ReportsListener implements AsyncDisposable {
@@ -18,10 +24,18 @@
 
   readonly #server: Server;
 
-  constructor(registry: BackendServerRegistry, logger: Logger) {
+  constructor(registry: BackendServerRegistry, account: ConnectionAccount, logger: Logger) {
     this.#registry = registry;
     this.#logger = logger;
     this.#server = createServer((request, response) => this.#handle(request, response));
+    this.#server.headersTimeout = headTimeoutMilliseconds;
+    this.#server.requestTimeout = requestTimeoutMilliseconds;
+    this.#server.on('clientError', (_error, socket) => socket.destroy());
+    limitConnections(this.#server, {
+      account,
+      listener: 'reports',
+      maxHeadBytes: () => maxHeadBytes,
+    });
     this.#server.keepAliveTimeout = keepAliveMilliseconds;
   }
 
@@ -74,16 +88,18 @@
 
 /** Reads a request body as text; `undefined` when it is too large or incomplete. */
 async function readBody(request: IncomingMessage): Promise<string | undefined> {
-  const chunks: Buffer[] = [];
+  const parts: Buffer[] = [];
+  const coalescer = new ChunkCoalescer((part) => parts.push(part));
   let size = 0;
   try {
     for await (const chunk of request) {
       size += (chunk as Buffer).length;
       if (size > maxBodyBytes) return undefined;
-      chunks.push(chunk as Buffer);
+      coalescer.add(chunk as Buffer);
     }
   } catch {
     return undefined;
   }
-  return Buffer.concat(chunks).toString('utf8');
+  coalescer.flush();
+  return Buffer.concat(parts).toString('utf8');
 }
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -16,6 +16,7 @@
 import { configurationPrefix, ObjectStore, readinessPath } from '@hickorybridge/platform';
 import { HostSelector, HostSubset, RouteWorkEstimator } from '@hickorybridge/routing';
 import {
+  ConnectionAccount,
   HostSpeedModel,
   StallDetector,
   Supervisor,
@@ -25,6 +26,7 @@
 
 import { BackendServerRegistry } from './backend/BackendServerRegistry.js';
 import { CallersListener } from './callers/CallersListener.js';
+import { clientLimits } from './callers/clientLimits.js';
 import { ConfigurationReceiver, ConfigurationSource } from './control/ConfigurationReceiver.js';
 import { ConfigurationPeerSelector } from './control/ConfigurationPeerSelector.js';
 import { OccupancyReporter } from './control/OccupancyReporter.js';
@@ -82,6 +84,12 @@
   const { clock, logger, random, settings } = options;
   const { bounds, location, nodeId, store: storeAddress } = settings.current;
   const telemetry = new NodeTelemetry(logger);
+  const account = new ConnectionAccount({
+    ...clientLimits(settings.current),
+    onEvicted: (listener, reason) => telemetry.recordEviction(listener, reason),
+    clock,
+  });
+  telemetry.observe(account);
   const followers: StoreFollower[] = [];
   const store = new ObjectStore(storeAddress, {
     count: (operation, result) => telemetry.recordStoreCall(operation, result),
@@ -144,6 +152,7 @@
       loadProber.handleReport(peer);
     },
     onLost: () => connectionManager.wake(),
+    account,
     clock,
     logger,
   });
@@ -202,6 +211,7 @@
       if (depth > 0) backendServers.recordNestedCall(requestId, milliseconds);
     },
     stallDetector,
+    account,
     clock,
     logger,
   });
@@ -320,7 +330,7 @@
     onSummary: (summary) => telemetry.recordBackendServerUsage(summary),
     logger,
   });
-  const reports = new ReportsListener(backendServers, logger);
+  const reports = new ReportsListener(backendServers, account, logger);
   const readiness = new StatusListener(
     new Map([[readinessPath, () => ({ status: node.ready ? 200 : 503, text: '' })]]),
   );
@@ -341,6 +351,7 @@
     supervisor,
     disposables: [
       stallDetector,
+      account,
       occupancyReporter,
       pool,
       backendServers,
--- a/packages/peer-protocol/src/FrameReader.ts
+++ b/packages/peer-protocol/src/FrameReader.ts
@@ -2,6 +2,9 @@
 
 import { lengthPrefixBytes, type MalformedFrame } from './frameCodec.js';
 
+/** An object for each piece would take more memory than the bytes of small pieces. */
+const maxChunks = 64;
+
 /** Cuts a byte stream into the payloads of frames. Holds at most one incomplete frame. */
 export class FrameReader {
   #chunks: Buffer[] = [];
@@ -19,9 +22,15 @@
     this.#maxPayloadBytes = bytes;
   }
 
+  /** Bytes of frames that are not complete or not taken yet. */
+  get bufferedBytes(): number {
+    return this.#bufferedBytes;
+  }
+
   push(chunk: Buffer): void {
     this.#chunks.push(chunk);
     this.#bufferedBytes += chunk.length;
+    if (this.#chunks.length > maxChunks) this.#join();
   }
 
   /** Gives the next payload, or `undefined` while it is incomplete. */
--- a/packages/peer-protocol/src/FrameSocket.ts
+++ b/packages/peer-protocol/src/FrameSocket.ts
@@ -1,4 +1,5 @@
 import { fail, succeed, type Result } from '@hickorybridge/types';
+import type { ConnectionShare } from '@hickorybridge/utils';
 import type { Socket } from 'node:net';
 
 import { maxHandshakeFrameBytes, type Frame } from './frame.js';
@@ -29,14 +30,18 @@
 
   #draining: Promise<void> | undefined;
 
-  constructor(socket: Socket) {
+  /** `share` is the part of an account that belongs to the socket. */
+  constructor(socket: Socket, share?: ConnectionShare) {
     this.#socket = socket;
     socket.setNoDelay(true);
     // Listeners instead of an iterator, which costs several promises for each chunk.
     socket.on('data', (chunk: Buffer) => {
       this.#reader.push(chunk);
       this.#onReceive?.();
+      share?.recordReceived(chunk.length);
+      share?.hold(this.#reader.bufferedBytes + socket.writableLength);
     });
+    socket.once('close', () => share?.release());
     socket.on('error', (error) => this.#handleClose(error.message));
     socket.once('end', () => this.#handleClose('the peer closed the connection'));
     socket.once('close', () => this.#handleClose('the connection was closed'));
--- a/packages/peer-protocol/src/PeerPool.ts
+++ b/packages/peer-protocol/src/PeerPool.ts
@@ -13,7 +13,12 @@
   type Result,
   type SocketAddress,
 } from '@hickorybridge/types';
-import { ListenerOpener, type Clock, type ListenError } from '@hickorybridge/utils';
+import {
+  ListenerOpener,
+  type Clock,
+  type ConnectionAccount,
+  type ListenError,
+} from '@hickorybridge/utils';
 import { createServer, type Server, type Socket } from 'node:net';
 
 import { unlimitedControlBudget, type ControlBudget } from './ControlBudget.js';
@@ -61,6 +66,8 @@
   readonly onLoad?: (nodeId: string, report: LoadReport) => void;
   /** Is told when the last connection with a peer has ended, or is silent. */
   readonly onLost?: (nodeId: string, reason: string) => void;
+  /** Limits the connections that are accepted and what they hold; by default there is no limit. */
+  readonly account?: ConnectionAccount;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -264,9 +271,18 @@
       socket.destroy();
       return;
     }
+    const { account, clock, endpoint } = this.#options;
+    const share = account?.open('peers', {
+      isBusy: false,
+      awaitsBody: false,
+      close: () => socket.destroy(),
+    });
+    if (account !== undefined && share === undefined) {
+      socket.destroy();
+      return;
+    }
     this.#handshakes.add(socket);
-    const frames = new FrameSocket(socket);
-    const { endpoint, clock } = this.#options;
+    const frames = new FrameSocket(socket, share);
     const handshake = await acceptHandshake(frames, endpoint, clock);
     this.#handshakes.delete(socket);
     if (handshake.ok) {
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,3 +1,5 @@
+export * from './ConnectionAccount.js';
+export * from './ConnectionShare.js';
 export * from './HostSpeedModel.js';
 export * from './ListenerOpener.js';
 export * from './ProcessSignals.js';
