--- a/packages/host-node/src/NodeTelemetry.ts
+++ b/packages/host-node/src/NodeTelemetry.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '@hickorybridge/logger';
 import type { HedgeEvent } from '@hickorybridge/routing';
 import { Counter, LatencyHistogram } from '@hickorybridge/telemetry';
+import type { ConnectionAccount, EvictionReason } from '@hickorybridge/utils';
 
 import type { FinishedRequest } from './callers/CallersListener.js';
 
@@ -20,6 +21,10 @@
 
   readonly #storeCalls = new Map<string, Counter>();
 
+  readonly #evictions = new Map<string, Counter>();
+
+  #account: ConnectionAccount | undefined;
+
   /** The seconds in flight and waiting are sums over all requests. */
   readonly #backendServerUsage = { inFlightSeconds: 0, waitingSeconds: 0, fullSeconds: 0 };
 
@@ -52,6 +57,21 @@
     this.#isRateLimited = isRateLimited;
   }
 
+  /** Reports what an account holds. */
+  observe(account: ConnectionAccount): void {
+    this.#account = account;
+  }
+
+  /** Counts a connection that was closed to keep a limit. */
+  recordEviction(listener: string, reason: EvictionReason): void {
+    const labels = `listener="${listener}",reason="${reason}"`;
+    getOrCreateCounter(this.#evictions, labels).add();
+    this.#logger.warn('connection-evicted', 'closed a connection to keep a limit', {
+      listener,
+      reason,
+    });
+  }
+
   /** Adds the usage of the backend server since the previous summary to the totals. */
   recordBackendServerUsage(summary: OccupancySummary): void {
     this.#backendServerUsage.inFlightSeconds += summary.inFlightMilliseconds / 1000;
@@ -115,6 +135,11 @@
     lines.push(`hickorybridge_evacuated_failure_domains ${this.#evacuatedFailureDomains}`);
     const counts = this.#quotaCounts();
     if (counts !== undefined) lines.push(...renderQuotaCounts(counts));
+    lines.push(...renderCounters('hickorybridge_connections_evicted_total', this.#evictions));
+    for (const [listener, count] of this.#account?.counts ?? []) {
+      lines.push(`hickorybridge_client_connections{listener="${listener}"} ${count}`);
+    }
+    lines.push(`hickorybridge_client_memory_bytes ${this.#account?.heldBytes ?? 0}`);
     lines.push(`hickorybridge_resident_memory_bytes ${process.memoryUsage.rss()}`);
     return `${lines.join('\n')}\n`;
   }
--- a/packages/host-node/src/__tests__/CallersListener.test.ts
+++ b/packages/host-node/src/__tests__/CallersListener.test.ts
@@ -1,7 +1,7 @@
 import { TokenBatch } from '@hickorybridge/coordination';
 import { createLogger } from '@hickorybridge/logger';
 import type { Tenant } from '@hickorybridge/types';
-import { systemClock } from '@hickorybridge/utils';
+import { ConnectionAccount, systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { connect } from 'node:net';
@@ -14,6 +14,7 @@
   type CallersListenerOptions,
   type FinishedRequest,
 } from '../callers/CallersListener.js';
+import { clientLimits } from '../callers/clientLimits.js';
 import type { CallerOutcome, CallerRequest } from '../routing/CallerRequest.js';
 import type { RequestRouter } from '../routing/RequestRouter.js';
 import { freePorts, host, sendRequest } from './fleet.js';
@@ -44,6 +45,7 @@
     ...(quotas === undefined ? {} : { quotas }),
     onFinished: (exchange) => finished.push(exchange),
     stallDetector: { recordActivity: () => {}, unreadSince: () => systemClock.now() },
+    account: new ConnectionAccount({ ...clientLimits({}), clock: systemClock }),
     clock: systemClock,
     logger: createLogger({
       level: 'info',
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -34,6 +34,7 @@
 } from '@hickorybridge/routing';
 import type { WatchResult } from '@hickorybridge/store';
 import {
+  ConnectionAccount,
   HostSpeedModel,
   StallDetector,
   Supervisor,
@@ -43,6 +44,7 @@
 
 import { BackendServerRegistry } from './backend/BackendServerRegistry.js';
 import { CallersListener } from './callers/CallersListener.js';
+import { clientLimits } from './callers/clientLimits.js';
 import { ConfigurationReceiver, ConfigurationSource } from './control/ConfigurationReceiver.js';
 import { ConfigurationPeerSelector } from './control/ConfigurationPeerSelector.js';
 import { EvacuationReader } from './control/EvacuationReader.js';
@@ -104,6 +106,12 @@
   const { bounds, location, nodeId, store: storeAddress } = settings.current;
   let quotas: Quotas | undefined;
   const telemetry = new NodeTelemetry(logger, () => quotas?.counts);
+  const account = new ConnectionAccount({
+    ...clientLimits(settings.current),
+    onEvicted: (listener, reason) => telemetry.recordEviction(listener, reason),
+    clock,
+  });
+  telemetry.observe(account);
   const followers: StoreFollower[] = [];
   const store = new ObjectStore(storeAddress, {
     count: (operation, result) => telemetry.recordStoreCall(operation, result),
@@ -185,6 +193,7 @@
       loadProber.handleReport(peer);
     },
     onLost: () => connectionManager.wake(),
+    account,
     clock,
     logger,
   });
@@ -274,6 +283,7 @@
       if (depth > 0) backendServers.recordNestedCall(requestId, milliseconds);
     },
     stallDetector,
+    account,
     clock,
     logger,
   });
@@ -475,7 +485,7 @@
     onSummary: (summary) => telemetry.recordBackendServerUsage(summary),
     logger,
   });
-  const reports = new ReportsListener(backendServers, logger);
+  const reports = new ReportsListener(backendServers, account, logger);
   const readiness = new StatusListener(
     new Map([[readinessPath, () => ({ status: node.ready ? 200 : 503, text: '' })]]),
   );
@@ -498,6 +508,7 @@
     supervisor,
     disposables: [
       stallDetector,
+      account,
       occupancyReporter,
       pool,
       backendServers,
