Report the rate of a cold backend server to other nodes

Cause: a cold backend server reported a ramp share of one half whatever its rate, so that other nodes predicted the wait of a warm one.

Change: the ramp share is the part of the reported limit that the rate keeps in use, so that the predicted wait for each request ahead is one interval of the rate. Without a rate limit the report is as before.

--- a/packages/admission/src/SlotAdmissionController.ts
+++ b/packages/admission/src/SlotAdmissionController.ts
@@ -53,6 +53,8 @@
 const priorSampleCount = 4;
 /** Ramp share that a cold backend server reports. */
 const coldRampShare = 0.5;
+/** Other nodes divide by the ramp share. */
+const minimumRampShare = 0.05;
 /** Share of the slots up to which the work of a request counts towards the slowness. */
 const partialLoadShare = 0.6;
 /** Average number of concurrent calls below which no slot is reserved for calls. */
@@ -159,7 +161,7 @@
       // New requests overtake those that are already late.
       queued: this.#queue.countTimely(this.#clock.now()),
       serviceMilliseconds: this.#expectedServiceTime(),
-      rampShare: this.#isCold() ? coldRampShare : 1,
+      rampShare: this.#rampShare(limit),
       workFactor: this.#settings.speed.workFactorAt(this.#clock.now()),
       workMilliseconds,
     };
@@ -210,14 +212,26 @@
 
   /** Lower than the limit while the rate is limited, so that other nodes send fewer requests. */
   #reportedLimit(): number {
-    const requestsPerSecond = this.#settings.coldRateLimiter?.requestsPerSecond;
-    if (requestsPerSecond === undefined) return this.#limit;
-    // As many requests are in flight at this rate, or as many as now if no further one may start.
-    const sustained = (requestsPerSecond * this.#expectedServiceTime()) / 1000;
+    const sustained = this.#sustainedConcurrency();
+    if (sustained === undefined) return this.#limit;
     const concurrency = this.#coldWait(1) > 0 ? this.#running.size : Math.ceil(sustained);
     return Math.max(1, Math.min(this.#limit, concurrency));
   }
 
+  /** Requests in flight on average at the rate of a cold backend server; `undefined` without one. */
+  #sustainedConcurrency(): number | undefined {
+    const requestsPerSecond = this.#settings.coldRateLimiter?.requestsPerSecond;
+    if (requestsPerSecond === undefined) return undefined;
+    return (requestsPerSecond * this.#expectedServiceTime()) / 1000;
+  }
+
+  /** Share of the reported limit that a cold backend server can keep in use. */
+  #rampShare(limit: number): number {
+    if (!this.#isCold()) return 1;
+    const sustained = this.#sustainedConcurrency() ?? limit;
+    return Math.max(minimumRampShare, Math.min(coldRampShare, sustained / limit));
+  }
+
   #enqueue(entry: EstimatedRequest): Promise<AdmissionOutcome> {
     return new Promise((settle) => {
       const waiting: WaitingRequest = {
--- a/packages/admission/src/__tests__/coldRateLimit.test.ts
+++ b/packages/admission/src/__tests__/coldRateLimit.test.ts
@@ -134,8 +134,12 @@
   it('overload: guards against other nodes that take a cold backend server for an idle one', async (t) => {
     const { admission, load } = startBackendServer(t, 3000);
     await load(100, 1000);
-    const { inFlight, limit: reported, queued } = admission.report();
+    const report = admission.report();
+    const { inFlight, limit: reported, queued, rampShare, serviceMilliseconds } = report;
     assert.ok(inFlight + queued + 1 > reported, `${inFlight} and ${queued} of ${reported}`);
+    // The wait that other nodes predict for each request ahead of theirs: one interval of the rate.
+    const wait = serviceMilliseconds / rampShare / reported;
+    assert.ok(wait > 45, `${wait} ms`);
   });
 
   it('no limit in the configuration: guards against effects on earlier deployments', async () => {
