--- a/packages/admission/src/SlotAdmissionController.ts
+++ b/packages/admission/src/SlotAdmissionController.ts
@@ -201,7 +201,7 @@
   }
 
   #wouldWaitTooLongForCold(request: AdmissionRequest): boolean {
-    if (this.#coldWait(1) === 0 && this.#queue.length === 0) return false;
+    if (this.#settings.coldRateLimiter?.requestsPerSecond === undefined) return false;
     // Calls overtake other requests.
     const ahead =
       request.depth === 0
@@ -396,5 +396,7 @@
 
 /** Longest wait of a request because the backend server is cold, in milliseconds. */
 function maxColdWait({ deadline, usefulUntil }: AdmissionRequest, now: number): number {
-  return Math.max(0, (usefulUntil ?? deadline) - now) * maxColdWaitShare;
+  // A request that is late already may still be answered by its deadline.
+  const until = usefulUntil !== undefined && usefulUntil > now ? usefulUntil : deadline;
+  return Math.max(0, until - now) * maxColdWaitShare;
 }
--- a/packages/admission/src/__tests__/coldRateLimit.test.ts
+++ b/packages/admission/src/__tests__/coldRateLimit.test.ts
@@ -88,6 +88,14 @@
     assert.equal(refusedAfter.length + sentAt.length, 100);
   });
 
+  it('single late request: guards against refusing it at once although a token comes soon', async (t) => {
+    const { advance, refusedAfter, send, sentAt } = startBackendServer(t, 3000);
+    send();
+    send({ usefulUntil: 0 });
+    await advance(200);
+    assert.deepEqual([sentAt.length, refusedAfter.length], [2, 0]);
+  });
+
   it('steady overload of five times the rate: guards against a rate above the limit, or far below it', async (t) => {
     const { advance, load, sentAt } = startBackendServer(t, 5000);
     await load(100, 5000);
