--- a/packages/admission/src/SlotAdmissionController.ts
+++ b/packages/admission/src/SlotAdmissionController.ts
@@ -56,6 +56,8 @@
 const priorSampleCount = 4;
 /** Ramp share that a cold backend server reports. */
 const coldRampShare = 0.5;
+/** Other nodes divide by the ramp share. */
+const minimumRampShare = 0.05;
 /** Share of the slots up to which the work of a request counts towards the slowness. */
 const partialLoadShare = 0.6;
 /** Average number of concurrent calls below which no slot is reserved for calls. */
@@ -163,7 +165,7 @@
       // New requests overtake those that are already late.
       queued: this.#queue.countTimely(this.#clock.now()),
       serviceMilliseconds: this.#expectedServiceTime(),
-      rampShare: this.#isCold() ? coldRampShare : 1,
+      rampShare: this.#rampShare(limit),
       workFactor: this.#settings.speed.workFactorAt(this.#clock.now()),
       workMilliseconds,
     };
@@ -203,7 +205,7 @@
   }
 
   #wouldWaitTooLongForCold(request: AdmissionRequest): boolean {
-    if (this.#coldWait(1) === 0 && this.#queue.length === 0) return false;
+    if (this.#settings.coldRateLimiter?.requestsPerSecond === undefined) return false;
     // Calls overtake other requests.
     const ahead =
       request.depth === 0
@@ -214,14 +216,26 @@
 
   /** Lower than the limit while the rate is limited, so that other nodes send fewer requests. */
   #reportedLimit(): number {
-    const requestsPerSecond = this.#settings.coldRateLimiter?.requestsPerSecond;
-    if (requestsPerSecond === undefined) return this.#limit;
-    // As many requests are in flight at this rate, or as many as now if no further one may start.
-    const sustained = (requestsPerSecond * this.#expectedServiceTime()) / 1000;
+    const sustained = this.#sustainedConcurrency();
+    if (sustained === undefined) return this.#limit;
     const concurrency = this.#coldWait(1) > 0 ? this.#running.size : Math.ceil(sustained);
     return Math.max(1, Math.min(this.#limit, concurrency));
   }
 
+  /** Requests in flight on average at the rate of a cold backend server; `undefined` without one. */
+  #sustainedConcurrency(): number | undefined {
+    const requestsPerSecond = this.#settings.coldRateLimiter?.requestsPerSecond;
+    if (requestsPerSecond === undefined) return undefined;
+    return (requestsPerSecond * this.#expectedServiceTime()) / 1000;
+  }
+
+  /** Share of the reported limit that a cold backend server can keep in use. */
+  #rampShare(limit: number): number {
+    if (!this.#isCold()) return 1;
+    const sustained = this.#sustainedConcurrency() ?? limit;
+    return Math.max(minimumRampShare, Math.min(coldRampShare, sustained / limit));
+  }
+
   #enqueue(entry: EstimatedRequest): Promise<AdmissionOutcome> {
     return new Promise((settle) => {
       const waiting: WaitingRequest = {
@@ -394,5 +408,7 @@
 
 /** Longest wait of a request because the backend server is cold, in milliseconds. */
 function maxColdWait({ deadline, usefulUntil }: AdmissionRequest, now: number): number {
-  return Math.max(0, (usefulUntil ?? deadline) - now) * maxColdWaitShare;
+  // A request that is late already may still be answered by its deadline.
+  const until = usefulUntil !== undefined && usefulUntil > now ? usefulUntil : deadline;
+  return Math.max(0, until - now) * maxColdWaitShare;
 }
--- a/packages/admission/src/__tests__/coldRateLimit.test.ts
+++ b/packages/admission/src/__tests__/coldRateLimit.test.ts
@@ -88,6 +88,14 @@
     assert.equal(refusedAfter.length + sentAt.length, 100);
   });
 
+  it('single late request: guards against refusing it at once although a token comes soon', async (t) => {
+    const { advance, refusedAfter, send, sentAt } = startBackendServer(t, 3000);
+    send();
+    send({ usefulUntil: 0 });
+    await advance(200);
+    assert.deepEqual([sentAt.length, refusedAfter.length], [2, 0]);
+  });
+
   it('steady overload of five times the rate: guards against a rate above the limit, or far below it', async (t) => {
     const { advance, load, sentAt } = startBackendServer(t, 5000);
     await load(100, 5000);
@@ -134,8 +142,12 @@
   it('overload: guards against other nodes that take a cold backend server for an idle one', async (t) => {
     const { admission, load } = startBackendServer(t, 3000);
     await load(100, 1000);
-    const { inFlight, limit: reported, queued } = admission.report();
+    const report = admission.report();
+    const { inFlight, limit: reported, queued, rampShare, serviceMilliseconds } = report;
     assert.ok(inFlight + queued + 1 > reported, `${inFlight} and ${queued} of ${reported}`);
+    // The wait that other nodes predict for each request ahead of theirs: one interval of the rate.
+    const wait = serviceMilliseconds / rampShare / reported;
+    assert.ok(wait > 45, `${wait} ms`);
   });
 
   it('no limit in the configuration: guards against effects on earlier deployments', async () => {
