Quotas: a restarted broker grants tokens at once

Cause: after an outage of all nodes every broker waited 3 s until the lists of the others showed it, and requests of tenants with a limit got 429 meanwhile.

Change: a node that finds its own host in the first list that it reads was restarted; the others have had that list, so it acts at once, with empty buckets. Brokers of that first list count as long listed, so that their shares stay reserved when they step back.

--- a/packages/coordination/src/__tests__/SimulatedQuotas.ts
+++ b/packages/coordination/src/__tests__/SimulatedQuotas.ts
@@ -181,11 +181,11 @@
         break;
       case 'restart-all':
         for (const nodeId of names) this.#stop(nodeId);
-        for (const nodeId of names) this.#start(nodeId);
+        for (const nodeId of names) this.#start(nodeId, true);
         break;
       case 'restart':
         this.#stop(event.node);
-        this.#start(event.node);
+        this.#start(event.node, true);
         break;
       case 'stop':
         this.#stop(event.node);
@@ -208,7 +208,7 @@
     return node;
   }
 
-  #start(nodeId: string): void {
+  #start(nodeId: string, isRestart = false): void {
     this.#incarnation += 1;
     const identity = { nodeId, incarnation: this.#incarnation };
     const process = new SimulatedProcess(this.clock);
@@ -226,7 +226,11 @@
       onUnanswered: () => {},
     });
     this.#nodes.set(nodeId, { quotas, membership, process, identity });
-    membership.update({ brokers: this.#brokers, hasStepped: () => true });
+    membership.update({
+      brokers: this.#brokers,
+      hasStepped: () => true,
+      includesOwnHost: isRestart,
+    });
   }
 
   #stop(nodeId: string): void {
@@ -254,7 +258,7 @@
     const brokers = this.#brokers.filter(({ region }) => region !== 'a');
     for (const [name, { membership }] of this.#nodes) {
       if (name.startsWith('a') || name === this.#lateNode) continue;
-      membership.update({ brokers, hasStepped: () => false });
+      membership.update({ brokers, hasStepped: () => false, includesOwnHost: true });
     }
   }
 
@@ -269,7 +273,7 @@
     const isolated = nodeId;
     for (const [name, { membership }] of this.#nodes) {
       if (name === isolated || name === this.#lateNode) continue;
-      membership.update({ brokers: this.#brokers, hasStepped: () => false });
+      membership.update({ brokers: this.#brokers, hasStepped: () => false, includesOwnHost: true });
     }
     this.#start(substitute);
   }
--- a/packages/coordination/src/__tests__/quotas.test.ts
+++ b/packages/coordination/src/__tests__/quotas.test.ts
@@ -173,6 +173,16 @@
     fleet.assertBound();
   });
 
+  it('outage of all nodes: guards against refusals for seconds after their restart', async () => {
+    const fleet = new SimulatedQuotas(bounds, sixHosts, ['a4', 'b4']);
+    await fleet.clock.advance(20_000);
+    fleet.apply({ type: 'restart-all' });
+    await fleet.clock.advance(500);
+    const load = { perSecond: 60, seconds: 3, random: new RandomSource(9) };
+    await fleet.sendRandomly(fleet.nodeIds, tenant(170, 170), load);
+    assert.ok(fleet.refused.length < 10, `${fleet.refused.length} of 180 refused`);
+  });
+
   it('guards against a limit that counts twice when each side of a cut has its own list', async () => {
     const fleet = new SimulatedQuotas(bounds, sixHosts, ['a4', 'b4']);
     await fleet.clock.advance(20_000);
--- a/packages/coordination/src/quotas/BrokerMembership.ts
+++ b/packages/coordination/src/quotas/BrokerMembership.ts
@@ -13,6 +13,8 @@
   readonly brokers: readonly BrokerHost[];
   /** Whether the host of an earlier broker is still listed, or was seen to leave as planned. */
   readonly hasStepped: (nodeId: string) => boolean;
+  /** Whether the host of this node is listed, as a broker or not. */
+  readonly includesOwnHost: boolean;
 }
 
 /** A new broker waits this long, in which the lists of the others show it. */
@@ -48,6 +50,8 @@
 
   #listedSince: number | undefined;
 
+  #hasList = false;
+
   #reserved: readonly BrokerHost[] | undefined;
 
   #changesAt = Infinity;
@@ -59,12 +63,17 @@
   }
 
   /** Applies the present list. */
-  update({ brokers, hasStepped }: BrokerList): void {
+  update({ brokers, hasStepped, includesOwnHost }: BrokerList): void {
     const now = this.#options.clock.now();
+    // A node that finds its host in the first list was restarted. The others have had that list for
+    // some time, and refusing all requests until the wait is over would only prolong an outage.
+    const isRestart = !this.#hasList && includesOwnHost;
+    this.#hasList = true;
+    const joinedAt = isRestart ? now - joinMilliseconds : now;
     const listed = new Set(brokers.map(({ nodeId }) => nodeId));
     for (const broker of brokers) {
       const known = this.#members.get(broker.nodeId);
-      const listedAt = known?.reservedUntil === Infinity ? known.listedAt : now;
+      const listedAt = known?.reservedUntil === Infinity ? known.listedAt : joinedAt;
       this.#members.set(broker.nodeId, { ...broker, listedAt, reservedUntil: Infinity });
     }
     for (const [nodeId, member] of this.#members) {
@@ -76,7 +85,7 @@
     }
     this.#listed = brokers;
     if (!listed.has(this.#options.nodeId)) this.#listedSince = undefined;
-    else this.#listedSince ??= now;
+    else this.#listedSince ??= joinedAt;
     this.#change();
   }
 
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -343,6 +343,7 @@
     brokerMembership.update({
       brokers: watchers.ofAllRegions(),
       hasStepped: (host) => directory.entry(host) !== undefined,
+      includesOwnHost: directory.entry(nodeId) !== undefined,
     });
     connectionManager.wake();
     const { entry, version } = directory.stored(nodeId);
