--- a/packages/admission/src/TenantServiceOrder.ts
+++ b/packages/admission/src/TenantServiceOrder.ts
@@ -10,7 +10,7 @@
   readonly request: AdmissionRequest;
   /** Present value density. */
   readonly density: number;
-  /** Target latency that was left when the request arrived here, in milliseconds. */
+  /** Target latency of its kind, in milliseconds. */
   readonly targetMilliseconds: number;
   readonly now: number;
 }
@@ -48,7 +48,7 @@
       isStarved: this.#isStarved(request, now),
       round: request.depth > 0 ? 0 : this.#shares.roundOf(accountOf(request)),
       tenantPriority: request.tenantPriority ?? 0,
-      // The target on arrival and not the remaining time, which would favour requests that are
+      // The target of the kind and not the remaining time, which would favour requests that are
       // about to be late over new ones, and under overload answer fewer of them in time.
       urgency: density / (1 + Math.max(0, targetMilliseconds) / targetScaleMilliseconds),
     };
--- a/packages/admission/src/ValueDensityQueue.ts
+++ b/packages/admission/src/ValueDensityQueue.ts
@@ -2,6 +2,7 @@
 
 import type { AdmissionRequest } from './AdmissionController.js';
 import type { EstimatedRequest } from './EstimatedRequest.js';
+import { KindTargets } from './KindTargets.js';
 import { compareServiceRanks, type ServiceRank } from './ServiceRank.js';
 import { TenantServiceOrder } from './TenantServiceOrder.js';
 
@@ -36,9 +37,11 @@
  * with a tenant wait, `TenantServiceOrder` decides instead.
  */
 export class ValueDensityQueue<Entry extends EstimatedRequest> {
-  /** The time for which each entry could have its full value when it was added, in milliseconds. */
+  /** The target latency of each entry's kind, in milliseconds. */
   readonly #entries = new Map<Entry, number>();
 
+  readonly #kindTargets = new KindTargets();
+
   readonly #tenantOrder: TenantServiceOrder;
 
   #predictedAt = -Infinity;
@@ -67,7 +70,8 @@
   }
 
   add(entry: Entry, now: number): void {
-    this.#entries.set(entry, targetOf(entry.request) - now);
+    const { request } = entry;
+    this.#entries.set(entry, this.#kindTargets.record(request.kind, targetOf(request) - now));
     if (entry.request.tenant !== undefined) this.#tenantEntries += 1;
   }
 
--- a/packages/admission/src/__tests__/fairShares.test.ts
+++ b/packages/admission/src/__tests__/fairShares.test.ts
@@ -58,6 +58,34 @@
     assert.ok(Math.abs(shareOf('hot') - shareOf('small')) < 0.02);
   });
 
+  it('callers that repeat at once: guards against a tenant that gains by asking more often', async () => {
+    const source = {
+      kind: 'read',
+      weight: 1,
+      requestsPerSecond: 105,
+      targetMilliseconds: 500,
+      timeoutMilliseconds: 2000,
+      workMilliseconds: 30,
+    };
+    const giveUpBelowMilliseconds = 60;
+    /** Repeats a request after a share of its remaining time, which is at most a third. */
+    const repeatAfter = (share: number) => (remaining: number) =>
+      remaining < giveUpBelowMilliseconds ? Infinity : Math.max(16, remaining * share);
+    const results = await simulateLoad({
+      seed: 1,
+      milliseconds: 6000,
+      sources: [
+        { ...source, tenant: 'as told', retryDelay: repeatAfter(1 / 4) },
+        { ...source, tenant: 'at once', retryDelay: repeatAfter(0) },
+      ],
+    });
+    const [asTold, atOnce] = results;
+    assert.ok(asTold !== undefined && atOnce !== undefined);
+    assert.ok(atOnce.served / atOnce.sent < asTold.served / asTold.sent + 0.05);
+    // Ranked by the time that is left, repeated requests went before new ones and were late.
+    assert.ok(asTold.inTime > 0.6 * asTold.served, `${asTold.inTime} of ${asTold.served} in time`);
+  });
+
   it('10,000 tenants: guards against accounts whose memory grows with the number of tenants', () => {
     const shares = new FairShares(100);
     const ratios = new ServiceRatios();
--- a/packages/admission/src/__tests__/simulateLoad.ts
+++ b/packages/admission/src/__tests__/simulateLoad.ts
@@ -19,6 +19,8 @@
   /** Span in which the requests are sent, in milliseconds; the whole run by default. */
   readonly from?: number;
   readonly until?: number;
+  /** Delay until a refused request is sent again, in milliseconds. The deadline stays the same. */
+  readonly retryDelay?: (remainingMilliseconds: number, random: RandomSource) => number;
 }
 
 /** What became of the requests of one source. */
@@ -41,6 +43,15 @@
   readonly onOutcome?: (request: number, outcome: string, now: number) => void;
 }
 
+/** A request, which its caller may send several times. */
+interface Sending {
+  readonly source: LoadSource;
+  readonly sourceEvents: SourceEvent[];
+  readonly work: number;
+  readonly deadline: number;
+  readonly usefulUntil: number;
+}
+
 interface ScheduledEvent {
   readonly at: number;
   readonly run: () => void;
@@ -74,7 +85,7 @@
   });
   const events = sources.map((): SourceEvent[] => []);
   const arrivals: ScheduledEvent[] = [];
-  const completions: ScheduledEvent[] = [];
+  const scheduled: ScheduledEvent[] = [];
   let requests = 0;
   let inFlight = 0;
 
@@ -85,7 +96,7 @@
     const factor = (inFlight > slots * busyShare ? busyFactor : 1) * workFactor;
     speed.observe(workFactor, now);
     const duration = work * factor;
-    completions.push({
+    scheduled.push({
       at: now + duration,
       run: () => {
         inFlight -= 1;
@@ -94,12 +105,10 @@
       },
     });
   };
-  const arrive = (source: LoadSource, sourceEvents: SourceEvent[], work: number) => {
+  const send = (sending: Sending) => {
+    const { deadline, source, sourceEvents, usefulUntil, work } = sending;
     const request = requests;
     requests += 1;
-    sourceEvents.push('sent');
-    const deadline = now + source.timeoutMilliseconds;
-    const usefulUntil = now + source.targetMilliseconds;
     admission
       .admit({
         kind: source.kind,
@@ -113,13 +122,23 @@
       })
       .then((outcome) => {
         onOutcome?.(request, outcome.type, now);
-        if (outcome.type === 'refused') return;
+        if (outcome.type === 'refused') {
+          const delay = source.retryDelay?.(deadline - now, random);
+          if (delay === undefined || now + delay >= deadline) return;
+          scheduled.push({ at: now + delay, run: () => send(sending) });
+          return;
+        }
         serve(outcome.permit, work, () => {
           if (now <= deadline) sourceEvents.push('served');
           if (now <= usefulUntil) sourceEvents.push('inTime');
         });
       });
   };
+  const arrive = (source: LoadSource, sourceEvents: SourceEvent[], work: number) => {
+    sourceEvents.push('sent');
+    const deadline = now + source.timeoutMilliseconds;
+    send({ source, sourceEvents, work, deadline, usefulUntil: now + source.targetMilliseconds });
+  };
 
   for (const [index, source] of sources.entries()) {
     const sourceEvents = events[index];
@@ -137,9 +156,9 @@
     let nextArrival = 0;
     let nextSweep = sweepIntervalMilliseconds;
     for (;;) {
-      completions.sort((first, second) => second.at - first.at);
+      scheduled.sort((first, second) => second.at - first.at);
       const arrival = arrivals[nextArrival];
-      const completion = completions.at(-1);
+      const completion = scheduled.at(-1);
       if (arrival === undefined && completion === undefined) break;
       const next =
         completion !== undefined && completion.at <= (arrival?.at ?? Infinity)
@@ -151,7 +170,7 @@
         nextSweep += sweepIntervalMilliseconds;
         mock.timers.tick(sweepIntervalMilliseconds);
       } else {
-        if (next === completion) completions.pop();
+        if (next === completion) scheduled.pop();
         else nextArrival += 1;
         now = next.at;
         next.run();
--- a/packages/host-node/src/backend/LocalBackendServer.ts
+++ b/packages/host-node/src/backend/LocalBackendServer.ts
@@ -173,7 +173,7 @@
 
   /** Logs how the time of a late or unanswered request was spent. */
   #logLate(
-    { depth, kind, requestId }: RequestHead,
+    { depth, kind, requestId, tenant, tenantPriority }: RequestHead,
     outcome: ExchangeOutcome,
     { calls, queued: waited, ran, work }: RequestTimings,
   ): void {
@@ -181,6 +181,8 @@
     this.#options.logger.info('request-late-here', 'a request was answered late or not at all', {
       requestId,
       route: kind,
+      tenant,
+      tenantPriority,
       depth,
       outcome: outcome.type === 'answered' ? outcome.head.status : outcome.type,
       queuedMilliseconds: Math.round(waited),
--- a/packages/host-node/src/routing/RequestRun.ts
+++ b/packages/host-node/src/routing/RequestRun.ts
@@ -285,12 +285,14 @@
     { reason, report }: Extract<ExecutionOutcome, { type: 'refused' }>,
   ): CallerOutcome | undefined {
     const { clock, logger } = this.#options;
-    const { body, requestId, route } = this.#request;
+    const { body, requestId, route, tenant } = this.#request;
     this.#refusals += 1;
     load.avoid(avoidMillisecondsAfter(reason), clock.now());
     logger.info('request-refused', 'a host refused the request', {
       requestId,
       route: route.name,
+      tenant: tenant?.name,
+      tenantPriority: tenant?.priority,
       host: entry.nodeId,
       reason,
       inFlight: report?.inFlight,
