Count and log which tenants are refused for lack of a slot

Cause: an operator saw single refusals, but not which tenant was held back at a host.

Each host logs tenants-refused at most once a second, with the tenant refused most, and serves hickorybridge_tenant_refusals_total by priority; 10,000 tenants are too many series.

--- a/packages/admission/src/SlotAdmissionController.ts
+++ b/packages/admission/src/SlotAdmissionController.ts
@@ -10,6 +10,7 @@
 import type { EstimatedRequest } from './EstimatedRequest.js';
 import { KneeEstimator } from './KneeEstimator.js';
 import { OccupancyMeter, type OccupancySummary } from './OccupancyMeter.js';
+import { RefusalMeter, type RefusalSummary } from './RefusalMeter.js';
 import { ServiceTimes } from './ServiceTimes.js';
 import { SlownessEstimator } from './SlownessEstimator.js';
 import {
@@ -88,6 +89,8 @@
 
   readonly #queue: ValueDensityQueue<WaitingRequest>;
 
+  readonly #refusals = new RefusalMeter();
+
   readonly #running = new Map<Permit, RunningRequest>();
 
   #leaving = false;
@@ -162,6 +165,11 @@
     return this.#occupancy.takeSummary(this.#clock.now());
   }
 
+  /** Returns the refusals of tenants for lack of a slot since the last call. */
+  takeRefusals(): RefusalSummary {
+    return this.#refusals.takeSummary();
+  }
+
   stopAdmitting(): void {
     this.#leaving = true;
   }
@@ -207,11 +215,16 @@
     if (!this.#queue.remove(waiting)) return;
     waiting.request.signal.removeEventListener('abort', waiting.onAbort);
     // A refusal while leaving says nothing about how often the tenant or the kind is served.
-    if (reason !== 'leaving') this.#queue.recordRefused(waiting.request, this.#clock.now());
+    if (reason !== 'leaving') this.#recordRefused(waiting.request);
     waiting.settle({ type: 'refused', reason });
     this.#onQueueChanged();
   }
 
+  #recordRefused(request: AdmissionRequest): void {
+    this.#queue.recordRefused(request, this.#clock.now());
+    this.#refusals.record(request);
+  }
+
   #refuseUnservable(): void {
     for (const waiting of this.#queue.findUnservable(this.#loadSnapshot())) {
       this.#refuse(waiting, 'deadline-unreachable');
@@ -241,7 +254,7 @@
       waiting.request.signal.removeEventListener('abort', waiting.onAbort);
       if (!isUnlikelyToMeetDeadline(waiting, now)) waiting.settle(this.#dispatch(waiting));
       else {
-        this.#queue.recordRefused(waiting.request, now);
+        this.#recordRefused(waiting.request);
         waiting.settle({ type: 'refused', reason: 'deadline-unreachable' });
       }
     }
--- a/packages/admission/src/__tests__/fairShares.test.ts
+++ b/packages/admission/src/__tests__/fairShares.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test';
 
 import { FairShares } from '../FairShares.js';
+import { RefusalMeter } from '../RefusalMeter.js';
 import { ServiceRatios } from '../ServiceRatios.js';
 import { overloadPatterns } from './overloadPatterns.js';
 import { simulateLoad, type LoadSource, type SourceResult } from './simulateLoad.js';
@@ -97,6 +98,25 @@
     assert.ok(ratios.size <= 2048);
   });
 
+  it('one tenant refused most: guards against an operator who cannot see who was held back', () => {
+    const meter = new RefusalMeter();
+    const request = { kind: 'read', weight: 1, depth: 0, deadline: 1000 };
+    const { signal } = new AbortController();
+    for (const tenant of ['small', 'hot', 'hot', undefined]) {
+      meter.record({ ...request, signal, tenant, tenantPriority: tenant === 'hot' ? 0 : 2 });
+    }
+    const { mostRefusals, mostRefusedTenant, refusalsByPriority } = meter.takeSummary();
+    assert.deepEqual([mostRefusedTenant, mostRefusals], ['hot', 2]);
+    assert.deepEqual(
+      [...refusalsByPriority],
+      [
+        [2, 1],
+        [0, 2],
+      ],
+    );
+    assert.equal(meter.takeSummary().mostRefusals, 0);
+  });
+
   it('idle tenant: guards against credit or debt from a time in which others worked', () => {
     const shares = new FairShares(100);
     shares.charge('busy', 1000);
--- a/packages/host-node/src/NodeTelemetry.ts
+++ b/packages/host-node/src/NodeTelemetry.ts
@@ -1,4 +1,4 @@
-import type { OccupancySummary } from '@hickorybridge/admission';
+import type { OccupancySummary, RefusalSummary } from '@hickorybridge/admission';
 import type { Logger } from '@hickorybridge/logger';
 import { Counter, LatencyHistogram } from '@hickorybridge/telemetry';
 
@@ -14,6 +14,9 @@
 
   readonly #storeCalls = new Map<string, Counter>();
 
+  /** Labelled by the tenant's priority, since 10,000 tenants are too many series. */
+  readonly #tenantRefusals = new Map<string, Counter>();
+
   /** The seconds in flight and waiting are sums over all requests. */
   readonly #backendServerUsage = { inFlightSeconds: 0, waitingSeconds: 0, fullSeconds: 0 };
 
@@ -32,6 +35,13 @@
     this.#backendServerUsage.fullSeconds += summary.fullMilliseconds / 1000;
   }
 
+  /** Adds the refusals of tenants since the previous summary to the totals. */
+  recordRefusals({ refusalsByPriority }: RefusalSummary): void {
+    for (const [priority, refusals] of refusalsByPriority) {
+      getOrCreateCounter(this.#tenantRefusals, `priority="${priority}"`).add(refusals);
+    }
+  }
+
   recordFinishedRequest({
     depth,
     milliseconds,
@@ -66,6 +76,7 @@
     const lines = [
       ...renderCounters('hickorybridge_requests_total', this.#requests),
       ...renderCounters('hickorybridge_store_calls_total', this.#storeCalls),
+      ...renderCounters('hickorybridge_tenant_refusals_total', this.#tenantRefusals),
     ];
     for (const [route, histogram] of this.#durations) {
       const label = `route="${route}"`;
--- a/packages/host-node/src/backend/BackendServerRegistry.ts
+++ b/packages/host-node/src/backend/BackendServerRegistry.ts
@@ -1,4 +1,4 @@
-import type { OccupancySummary } from '@hickorybridge/admission';
+import type { OccupancySummary, RefusalSummary } from '@hickorybridge/admission';
 import type { Logger } from '@hickorybridge/logger';
 import type { ExecutionOutcome, RequestBody, RequestExecutor } from '@hickorybridge/peer-protocol';
 import type { BackendServerReport, HostEntry, LoadReport, RequestHead } from '@hickorybridge/types';
@@ -123,6 +123,11 @@
     return this.#current?.takeOccupancy();
   }
 
+  /** Returns the refusals of tenants by the current backend server since the previous call. */
+  takeRefusals(): RefusalSummary | undefined {
+    return this.#current?.takeRefusals();
+  }
+
   load(): LoadReport | undefined {
     return this.#current?.load();
   }
--- a/packages/host-node/src/backend/LocalBackendServer.ts
+++ b/packages/host-node/src/backend/LocalBackendServer.ts
@@ -2,6 +2,7 @@
   SlotAdmissionController,
   type OccupancySummary,
   type Permit,
+  type RefusalSummary,
 } from '@hickorybridge/admission';
 import type { Logger } from '@hickorybridge/logger';
 import {
@@ -105,6 +106,11 @@
     return this.#admission.takeOccupancy();
   }
 
+  /** Returns the refusals of tenants since the previous call of this method. */
+  takeRefusals(): RefusalSummary {
+    return this.#admission.takeRefusals();
+  }
+
   /**
    * Refuses new requests from now on. Queued requests may start for part of the drain time, and
    * requests in flight continue.
--- a/packages/host-node/src/control/OccupancyReporter.ts
+++ b/packages/host-node/src/control/OccupancyReporter.ts
@@ -1,9 +1,13 @@
-import type { OccupancySummary } from '@hickorybridge/admission';
+import type { OccupancySummary, RefusalSummary } from '@hickorybridge/admission';
 import type { Logger } from '@hickorybridge/logger';
 
 export interface OccupancyReporterOptions {
   /** Returns the usage of the backend server since the previous call, if there is a backend server. */
   readonly takeOccupancy: () => OccupancySummary | undefined;
+  /** Returns the refusals of tenants since the previous call, if there is a backend server. */
+  readonly takeRefusals: () => RefusalSummary | undefined;
+  /** Called with each summary of refusals, for the metrics. */
+  readonly onRefusals: (summary: RefusalSummary) => void;
   /** Called with each summary, for the metrics. */
   readonly onSummary: (summary: OccupancySummary) => void;
   readonly logger: Logger;
@@ -28,6 +32,7 @@
   }
 
   #report(): void {
+    this.#reportRefusals();
     const { logger, onSummary, takeOccupancy } = this.#options;
     const summary = takeOccupancy();
     if (summary === undefined) return;
@@ -42,4 +47,17 @@
       limit: summary.limit,
     });
   }
+
+  #reportRefusals(): void {
+    const { logger, onRefusals, takeRefusals } = this.#options;
+    const summary = takeRefusals();
+    if (summary === undefined || summary.refusalsByPriority.size === 0) return;
+    onRefusals(summary);
+    const { mostRefusals, mostRefusedTenant, refusalsByPriority } = summary;
+    logger.info('tenants-refused', 'requests of tenants were refused for lack of a slot', {
+      refusals: [...refusalsByPriority.values()].reduce((sum, count) => sum + count, 0),
+      mostRefusedTenant,
+      mostRefusals,
+    });
+  }
 }
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -318,6 +318,8 @@
   const occupancyReporter = new OccupancyReporter({
     takeOccupancy: () => backendServers.takeOccupancy(),
     onSummary: (summary) => telemetry.recordBackendServerUsage(summary),
+    takeRefusals: () => backendServers.takeRefusals(),
+    onRefusals: (summary) => telemetry.recordRefusals(summary),
     logger,
   });
   const reports = new ReportsListener(backendServers, logger);
