--- a/packages/admission/src/__tests__/fairShares.test.ts
+++ b/packages/admission/src/__tests__/fairShares.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test';
 
 import { FairShares } from '../FairShares.js';
+import { RefusalMeter } from '../RefusalMeter.js';
 import { ServiceRatios } from '../ServiceRatios.js';
 import { overloadPatterns } from './overloadPatterns.js';
 import { simulateLoad, type LoadSource, type SourceResult } from './simulateLoad.js';
@@ -58,6 +59,34 @@
     assert.ok(Math.abs(shareOf('hot') - shareOf('small')) < 0.02);
   });
 
+  it('callers that repeat at once: guards against a tenant that gains by asking more often', async () => {
+    const source = {
+      kind: 'read',
+      weight: 1,
+      requestsPerSecond: 105,
+      targetMilliseconds: 500,
+      timeoutMilliseconds: 2000,
+      workMilliseconds: 30,
+    };
+    const giveUpBelowMilliseconds = 60;
+    /** Repeats a request after a share of its remaining time, which is at most a third. */
+    const repeatAfter = (share: number) => (remaining: number) =>
+      remaining < giveUpBelowMilliseconds ? Infinity : Math.max(16, remaining * share);
+    const results = await simulateLoad({
+      seed: 1,
+      milliseconds: 6000,
+      sources: [
+        { ...source, tenant: 'as told', retryDelay: repeatAfter(1 / 4) },
+        { ...source, tenant: 'at once', retryDelay: repeatAfter(0) },
+      ],
+    });
+    const [asTold, atOnce] = results;
+    assert.ok(asTold !== undefined && atOnce !== undefined);
+    assert.ok(atOnce.served / atOnce.sent < asTold.served / asTold.sent + 0.05);
+    // Ranked by the time that is left, repeated requests went before new ones and were late.
+    assert.ok(asTold.inTime > 0.6 * asTold.served, `${asTold.inTime} of ${asTold.served} in time`);
+  });
+
   it('10,000 tenants: guards against accounts whose memory grows with the number of tenants', () => {
     const shares = new FairShares(100);
     const ratios = new ServiceRatios();
@@ -69,6 +98,25 @@
     assert.ok(ratios.size <= 2048);
   });
 
+  it('one tenant refused most: guards against an operator who cannot see who was held back', () => {
+    const meter = new RefusalMeter();
+    const request = { kind: 'read', weight: 1, depth: 0, deadline: 1000 };
+    const { signal } = new AbortController();
+    for (const tenant of ['small', 'hot', 'hot', undefined]) {
+      meter.record({ ...request, signal, tenant, tenantPriority: tenant === 'hot' ? 0 : 2 });
+    }
+    const { mostRefusals, mostRefusedTenant, refusalsByPriority } = meter.takeSummary();
+    assert.deepEqual([mostRefusedTenant, mostRefusals], ['hot', 2]);
+    assert.deepEqual(
+      [...refusalsByPriority],
+      [
+        [2, 1],
+        [0, 2],
+      ],
+    );
+    assert.equal(meter.takeSummary().mostRefusals, 0);
+  });
+
   it('idle tenant: guards against credit or debt from a time in which others worked', () => {
     const shares = new FairShares(100);
     shares.charge('busy', 1000);
--- a/packages/host-node/src/NodeTelemetry.ts
+++ b/packages/host-node/src/NodeTelemetry.ts
@@ -1,4 +1,4 @@
-import type { OccupancySummary } from '@hickorybridge/admission';
+import type { OccupancySummary, RefusalSummary } from '@hickorybridge/admission';
 import type { QuotaCounts } from '@hickorybridge/coordination';
 import type { Logger } from '@hickorybridge/logger';
 import type { HedgeEvent } from '@hickorybridge/routing';
@@ -25,6 +25,9 @@
 
   #account: ConnectionAccount | undefined;
 
+  /** Labelled by the tenant's priority, since 10,000 tenants are too many series. */
+  readonly #tenantRefusals = new Map<string, Counter>();
+
   /** The seconds in flight and waiting are sums over all requests. */
   readonly #backendServerUsage = { inFlightSeconds: 0, waitingSeconds: 0, fullSeconds: 0 };
 
@@ -79,6 +82,13 @@
     this.#backendServerUsage.fullSeconds += summary.fullMilliseconds / 1000;
   }
 
+  /** Adds the refusals of tenants since the previous summary to the totals. */
+  recordRefusals({ refusalsByPriority }: RefusalSummary): void {
+    for (const [priority, refusals] of refusalsByPriority) {
+      getOrCreateCounter(this.#tenantRefusals, `priority="${priority}"`).add(refusals);
+    }
+  }
+
   recordFinishedRequest({
     depth,
     milliseconds,
@@ -114,6 +124,7 @@
       ...renderCounters('hickorybridge_requests_total', this.#requests),
       ...renderCounters('hickorybridge_hedged_requests_total', this.#hedges),
       ...renderCounters('hickorybridge_store_calls_total', this.#storeCalls),
+      ...renderCounters('hickorybridge_tenant_refusals_total', this.#tenantRefusals),
     ];
     for (const [route, histogram] of this.#durations) {
       const label = `route="${route}"`;
--- a/packages/host-node/src/backend/LocalBackendServer.ts
+++ b/packages/host-node/src/backend/LocalBackendServer.ts
@@ -4,6 +4,7 @@
   type ColdLimit,
   type OccupancySummary,
   type Permit,
+  type RefusalSummary,
 } from '@hickorybridge/admission';
 import type { Logger } from '@hickorybridge/logger';
 import {
@@ -121,6 +122,11 @@
     return this.#admission.takeOccupancy();
   }
 
+  /** Returns the refusals of tenants since the previous call of this method. */
+  takeRefusals(): RefusalSummary {
+    return this.#admission.takeRefusals();
+  }
+
   /**
    * Refuses new requests from now on. Queued requests may start for part of the drain time, and
    * requests in flight continue.
@@ -224,7 +230,7 @@
 
   /** Logs how the time of a late or unanswered request was spent. */
   #logLate(
-    { depth, kind, requestId }: RequestHead,
+    { depth, kind, requestId, tenant, tenantPriority }: RequestHead,
     outcome: ExchangeOutcome,
     { calls, queued: waited, ran, work }: RequestTimings,
   ): void {
@@ -232,6 +238,8 @@
     this.#options.logger.info('request-late-here', 'a request was answered late or not at all', {
       requestId,
       route: kind,
+      tenant,
+      tenantPriority,
       depth,
       outcome: outcome.type === 'answered' ? outcome.head.status : outcome.type,
       queuedMilliseconds: Math.round(waited),
