--- a/packages/host-node/src/callers/LimitedConnection.ts
+++ b/packages/host-node/src/callers/LimitedConnection.ts
@@ -16,7 +16,7 @@
 type WriteCallback = (error?: Error | null) => void;
 
 interface PendingWrite {
-  readonly chunk: Buffer;
+  readonly chunk: Buffer | string;
   readonly encoding: BufferEncoding;
 }
 
@@ -82,7 +82,7 @@
   #waitingAnswerBytes = 0;
 
   constructor(options: LimitedConnectionOptions) {
-    super({ allowHalfOpen: true, readableHighWaterMark: pieceBytes });
+    super({ allowHalfOpen: true, decodeStrings: false, readableHighWaterMark: pieceBytes });
     this.#options = options;
     this.#socket = options.socket;
     this.#socket.on('data', (chunk: Buffer) => this.#receive(chunk));
@@ -161,7 +161,7 @@
     this.#passOn();
   }
 
-  override _write(chunk: Buffer, encoding: BufferEncoding, callback: WriteCallback): void {
+  override _write(chunk: Buffer | string, encoding: BufferEncoding, callback: WriteCallback): void {
     this.#share?.recordSent(chunk.length);
     this.#socket.write(chunk, encoding, callback);
   }
--- a/packages/host-node/src/callers/limitConnections.ts
+++ b/packages/host-node/src/callers/limitConnections.ts
@@ -27,7 +27,8 @@
       },
     });
     const share = account.open(listener, connection);
-    if (share === undefined) {
+    // The account may close a new connection at once when the others hold all of its memory.
+    if (share === undefined || connection.destroyed) {
       connection.destroy();
       return;
     }
