Refuse requests without a Request-Id at their head

Cause: a request without an id is rejected by every backend server, which proves that it did not run, but it took a slot and a place in the queue before. Many such requests sent ahead kept an ordinary one at 503: with none of them answered, the expected work of their route stayed at its initial value, so that the queue predicted that deadlines could not be met.

Change: the listener answers such a request with 400, and it is not routed. The crowds with bodies send an id now, since their bodies would not be read otherwise; all of them still fail on the code before the limits. A second crowd sends requests ahead with an id.

--- a/packages/host-node/src/__tests__/CallersListener.test.ts
+++ b/packages/host-node/src/__tests__/CallersListener.test.ts
@@ -183,7 +183,7 @@
       route: () => Promise.resolve({ type: 'answered', head, body: { type: 'stream', stream } }),
     });
     const socket = connect(port, host);
-    socket.write('GET /reads/1 HTTP/1.1\r\nhost: a.example\r\n\r\n');
+    socket.write('GET /reads/1 HTTP/1.1\r\nhost: a.example\r\nrequest-id: x\r\n\r\n');
     await once(socket, 'data');
     listener.endOpenRequests();
     const [error] = (await once(socket, 'error')) as [NodeJS.ErrnoException];
@@ -214,6 +214,13 @@
     });
   }
 
+  it('guards against slots taken by requests without an id, which backend servers reject', async (t) => {
+    const { port } = await startListener(t, { findRoute, route: notRouted });
+    const socket = connect(port, host);
+    socket.end('GET /reads/1 HTTP/1.1\r\nhost: a.example\r\n\r\n');
+    assert.match(await text(socket), /^HTTP\/1\.1 400 [^]*Request-Id/);
+  });
+
   it('guards against a head over the limit of the parser that gets no answer', async (t) => {
     const { port } = await startListener(t, { findRoute, route: notRouted });
     const socket = connect(port, host);
@@ -240,7 +247,9 @@
     });
     const socket = connect(port, host);
     const answers = text(socket);
-    socket.write('GET /reads/1 HTTP/1.1\r\nhost: a.example\r\n\r\nGET / HTTP/1.1\r\n: 1\r\n\r\n');
+    socket.write(
+      'GET /reads/1 HTTP/1.1\r\nhost: a.example\r\nrequest-id: x\r\n\r\nGET / HTTP/1.1\r\n: 1\r\n\r\n',
+    );
     await systemClock.sleep(50);
     socket.write('more bytes of the rejected request');
     stream.end('second');
@@ -257,7 +266,7 @@
         }),
     });
     const socket = connect(port, host);
-    socket.write('GET /reads/1 HTTP/1.1\r\nhost: a.example\r\n\r\n'.repeat(2));
+    socket.write('GET /reads/1 HTTP/1.1\r\nhost: a.example\r\nrequest-id: x\r\n\r\n'.repeat(2));
     const answers = text(socket);
     while (outcomes.length < 2) await systemClock.sleep(5);
     outcomes[1]?.(answered('second'));
@@ -282,7 +291,9 @@
     );
     const socket = connect(port, host);
     socket.write(
-      'POST /orders/1 HTTP/1.1\r\nhost: a.example\r\ncontent-length: 0\r\n\r\n'.repeat(2),
+      'POST /orders/1 HTTP/1.1\r\nhost: a.example\r\nrequest-id: x\r\ncontent-length: 0\r\n\r\n'.repeat(
+        2,
+      ),
     );
     assert.match(await text(socket), /connection: close[^]*first$/i);
     assert.equal(routed, 1);
@@ -298,7 +309,7 @@
       },
     });
     const socket = connect(port, host);
-    socket.write('GET /reads/1 HTTP/1.1\r\nhost: a.example\r\n\r\n'.repeat(3));
+    socket.write('GET /reads/1 HTTP/1.1\r\nhost: a.example\r\nrequest-id: x\r\n\r\n'.repeat(3));
     while (signals.length < 3) await systemClock.sleep(5);
     socket.destroy();
     while (signals.some(({ aborted }) => !aborted)) await systemClock.sleep(5);
--- a/packages/host-node/src/__tests__/untrustedClients.alone.test.ts
+++ b/packages/host-node/src/__tests__/untrustedClients.alone.test.ts
@@ -38,7 +38,9 @@
   readonly backend: StandInPlatformBackend;
 }
 
-const post = 'POST /uploads/x HTTP/1.1\r\nhost: a.example\r\ntransfer-encoding: chunked\r\n\r\n';
+// A request without an id is refused at its head, and its body would not be read.
+const post =
+  'POST /uploads/x HTTP/1.1\r\nhost: a.example\r\nrequest-id: x\r\ntransfer-encoding: chunked\r\n\r\n';
 
 /** A chunk of a body in the chunked transfer coding. */
 function createChunk(bytes: number): Buffer {
@@ -200,6 +202,16 @@
     });
   });
 
+  it('guards against pipelined requests with an id whose answers nobody reads', async (t) => {
+    const fixture = await start(t);
+    const get = 'GET /reads/x HTTP/1.1\r\nhost: a.example\r\nrequest-id: x\r\n\r\n';
+    await withstand(t, fixture, {
+      port: fixture.ports.callers,
+      connections: 60,
+      data: repeatBytes(Buffer.from(get), 20_000),
+    });
+  });
+
   it('guards against bodies in chunks of one byte, each of which takes an object', async (t) => {
     const fixture = await start(t);
     await withstand(t, fixture, {
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -319,6 +319,8 @@
     if (route === undefined) {
       return failure(FailureReason.noRoute, `no route for host "${host}" and this path`);
     }
+    // Backend servers reject such a request, so that it would only take a slot from others.
+    if (requestId === '') return failure(FailureReason.badRequest, 'the request has no Request-Id');
     const isNestedCall = this.#options.isNestedCall(requestId);
     const { authorization } = request.headers;
     const identity = identifyTenant({ configuration, route, authorization, isNestedCall });
