--- a/packages/soak/src/__tests__/planDisturbances.test.ts
+++ b/packages/soak/src/__tests__/planDisturbances.test.ts
@@ -33,5 +33,6 @@
       'slots',
     ]);
     assert.deepEqual(typesOf('starts'), ['hold-port', 'restart', 'store']);
+    assert.deepEqual(typesOf('tenants'), ['kill', 'pause', 'remove-key', 'slots']);
   });
 });
--- a/packages/soak/src/callers/CallerFleet.ts
+++ b/packages/soak/src/callers/CallerFleet.ts
@@ -3,8 +3,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { requestsPerSecond, routes, usualHosts, type MeshRoute } from '../mesh/meshShape.js';
+import { meshTenants, type KeyUse } from '../mesh/meshTenants.js';
 import { RequestEnd } from '../record/SoakEvent.js';
-import type { RequestSender, SendOutcome, SendTarget } from './RequestSender.js';
+import type { RequestSender, SendOptions, SendOutcome, SendTarget } from './RequestSender.js';
 import type { RouteTimeouts } from './RouteTimeouts.js';
 
 /** A host with callers of its own. */
@@ -19,12 +20,16 @@
   readonly sender: RequestSender;
   readonly timeouts: RouteTimeouts;
   readonly random: RandomSource;
+  /** Keys that callers send, where the deployment has tenants. */
+  readonly keyUses?: readonly KeyUse[] | undefined;
   readonly takesRequests: (node: string) => boolean;
 }
 
 const freshShare = 0.1;
 const leavingShare = 0.04;
 const slowShare = 0.1;
+/** Share of requests with a key that claim to be of another tenant. */
+const claimShare = 0.1;
 const leaveMilliseconds = { least: 20, most: 600 };
 const pauseMilliseconds = { least: 30, most: 400 };
 const usualRepeats = 1;
@@ -72,8 +77,9 @@
   }
 
   async #sendUntilStopped(): Promise<void> {
-    const { hosts, random } = this.#options;
-    const rate = (requestsPerSecond * hosts.length) / usualHosts;
+    const { hosts, keyUses, random } = this.#options;
+    const usualRate = keyUses?.reduce((sum, { sentPerSecond }) => sum + sentPerSecond, 0);
+    const rate = ((usualRate ?? requestsPerSecond) * hosts.length) / usualHosts;
     let due = performance.now();
     while (this.#running) {
       due += (-Math.log(1 - random.next()) * 1000) / (rate * this.loadFactor);
@@ -100,9 +106,25 @@
     return found ?? (routes[0] as MeshRoute);
   }
 
+  #chooseCredentials(): Pick<SendOptions, 'key' | 'claimedTenant'> {
+    const { keyUses, random } = this.#options;
+    if (keyUses === undefined) return {};
+    let place = random.next() * keyUses.reduce((sum, use) => sum + use.sentPerSecond, 0);
+    const chosen = keyUses.find(({ sentPerSecond }) => {
+      place -= sentPerSecond;
+      return place < 0;
+    });
+    const claimedTenant =
+      random.next() < claimShare
+        ? meshTenants[random.integerBelow(meshTenants.length)]?.name
+        : undefined;
+    return { key: chosen?.key ?? '', claimedTenant };
+  }
+
   /** Sends one request, and repeats it within its deadline as callers may. */
   async #call(host: CallerHost, route: MeshRoute): Promise<void> {
     const { random, sender, timeouts } = this.#options;
+    const credentials = this.#chooseCredentials();
     const end = performance.now() + route.deadlineMilliseconds;
     const fresh = route.freshConnection || random.next() < freshShare;
     const leaves = route.idempotent && random.next() < leavingShare;
@@ -114,6 +136,7 @@
       const outcome = await sender.send({
         target: host,
         route,
+        ...credentials,
         timeoutMilliseconds: timeouts.shortestOf(route),
         deadlineMilliseconds: left,
         // Repeats go out on a new connection.
--- a/packages/soak/src/callers/MeshBackendService.ts
+++ b/packages/soak/src/callers/MeshBackendService.ts
@@ -9,6 +9,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { routes, type MeshRoute } from '../mesh/meshShape.js';
+import { keyPrefix } from '../mesh/meshTenants.js';
 import type { MeshHostContext } from '../mesh/MeshHost.js';
 import { RequestEnd } from '../record/SoakEvent.js';
 import type { SendTarget } from './RequestSender.js';
@@ -37,8 +38,10 @@
     this.#options = options;
   }
 
-  arrived({ accepted, deadlineMilliseconds, requestId }: BackendArrival): void {
+  arrived({ accepted, deadlineMilliseconds, headers, path, requestId }: BackendArrival): void {
     const { arrivals, backend, record, service, target } = this.#options;
+    const keySeen =
+      headers.authorization !== undefined || JSON.stringify([path, headers]).includes(keyPrefix);
     if (arrivals.add(requestId)) this.#repeats.add(requestId);
     record.add({
       type: 'arrived',
@@ -48,6 +51,8 @@
       service,
       accepted,
       ...(deadlineMilliseconds === undefined ? {} : { deadlineMilliseconds }),
+      ...(headers.tenant === undefined ? {} : { tenant: String(headers.tenant) }),
+      ...(keySeen ? { keySeen } : {}),
     });
   }
 
--- a/packages/soak/src/callers/RequestSender.ts
+++ b/packages/soak/src/callers/RequestSender.ts
@@ -26,6 +26,10 @@
   readonly leaveAfterMilliseconds?: number | undefined;
   /** Pause between the parts of a body that is sent slowly. */
   readonly pauseMilliseconds?: number | undefined;
+  /** API key of a caller where the deployment has tenants; empty if it sends none. */
+  readonly key?: string | undefined;
+  /** `Tenant` that a caller sends although the node sets it. */
+  readonly claimedTenant?: string | undefined;
   /** Closes the connection. */
   readonly signal?: AbortSignal;
 }
@@ -46,14 +50,19 @@
 
   #sequence = 0;
 
-  constructor(record: EventRecord) {
+  readonly #nestedIds: boolean;
+
+  /** With `nestedIds`, calls of backend servers are marked as such, so that they need no key. */
+  constructor(record: EventRecord, { nestedIds }: { readonly nestedIds: boolean }) {
     this.#record = record;
+    this.#nestedIds = nestedIds;
   }
 
   async send(options: SendOptions): Promise<SendOutcome> {
-    const { agent, belowRepeat, deadlineMilliseconds, parent, route, target } = options;
+    const { agent, belowRepeat, deadlineMilliseconds, key, parent, route, target } = options;
     this.#sequence += 1;
-    const id = `r${this.#sequence}`;
+    const own = `r${this.#sequence}`;
+    const id = this.#nestedIds && parent !== undefined ? `${parent}.${own}` : own;
     this.#record.add({
       type: 'sent',
       id,
@@ -66,6 +75,8 @@
       timeoutMilliseconds: options.timeoutMilliseconds,
       ...(parent === undefined ? {} : { parent }),
       ...(belowRepeat === true ? { belowRepeat } : {}),
+      ...(key === undefined ? {} : { key }),
+      ...(options.leaveAfterMilliseconds === undefined ? {} : { abandoned: true }),
     });
     const outgoing = request({
       host: loopback,
@@ -77,6 +88,8 @@
         host: `${route.name}.example`,
         'request-id': id,
         'deadline-ms': String(Math.round(deadlineMilliseconds)),
+        ...(key ? { authorization: `Bearer ${key}` } : {}),
+        ...(options.claimedTenant === undefined ? {} : { tenant: options.claimedTenant }),
         ...(route.bodyBytes === 0 ? {} : { 'content-length': route.bodyBytes }),
       },
     });
--- a/packages/soak/src/checks/Breach.ts
+++ b/packages/soak/src/checks/Breach.ts
@@ -1,5 +1,12 @@
 /** A rule of the platform. */
-export const Rule = { fault: 'FAULT', lost: 'LOST', budget: 'BUDGET' } as const;
+export const Rule = {
+  fault: 'FAULT',
+  lost: 'LOST',
+  budget: 'BUDGET',
+  quota: 'QUOTA',
+  key: 'KEY',
+  fairness: 'FAIRNESS',
+} as const;
 
 export type Rule = (typeof Rule)[keyof typeof Rule];
 
--- a/packages/soak/src/createSoak.ts
+++ b/packages/soak/src/createSoak.ts
@@ -15,6 +15,7 @@
 import { findPorts } from './mesh/findPorts.js';
 import { portsPerHost, serviceOf, settingsTextOf, type HostPorts } from './mesh/meshFiles.js';
 import { MeshHost, type MeshHostContext } from './mesh/MeshHost.js';
+import { keyUses } from './mesh/meshTenants.js';
 import { MeshStore } from './mesh/MeshStore.js';
 import { NodeProcess } from './mesh/NodeProcess.js';
 import type { EventRecord } from './record/EventRecord.js';
@@ -31,6 +32,8 @@
 /** What the parts are made for. */
 export interface SoakPartsOptions {
   readonly hosts: number;
+  /** Whether the deployment has tenants. */
+  readonly tenants: boolean;
   /** Bundle of the node. */
   readonly program: string;
   /** Takes settings files and logs of the nodes. */
@@ -41,13 +44,13 @@
 
 /** Creates and connects all parts of a run; nothing is started. */
 export async function createSoak(options: SoakPartsOptions): Promise<SoakParts> {
-  const { random, record } = options;
+  const { random, record, tenants } = options;
   // The ports are free at the moment, so they do not follow from the seed.
   const firstPort = await findPorts(
     (options.hosts + 1) * portsPerHost,
     new RandomSource(Date.now()),
   );
-  const sender = new RequestSender(record);
+  const sender = new RequestSender(record, { nestedIds: tenants });
   const timeouts = new RouteTimeouts();
   const context = { record, sender, timeouts, arrivals: new ArrivalCounter() };
   const hosts: MeshHost[] = [];
@@ -59,6 +62,7 @@
     port: firstPort,
     record,
     timeouts,
+    tenants,
   });
   const readiness = new ReadinessPoller(
     hosts.map(({ node, options: { ports, process } }) => ({
@@ -73,6 +77,7 @@
     sender,
     timeouts,
     random: random.fork(),
+    keyUses: tenants ? keyUses : undefined,
     takesRequests: (node) => readiness.takesRequests(node),
   });
   const driver = new DisturbanceDriver({ record, hosts, store, callers, readiness });
@@ -92,7 +97,7 @@
 async function createHost(
   index: number,
   firstPort: number,
-  { directory, program, random, record }: SoakPartsOptions,
+  { directory, program, random, record, tenants }: SoakPartsOptions,
   context: MeshHostContext,
 ): Promise<MeshHost> {
   const name = `${serviceOf(index)}-${index}`;
@@ -106,7 +111,7 @@
     peers: port + 5,
   };
   const settingsFile = path.join(directory, `${name}.toml`);
-  const settingsText = settingsTextOf({ name, index, ports, storePort: firstPort });
+  const settingsText = settingsTextOf({ name, index, ports, storePort: firstPort, tenants });
   await writeFile(settingsFile, settingsText);
   const process = new NodeProcess({
     name,
--- a/packages/soak/src/disturbances/Disturbance.ts
+++ b/packages/soak/src/disturbances/Disturbance.ts
@@ -35,6 +35,7 @@
   | (OnHost<'backend-mode'> & Lasting & { readonly mode: BackendMode })
   | (OnHost<'slots'> & Lasting & { readonly slots: number })
   | { readonly type: 'configure'; readonly timeoutFactor: number; readonly extraRoutes: number }
+  | { readonly type: 'remove-key' }
   | ({ readonly type: 'store'; readonly state: 'absent' | 'down' | 'refusing' } & Lasting)
   | ({ readonly type: 'load'; readonly factor: number } & Lasting)
   | ({ readonly type: 'hasty-callers' } & Lasting)
--- a/packages/soak/src/disturbances/DisturbanceDriver.ts
+++ b/packages/soak/src/disturbances/DisturbanceDriver.ts
@@ -68,6 +68,9 @@
       case 'configure':
         store.configure(disturbance.timeoutFactor, disturbance.extraRoutes);
         break;
+      case 'remove-key':
+        store.removeKey();
+        break;
       case 'store':
         await store.disturb(disturbance.state, disturbance.milliseconds);
         break;
--- a/packages/soak/src/disturbances/Profile.ts
+++ b/packages/soak/src/disturbances/Profile.ts
@@ -4,6 +4,7 @@
   faults: 'faults',
   overload: 'overload',
   starts: 'starts',
+  tenants: 'tenants',
 } as const;
 
 export type Profile = (typeof Profile)[keyof typeof Profile];
--- a/packages/soak/src/disturbances/SeriesPlanner.ts
+++ b/packages/soak/src/disturbances/SeriesPlanner.ts
@@ -19,7 +19,7 @@
   }
 
   /** Gives the kinds of series of a profile; one that is named twice is drawn twice as often. */
-  makersOf(profile: Profile): readonly SeriesMaker[] {
+  makersOf(profile: Exclude<Profile, 'tenants'>): readonly SeriesMaker[] {
     const stops = this.#stops;
     const restarts = this.#restarts;
     const configurations = this.#configurations;
@@ -43,6 +43,31 @@
     }
   }
 
+  /**
+   * Kills one node and pauses another, which cuts it off, around the removal of a key. Afterwards
+   * tenants compete for one slot at each backend server. Brokers grant no tokens in the first seconds,
+   * so nothing is disturbed then.
+   */
+  planTenants(milliseconds: number): Disturbance[] {
+    const [killed = 0, paused = 0] = this.#someHosts(2, 2);
+    const at = (least: number, most: number) =>
+      Math.round(milliseconds * (least + this.#random.next() * (most - least)));
+    const competition = at(0.55, 0.65);
+    const few = (host: number): Disturbance => ({
+      at: competition,
+      type: 'slots',
+      host,
+      slots: 1,
+      milliseconds: 5000,
+    });
+    return [
+      { at: at(0.22, 0.32), type: 'kill', host: killed },
+      { at: at(0.32, 0.42), type: 'pause', host: paused, milliseconds: this.#between(1500, 4000) },
+      { at: at(0.42, 0.5), type: 'remove-key' },
+      ...Array.from({ length: this.#hosts }, (_, host) => few(host)),
+    ];
+  }
+
   readonly #stops: SeriesMaker = (at) => {
     const gap = this.#between(300, 2000);
     return this.#someHosts(1, 4).flatMap((host, index): Disturbance[] => {
--- a/packages/soak/src/disturbances/planDisturbances.ts
+++ b/packages/soak/src/disturbances/planDisturbances.ts
@@ -2,7 +2,7 @@
 
 import type { Disturbance } from './Disturbance.js';
 import { SeriesPlanner } from './SeriesPlanner.js';
-import type { Profile } from './Profile.js';
+import { Profile } from './Profile.js';
 
 /** What a plan is drawn for. */
 export interface PlanOptions {
@@ -23,7 +23,9 @@
 
 /** Draws series of disturbances that overlap, in order of time. */
 export function planDisturbances({ hosts, profile, random, seconds }: PlanOptions): Disturbance[] {
-  const makers = new SeriesPlanner(hosts, random).makersOf(profile);
+  const planner = new SeriesPlanner(hosts, random);
+  if (profile === Profile.tenants) return planner.planTenants(seconds * 1000);
+  const makers = planner.makersOf(profile);
   const { least, most } = gapMilliseconds[profile];
   const plan: Disturbance[] = [];
   let at: number = firstMilliseconds[profile];
--- a/packages/soak/src/mesh/MeshStore.ts
+++ b/packages/soak/src/mesh/MeshStore.ts
@@ -4,6 +4,7 @@
 import type { RouteTimeouts } from '../callers/RouteTimeouts.js';
 import type { EventRecord } from '../record/EventRecord.js';
 import { configurationOf, loopback } from './meshFiles.js';
+import { removedKey } from './meshTenants.js';
 
 /** What the store of a deployment needs. */
 export interface MeshStoreOptions {
@@ -11,6 +12,8 @@
   readonly port: number;
   readonly record: EventRecord;
   readonly timeouts: RouteTimeouts;
+  /** Whether the deployment has tenants. */
+  readonly tenants: boolean;
 }
 
 const unavailable = 503;
@@ -21,6 +24,8 @@
 
   #version = 0;
 
+  readonly #removedKeys = new Set<string>();
+
   /** Disturbances that overlap end with the last of them. */
   #disturbances = 0;
 
@@ -35,13 +40,26 @@
 
   /** Writes a new configuration, as the operator does. */
   configure(timeoutFactor: number, extraRoutes: number): void {
-    const { record, store, timeouts } = this.#options;
+    const { record, store, tenants, timeouts } = this.#options;
     this.#version += 1;
     timeouts.change(timeoutFactor);
-    store.put('config', 'main', configurationOf(this.#version, timeouts.current, extraRoutes));
+    const configuration = configurationOf({
+      version: this.#version,
+      timeouts: timeouts.current,
+      extraRoutes,
+      removedKeys: tenants ? this.#removedKeys : undefined,
+    });
+    store.put('config', 'main', configuration);
     record.add({ type: 'configuration', version: this.#version });
   }
 
+  /** Writes a configuration in which a tenant no longer holds one of its keys. */
+  removeKey(): void {
+    this.#removedKeys.add(removedKey);
+    this.configure(1, 0);
+    this.#options.record.add({ type: 'key-removed', key: removedKey });
+  }
+
   async disturb(state: 'absent' | 'down' | 'refusing', milliseconds: number): Promise<void> {
     const { record, store } = this.#options;
     this.#disturbances += 1;
--- a/packages/soak/src/mesh/meshFiles.ts
+++ b/packages/soak/src/mesh/meshFiles.ts
@@ -1,3 +1,4 @@
+import { tenantSettingsBounds, tenantTableOf } from './meshTenants.js';
 import { failureDomains, routes, services, settingsBounds } from './meshShape.js';
 
 /** Ports of one host. */
@@ -20,6 +21,8 @@
   readonly index: number;
   readonly ports: HostPorts;
   readonly storePort: number;
+  /** Whether the deployment has tenants. */
+  readonly tenants: boolean;
 }
 
 export function serviceOf(index: number): string {
@@ -32,8 +35,9 @@
 }
 
 /** Writes the settings of a host in the platform's format. */
-export function settingsTextOf({ name, index, ports, storePort }: HostFile): string {
+export function settingsTextOf({ name, index, ports, storePort, tenants }: HostFile): string {
   const { name: failureDomain, region } = failureDomainOf(index);
+  const bounds = tenants ? `${settingsBounds} ${tenantSettingsBounds}` : settingsBounds;
   const at = (port: number) => JSON.stringify(`${loopback}:${port}`);
   return `node_name = "${name}"
 machine_class = "sidecar"
@@ -44,7 +48,7 @@
 port_range = [${ports.peers},${ports.peers + 2}]
 bootstrap = true
 heartbeat = "1500ms"
-bounds = ${JSON.stringify(settingsBounds.split(' '))}
+bounds = ${JSON.stringify(bounds.split(' '))}
 app_addr = ${at(ports.backendServer)}
 service = "${serviceOf(index)}"
 [listen_addrs]
@@ -70,8 +74,23 @@
 /** Time-outs of routes that differ from the usual ones, by name. */
 export type Timeouts = ReadonlyMap<string, number>;
 
-/** Writes the configuration as the operator does; `extraRoutes` more routes are never called. */
-export function configurationOf(version: number, timeouts: Timeouts, extraRoutes: number): unknown {
+/** What differs between configurations. */
+export interface ConfigurationParts {
+  readonly version: number;
+  readonly timeouts: Timeouts;
+  /** Number of further routes, which are never called. */
+  readonly extraRoutes: number;
+  /** Keys that tenants no longer hold; absent where the deployment has no tenants. */
+  readonly removedKeys?: ReadonlySet<string> | undefined;
+}
+
+/** Writes the configuration as the operator does. */
+export function configurationOf({
+  extraRoutes,
+  removedKeys,
+  timeouts,
+  version,
+}: ConfigurationParts): unknown {
   const row = (name: string, like: (typeof routes)[number]) => [
     name,
     `${name}.example`,
@@ -105,5 +124,6 @@
       header_timeout: '3000ms',
       idle_timeout: '15000ms',
     },
+    ...(removedKeys === undefined ? {} : { tenants: tenantTableOf(removedKeys) }),
   };
 }
--- a/packages/soak/src/record/SoakEvent.ts
+++ b/packages/soak/src/record/SoakEvent.ts
@@ -30,6 +30,10 @@
     readonly parent?: string;
     /** Whether that run was itself a repeat. */
     readonly belowRepeat?: boolean;
+    /** API key of a caller where the deployment has tenants; empty if it sent none. */
+    readonly key?: string;
+    /** Whether the caller leaves before its deadline. */
+    readonly abandoned?: boolean;
   };
   readonly ended: {
     readonly id: string;
@@ -53,6 +57,10 @@
     readonly accepted: boolean;
     /** `Deadline-Ms` as received. */
     readonly deadlineMilliseconds?: number;
+    /** `Tenant` as received. */
+    readonly tenant?: string;
+    /** Whether the head contained an API key or `Authorization`. */
+    readonly keySeen?: boolean;
   };
   readonly 'run-ended': {
     readonly id: string;
@@ -78,6 +86,8 @@
   readonly 'port-freed': { readonly node: string; readonly port: number };
   readonly store: { readonly state: 'absent' | 'down' | 'refusing' | 'up' };
   readonly configuration: { readonly version: number };
+  /** A configuration without this API key was written. */
+  readonly 'key-removed': { readonly key: string };
   readonly backend: {
     readonly backend: string;
     readonly node: string;
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -65,7 +65,8 @@
   const planRandom = random.fork();
   await using record = new EventRecord(path.join(directory, eventsFile));
   await using stalls = new StallMonitor(record);
-  await using parts = await createSoak({ ...options, program, directory, record, random });
+  const tenants = options.profile === Profile.tenants;
+  await using parts = await createSoak({ ...options, tenants, program, directory, record, random });
   // Also when this program ends by an error, no node outlives it.
   const killNodes = () => parts.hosts.forEach((host) => host.process.killNow());
   process.once('exit', killNodes);
--- a/packages/stand-ins/src/platformBackend/StandInSlotBackend.ts
+++ b/packages/stand-ins/src/platformBackend/StandInSlotBackend.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http';
 import { buffer } from 'node:stream/consumers';
 
 import { SlotPool } from '../backendServer/SlotPool.js';
@@ -8,6 +8,7 @@
 export interface BackendArrival {
   readonly requestId: string;
   readonly path: string;
+  readonly headers: Readonly<IncomingHttpHeaders>;
   readonly accepted: boolean;
   /** `Deadline-Ms` as received. */
   readonly deadlineMilliseconds: number | undefined;
@@ -112,6 +113,7 @@
     const arrival = {
       requestId,
       path: request.url ?? '/',
+      headers: request.headers,
       accepted: refusal === undefined,
       deadlineMilliseconds: deadline === undefined ? undefined : Number(deadline),
     };
