Follow evacuations with fewer calls of the store

Cause: every node read the current list of evacuations at its start and whenever no peer had confirmed it for 3 s, and asked peers every second.

Change: only the nodes that watch the store for others read current data; the others accept stale data when no peer answers, and ask peers every 2 s.

--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -80,7 +80,9 @@
 // Shares of the time within which a configuration must be in force: the interval at which peers are
 // asked, and the age of the last confirmation by a peer after which the node watches the store itself.
 // The remaining time is for reading the configuration.
-const askIntervalShare = 0.2;
+const configurationAskIntervalShare = 0.2;
+// The node beside a backend server needs only one answer in time, and evacuations are rare.
+const evacuationAskIntervalShare = 0.4;
 const maxExchangeAgeShare = 0.55;
 // Spreads the store calls of nodes in a region that lose all their watchers at the same time.
 const maxExchangeAgeJitterShare = 0.1;
@@ -307,6 +309,7 @@
   const createExchange = ({
     name,
     boundMilliseconds,
+    askIntervalShare,
     followers: pair,
     onDocument,
     onInvalidData,
@@ -330,6 +333,7 @@
   exchange = createExchange({
     name: 'configuration',
     boundMilliseconds: bounds.configurationMilliseconds,
+    askIntervalShare: configurationAskIntervalShare,
     followers: () => [configurationFollower, configurationCheck],
     onDocument: (document, peer) => configurationReceiver.receiveFromPeer(document, peer),
     onInvalidData: (detail, peer) =>
@@ -439,6 +443,7 @@
     const evacuationExchange = createExchange({
       name: 'evacuations',
       boundMilliseconds,
+      askIntervalShare: evacuationAskIntervalShare,
       followers: () => [evacuationFollower, evacuationCheck],
       onDocument: (document, peer) => current.applyFromPeer(document, peer),
       onInvalidData: (detail, peer) =>
@@ -460,19 +465,26 @@
       mayBeStale: false,
       waitMilliseconds: configurationWaitMilliseconds,
       pauseMilliseconds: configurationPauseMilliseconds,
-      ...evacuationRule,
+      isNeeded: () => watchers.includesSelf,
       onChange: (result, { calledAt }) => {
         receive(result);
         evacuationExchange.confirm(calledAt);
       },
     });
+    const receiveStale = createReceiver();
     evacuationCheck = createFollower(evacuationPrefix, {
       mayBeStale: true,
       waitMilliseconds: configurationCheckWaitMilliseconds,
       pauseMilliseconds: configurationPauseMilliseconds,
       ...evacuationRule,
-      isNeeded: () => evacuationRule.isNeeded() && evacuationFollower.isFollowing,
-      onChange: createReceiver(),
+      isNeeded: () =>
+        evacuationRule.isNeeded() && (!watchers.includesSelf || evacuationFollower.isFollowing),
+      onChange: (result, { calledAt }) => {
+        receiveStale(result);
+        // The nodes that watch current data for the others read it themselves. For a node without
+        // peers, data that may be seconds old has to do; it costs a tenth.
+        if (!watchers.includesSelf) evacuationExchange.confirm(calledAt);
+      },
     });
     supervisor.start('evacuations', (signal) => evacuationFollower.run(signal));
     supervisor.start('evacuations-check', (signal) => evacuationCheck.run(signal));
@@ -546,6 +558,8 @@
   readonly name: string;
   /** Time within which a document must be in force everywhere. */
   readonly boundMilliseconds: number;
+  /** Interval at which peers are asked, as a share of that time. */
+  readonly askIntervalShare: number;
   /** The watch that reads current data, and the second watch, which may read stale data. */
   readonly followers: () => readonly [StoreFollower, StoreFollower];
   readonly onDocument: (document: VersionedDocument, peer: string) => boolean;
