--- a/packages/host-node/src/__tests__/evacuation.test.ts
+++ b/packages/host-node/src/__tests__/evacuation.test.ts
@@ -1,5 +1,6 @@
 import { silentLogger } from '@hickorybridge/logger';
 import { LinkRelay } from '@hickorybridge/stand-ins';
+import { composeVersion } from '@hickorybridge/store';
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -61,9 +62,11 @@
   it('restored store: guards against a set of a later era that is ignored for its lower revision', () => {
     const reader = new EvacuationReader(silentLogger);
     const { evacuations } = startEvacuations();
-    const before = reader.read({ revision: 900, changed: [objectFor('d', 900)], era: 1 });
+    const revision = composeVersion(1, 900);
+    const before = reader.read({ revision, changed: [objectFor('d', revision)] });
     assert.equal(evacuations.applyStored(before), true);
-    const after = reader.read({ revision: 850, changed: [], complete: true, era: 2 });
+    const lower = composeVersion(2, 850);
+    const after = reader.read({ revision: lower, changed: [], complete: true });
     assert.equal(evacuations.applyStored(after), true);
     assert.equal(evacuations.has('d'), false);
   });
--- a/packages/host-node/src/control/EvacuationReader.ts
+++ b/packages/host-node/src/control/EvacuationReader.ts
@@ -3,9 +3,6 @@
 import { decodeEvacuation } from '@hickorybridge/platform';
 import type { WatchResult } from '@hickorybridge/store';
 
-/** Revisions of one era of the store stay below this; it leaves room for 8192 eras. */
-const revisionsOfEra = 2 ** 40;
-
 /** Turns what one watch of the store reports into documents that list the evacuated domains. */
 export class EvacuationReader {
   readonly #logger: Logger;
@@ -18,8 +15,8 @@
   }
 
   /**
-   * Takes in a result of the watch and returns the state after it. Documents are ordered by the era
-   * of the store and then by its revision, because a restored store counts from a lower revision.
+   * Takes in a result of the watch and returns the state after it. Documents are ordered by the
+   * revision, which holds the era of the store and so increases after a restore, too.
    */
   read(result: WatchResult): VersionedDocument {
     if (result.complete === true) this.#domains.clear();
@@ -40,7 +37,7 @@
       }
     }
     return {
-      version: (result.era ?? 0) * revisionsOfEra + result.revision,
+      version: result.revision,
       text: JSON.stringify([...this.#domains.values()].sort()),
     };
   }
--- a/packages/store/src/PlatformStore.ts
+++ b/packages/store/src/PlatformStore.ts
@@ -32,11 +32,6 @@
   readonly removed?: readonly string[];
   /** True when `changed` lists everything that stands, because the history was gone. */
   readonly complete?: boolean;
-  /**
-   * Increases each time the store returns from an older copy, after which revisions are assigned
-   * again; absent if the store does not tell.
-   */
-  readonly era?: number;
 }
 
 /** A store that also removes objects and can answer a watch from a copy that lags. */
