--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -54,6 +54,9 @@
 const knownRed = readKnownRed();
 for (const name of knownRed) console.log(`known red, no part of this run: ${name}`);
 
+/** Names of single tests known to fail, from entries that read `test "NAME"`. */
+const redTests = knownRed.map((name) => /^test "(.+)"$/.exec(name)?.[1]).filter(Boolean);
+
 /** Runs test files; gives the exit code. */
 function run(selected, concurrency) {
   if (selected.length === 0) return 0;
@@ -66,6 +69,8 @@
   const { status } = spawnSync(process.execPath, [...options, ...selected], {
     cwd: root,
     stdio: 'inherit',
+    // Node.js 20 cannot leave out a test by its name, so these tests skip themselves.
+    env: { ...process.env, KNOWN_RED_TESTS: JSON.stringify(redTests) },
   });
   return status ?? 1;
 }
