--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -75,8 +75,10 @@
   for (const { id, sentAt, answeredAt, status, signature } of results) {
     const run = runs.find((each) => each.id === id && each.startedAt !== undefined);
     const isOwnAnswer = signature === undefined || status === 0;
-    // The backend was at work when the node ended the request, and nobody's time was over.
-    const wasAtWork = run?.end === 'dropped' && run.endedAt - run.startedAt < workMilliseconds;
+    // The backend had not done its work: its connection was closed, or the node had passed on a
+    // deadline that ends with its process instead of the client's.
+    const wasAtWork =
+      ['dropped', 'deadline'].includes(run?.end) && run.endedAt - run.startedAt < workMilliseconds;
     const isInTime = answeredAt < sentAt + deadlineMilliseconds - 100;
     const isExcused = sentAt <= stoppedAt + excusedUntilMilliseconds;
     const isPlanned = hasTrouble && answeredAt < stoppedAt + graceMilliseconds + 1000;
--- a/review/lib-2/backend.mjs
+++ b/review/lib-2/backend.mjs
@@ -140,8 +140,9 @@
     run.startedAt = Date.now();
     this.record?.('backend-run', { id, backend: this.id, bytes: run.bytes });
     const limit = Number(incoming.headers['deadline-ms'] ?? 30_000);
-    const work = Math.min(this.workOf(id, incoming), limit);
-    const until = performance.now() + work;
+    const work = this.workOf(id, incoming);
+    const isTooLong = work > limit;
+    const until = performance.now() + Math.min(work, limit);
     while (performance.now() < until && !isClosed) {
       await new Promise((resolve) => {
         setTimeout(resolve, Math.min(10, Math.max(1, until - performance.now())));
@@ -150,11 +151,13 @@
     this.#running -= 1;
     this.#queue.shift()?.();
     run.endedAt = Date.now();
-    run.end = isClosed ? 'dropped' : 'answered';
+    // A backend stops work at the deadline that it receives, and answers 504.
+    run.end = isTooLong ? 'deadline' : 'answered';
+    if (isClosed) run.end = 'dropped';
     this.record?.('backend-end', { id, backend: this.id, end: run.end });
     if (isClosed) return undefined;
     const text = `answer of ${this.id} to ${id}`;
-    response.writeHead(200, {
+    response.writeHead(isTooLong ? 504 : 200, {
       ...this.#headers(id),
       'response-signature': `${this.id}.${id}`,
       'content-length': Buffer.byteLength(text),
