Review: a broken answer cuts off the requests that run behind it

Tried: ten clients with four pipelined safe requests at a time; one of three backends breaks off 5 of 100 answers, all of them long ones.

Seen: each broken answer resets its client's connection, and 10 to 15 requests that ran at the two sound backends ended without an answer. None did without broken answers.

--- a/review/lib-2/backend.mjs
+++ b/review/lib-2/backend.mjs
@@ -5,6 +5,8 @@
 
 const heartbeatMilliseconds = 1500;
 const acknowledgementMilliseconds = 1000;
+/** So that the first half of a broken answer is on its way. */
+const breakOffMilliseconds = 20;
 
 export class Backend {
   /** What it received and ran: id, times, end. */
@@ -18,10 +20,16 @@
 
   #state = 'ready';
 
-  /** `workOf` gives the work of a request in milliseconds. */
-  constructor({ id, service, zone, slots = 6, queue = 12, port, control, record, workOf }) {
+  /**
+   * `workOf` gives the work of a request in milliseconds, `bytesOf` the length of its answer.
+   * `breaksOff` tells whether an answer is broken off after its first half.
+   */
+  constructor({ workOf, bytesOf, breaksOff, ...options }) {
+    const { id, service, zone, slots = 6, queue = 12, port, control, record } = options;
     Object.assign(this, { id, service, zone, slots, queueLimit: queue, port, control, record });
     this.workOf = workOf ?? (() => 50);
+    this.bytesOf = bytesOf ?? (() => 0);
+    this.breaksOff = breaksOff ?? (() => false);
     this.born = Date.now();
   }
 
@@ -156,13 +164,21 @@
     if (isClosed) run.end = 'dropped';
     this.record?.('backend-end', { id, backend: this.id, end: run.end });
     if (isClosed) return undefined;
-    const text = `answer of ${this.id} to ${id}`;
+    const text = `answer of ${this.id} to ${id} `.padEnd(this.bytesOf(id), '.');
     response.writeHead(isTooLong ? 504 : 200, {
       ...this.#headers(id),
       'response-signature': `${this.id}.${id}`,
       'content-length': Buffer.byteLength(text),
     });
-    response.end(text);
+    if (!this.breaksOff(run, this.runs)) {
+      response.end(text);
+      return undefined;
+    }
+    run.end = 'broken off';
+    this.record?.('backend-broke-off', { id, backend: this.id });
+    response.write(text.slice(0, text.length / 2), () => {
+      setTimeout(() => incoming.socket.resetAndDestroy(), breakOffMilliseconds);
+    });
     return undefined;
   }
 }
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -17,7 +17,7 @@
   routes,
   bounds,
   slots,
-  workOf,
+  ...work
 }) {
   const services = [...new Set(hosts.map(({ service }) => service))];
   const store = new Store();
@@ -50,7 +50,7 @@
       port: ports.backend,
       control: ports.control,
       record,
-      workOf,
+      ...work,
     });
     onEnd(() => backend.end());
     await backend.start();
