A node says why the store does not hold its entry

A write that fails is now host-entry-not-written, a warning with the reason, the number of attempts and the time for which the store has not held the entry; hickorybridge_host_entry_pending_seconds has that time.

Test: HostRegistration.test, "guards against an outage whose cause neither the log nor a metric names"; there was nothing to read before.

--- a/packages/host-node/src/NodeTelemetry.ts
+++ b/packages/host-node/src/NodeTelemetry.ts
@@ -35,6 +35,8 @@
 
   #isRateLimited = false;
 
+  #hostEntryPendingMilliseconds = 0;
+
   /** Takes the logger, and what returns the counts of the limits; `undefined` without limits. */
   constructor(logger: Logger, quotaCounts: () => QuotaCounts | undefined = () => undefined) {
     this.#logger = logger;
@@ -60,6 +62,11 @@
     this.#isRateLimited = isRateLimited;
   }
 
+  /** Sets for how long the store has not held the entry of this host; 0 if it does. */
+  setHostEntryPending(milliseconds: number): void {
+    this.#hostEntryPendingMilliseconds = milliseconds;
+  }
+
   /** Reports what an account holds. */
   observe(account: ConnectionAccount): void {
     this.#account = account;
@@ -143,6 +150,9 @@
       `hickorybridge_backend_server_full_seconds_total ${fullSeconds}`,
     );
     lines.push(`hickorybridge_backend_server_rate_limited ${this.#isRateLimited ? 1 : 0}`);
+    lines.push(
+      `hickorybridge_host_entry_pending_seconds ${this.#hostEntryPendingMilliseconds / 1000}`,
+    );
     lines.push(`hickorybridge_evacuated_failure_domains ${this.#evacuatedFailureDomains}`);
     const counts = this.#quotaCounts();
     if (counts !== undefined) lines.push(...renderQuotaCounts(counts));
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -506,6 +506,7 @@
   );
   const renderMetrics = () => {
     telemetry.setRateLimited(backendServers.current?.isRateLimited ?? false);
+    telemetry.setHostEntryPending(registration.pendingMilliseconds);
     return { status: 200, text: telemetry.render() };
   };
   const metrics = new StatusListener(new Map([['/metrics', renderMetrics]]));
--- a/packages/membership/src/HostRegistration.ts
+++ b/packages/membership/src/HostRegistration.ts
@@ -35,6 +35,12 @@
   /** Whether the first write created the entry; `undefined` before that write. */
   #created: boolean | undefined;
 
+  /** Since when the store does not hold what it should, in monotonic milliseconds. */
+  #pendingSince: number | undefined;
+
+  /** Writes since then. */
+  #attempts = 0;
+
   #wake = new AbortController();
 
   constructor(options: HostRegistrationOptions) {
@@ -46,10 +52,25 @@
     return this.#created ?? false;
   }
 
+  /** Whether the store holds the entry, as far as this node knows. */
+  get isCurrent(): boolean {
+    if (!this.#isDecided) return true;
+    const wanted = this.#wantedText();
+    if (this.#written === undefined) return wanted === undefined;
+    return this.#written.text === wanted;
+  }
+
+  /** For how long the store has not held the entry, in milliseconds; 0 if it does. */
+  get pendingMilliseconds(): number {
+    const since = this.#pendingSince;
+    return since === undefined ? 0 : this.#options.clock.now() - since;
+  }
+
   /** Changes the entry. The write follows in the background. */
   set(entry: HostEntry | undefined): void {
     this.#wanted = entry;
     this.#isDecided = true;
+    this.#update();
     this.#wake.abort();
   }
 
@@ -62,6 +83,7 @@
     if (known !== undefined && version > 0 && version < known.version) return;
     const text = entry === undefined ? undefined : encodeHostEntry(entry);
     this.#written = { text, version };
+    this.#update();
     if (text !== this.#wantedText()) this.#wake.abort();
   }
 
@@ -69,7 +91,7 @@
   async run(signal: AbortSignal): Promise<void> {
     let delay = firstRetryMilliseconds;
     while (!signal.aborted) {
-      if (this.#isCurrent()) {
+      if (this.isCurrent) {
         await this.#sleepUntilWoken(signal);
         delay = firstRetryMilliseconds;
         continue;
@@ -84,11 +106,14 @@
     return this.#wanted === undefined ? undefined : encodeHostEntry(this.#wanted);
   }
 
-  #isCurrent(): boolean {
-    if (!this.#isDecided) return true;
-    const wanted = this.#wantedText();
-    if (this.#written === undefined) return wanted === undefined;
-    return this.#written.text === wanted;
+  /** Takes in that the entry, or what is known of the store, may have changed. */
+  #update(): void {
+    if (!this.isCurrent) {
+      this.#pendingSince ??= this.#options.clock.now();
+      return;
+    }
+    this.#pendingSince = undefined;
+    this.#attempts = 0;
   }
 
   async #sleepUntilWoken(signal: AbortSignal): Promise<void> {
@@ -103,7 +128,7 @@
 
   /** Writes once; false when it has to be tried again later. */
   async #write(): Promise<boolean> {
-    const { logger, nodeId, store } = this.#options;
+    const { nodeId, store } = this.#options;
     const key = hostKey(nodeId);
     const version = this.#written?.version ?? 0;
     const text = this.#wantedText();
@@ -111,13 +136,39 @@
       text === undefined
         ? await store.remove(key, version)
         : await store.writeConditional(key, text, version);
-    logger.info('host-entry-written', 'the entry of this host was written', {
+    this.#attempts += 1;
+    this.#logOutcome(outcome, { version, removed: text === undefined });
+    this.#created ??= outcome.type === 'done' && text !== undefined && version === 0;
+    const isWritten = this.#takeOutcome(outcome, text);
+    this.#update();
+    return isWritten;
+  }
+
+  #logOutcome(
+    outcome: WriteOutcome,
+    { version, removed }: { version: number; removed: boolean },
+  ): void {
+    const { logger } = this.#options;
+    const attempts = this.#attempts;
+    const milliseconds = Math.round(this.pendingMilliseconds);
+    if (outcome.type === 'done') {
+      logger.info('host-entry-written', 'the entry of this host was written', {
+        version: outcome.version,
+        removed,
+        attempts,
+        milliseconds,
+      });
+      return;
+    }
+    // Other nodes use what the store holds, so that this may be why they send nothing to this host.
+    logger.warn('host-entry-not-written', 'the entry of this host was not written', {
       outcome: outcome.type,
-      version: outcome.type === 'done' ? outcome.version : version,
-      removed: text === undefined,
+      detail: describe(outcome),
+      version,
+      removed,
+      attempts,
+      milliseconds,
     });
-    this.#created ??= outcome.type === 'done' && text !== undefined && version === 0;
-    return this.#takeOutcome(outcome, text);
   }
 
   #reportFound(text: string): void {
@@ -147,3 +198,10 @@
     }
   }
 }
+
+function describe(outcome: Exclude<WriteOutcome, { type: 'done' }>): string {
+  if (outcome.type === 'unknown') return outcome.detail;
+  return outcome.current === undefined
+    ? 'the store turned the write away, or holds no entry any more'
+    : 'the store holds another version';
+}
--- a/packages/membership/src/__tests__/HostRegistration.test.ts
+++ b/packages/membership/src/__tests__/HostRegistration.test.ts
@@ -1,4 +1,4 @@
-import { silentLogger } from '@hickorybridge/logger';
+import { createLogger } from '@hickorybridge/logger';
 import type { RemovingStore, WriteOutcome } from '@hickorybridge/store';
 import type { HostEntry } from '@hickorybridge/types';
 import { RandomSource, systemClock } from '@hickorybridge/utils';
@@ -26,6 +26,7 @@
   onFound: (found: HostEntry) => void = () => {},
 ) {
   const writes: string[] = [];
+  const lines: Record<string, unknown>[] = [];
   const answer = (write: string): Promise<WriteOutcome> => {
     writes.push(write);
     return Promise.resolve(answers.shift() ?? { type: 'done', version: 10 + writes.length });
@@ -40,7 +41,12 @@
     onFound,
     clock: systemClock,
     random: new RandomSource(2026),
-    logger: silentLogger,
+    logger: createLogger({
+      level: 'info',
+      format: 'json',
+      fields: {},
+      write: (line) => lines.push(JSON.parse(line) as Record<string, unknown>),
+    }),
   });
   const stop = new AbortController();
   const running = registration.run(stop.signal);
@@ -48,7 +54,7 @@
     stop.abort();
     await running;
   });
-  return { registration, writes };
+  return { lines, registration, writes };
 }
 
 test('guards against a restarted node that removes the entry of its host', async (t) => {
@@ -108,3 +114,24 @@
   assert.deepEqual(found, [true]);
   assert.deepEqual(writes, ['put 0'], 'the entry of the store stands');
 });
+
+test('guards against an outage whose cause neither the log nor a metric names', async (t) => {
+  const { lines, registration } = start(t, [
+    { type: 'unknown', detail: 'lost' },
+    { type: 'refused', current: undefined },
+  ]);
+  assert.equal(registration.pendingMilliseconds, 0);
+  registration.set(entry);
+  await sleep(30);
+  assert.ok(registration.pendingMilliseconds >= 20, `${registration.pendingMilliseconds} ms`);
+  await sleep(470);
+  assert.equal(registration.pendingMilliseconds, 0);
+  assert.deepEqual(
+    lines.map(({ attempts, detail, event }) => [event, attempts, detail]),
+    [
+      ['host-entry-not-written', 1, 'lost'],
+      ['host-entry-not-written', 2, 'the store turned the write away, or holds no entry any more'],
+      ['host-entry-written', 3, undefined],
+    ],
+  );
+});
