--- a/packages/host-node/src/__tests__/evacuation.test.ts
+++ b/packages/host-node/src/__tests__/evacuation.test.ts
@@ -7,9 +7,12 @@
 
 import { EvacuationReader } from '../control/EvacuationReader.js';
 import { Evacuations } from '../control/Evacuations.js';
-import { sendRequest, startFleet, waitUntil, type FleetMember } from './fleet.js';
+import { sendReport, sendRequest, startFleet, waitUntil, type FleetMember } from './fleet.js';
 
 const evacuationMilliseconds = 3000;
+const watchesWaitAfterMilliseconds = 2000;
+/** A backend server waits this long for an answer to its report. */
+const entryWrittenWithinMilliseconds = 1000;
 
 function startEvacuations() {
   const changes: number[] = [];
@@ -127,4 +130,19 @@
     for (let round = 0; round < 30; round += 1) await countAnswered(members, `after-${round}`);
     assert.ok(ranAt() > ranBefore, 'the domain got no request after the evacuation was withdrawn');
   });
+
+  // Guards against the failure RECOVER: after a loss of power no host offers its backend server again.
+  it('guards against watches that occupy all connections, so that no host writes its entry', async (t) => {
+    const names = ['one', 'two', 'three'];
+    const { members, store } = await startFleet(t, names, undefined, { evacuationMilliseconds });
+    // Every node is a watcher, and each of its watches waits by now.
+    await sleep(watchesWaitAfterMilliseconds);
+    await Promise.all(members.map((member) => sendReport(member, { state: 'draining' })));
+    await sleep(entryWrittenWithinMilliseconds);
+    const entries = names.map((name) => store.specOf('hickorybridge-hosts', name));
+    assert.deepEqual(
+      entries.map((entry) => (entry as { leaving: boolean }).leaving),
+      [true, true, true],
+    );
+  });
 });
