The acknowledgement of a leave outlasts its process

A node that was killed right after the acknowledgement forgot the leave as well, without any outage.

Cause: only the memory of the acknowledging process held the promise. The entry in the store was written later, and a stop did not wait for it. The started node took a late report from before the leave for news.

Change: the acknowledgement waits until the store holds the leave, at most 0.7 s, as a backend server waits 1 s for it. A stopping node ends when the store holds the leave, at the latest with its grace time. A leave notice that comes before any report marks the entry that is in the store.

Tests: leave.test.

--- a/packages/host-node/src/HostNode.ts
+++ b/packages/host-node/src/HostNode.ts
@@ -144,7 +144,10 @@
     const { backendServers, registration, settings } = this.#components;
     const { current } = backendServers;
     const { listeners, location, nodeId } = settings.current;
-    if (current === undefined) return;
+    if (current === undefined) {
+      this.#registerEarlyLeave();
+      return;
+    }
     const { backendServerId, service, slots, startedAt } = current.report;
     const entry: HostEntry = {
       nodeId,
@@ -196,7 +199,11 @@
     );
     // From here on a request is refused at once, and none starts that the exit would cut off.
     callers.stopAccepting();
-    await waitUntil((elapsed) => elapsed > limit || this.#isIdle());
+    // A leave that was acknowledged binds the next process, too, which may get a late report.
+    await waitUntil((elapsed) => elapsed > limit || (this.#isIdle() && this.#isLeaveStored()));
+    if (!this.#isLeaveStored()) {
+      logger.warn('leave-not-stored', 'the store does not know that the backend server has left');
+    }
     logger.info('node-stopped', 'the node has stopped', {
       open: callers.open,
       milliseconds: Math.round(clock.now() - startedAt),
@@ -213,6 +220,14 @@
     await Promise.race([release(), clock.sleep(remaining)]);
   }
 
+  /** Marks the entry from before the start of this node, if its backend server left without a report. */
+  #registerEarlyLeave(): void {
+    const { backendServers, directory, registration, settings } = this.#components;
+    const entry = directory.entry(settings.current.nodeId);
+    if (entry === undefined || entry.leaving || !backendServers.hasLeftEarly(entry)) return;
+    registration.set({ ...entry, leaving: true });
+  }
+
   /**
    * Removes the entry of this host if its backend server has left and ended. While that still runs,
    * the entry tells this node after a restart that it has left.
@@ -224,6 +239,12 @@
     if (hasLeft && !(await isListening(backendServerAddress))) registration.set(undefined);
   }
 
+  /** Whether a node that starts here finds in the store that the backend server leaves, if it does. */
+  #isLeaveStored(): boolean {
+    const { backendServers, registration } = this.#components;
+    return backendServers.current?.leaving === false || registration.isCurrent;
+  }
+
   /** Whether no request of a caller or a peer is open, and the backend server runs none. */
   #isIdle(): boolean {
     const { backendServers, callers, pool } = this.#components;
--- a/packages/host-node/src/__tests__/fleet.ts
+++ b/packages/host-node/src/__tests__/fleet.ts
@@ -197,6 +197,13 @@
   return sendRequest(port, { method: 'POST', path: `/v1/instances/${backend.id}/heartbeat`, body });
 }
 
+/** Sends the notice of a backend server that leaves. */
+export function sendLeave({ backend, settings }: FleetMember): Promise<HttpResponse> {
+  const { port } = settings.listeners.reports;
+  const path = `/v1/instances/${backend.id}/deregister`;
+  return sendRequest(port, { method: 'POST', path, body: JSON.stringify({ born: 1 }) });
+}
+
 export interface SendRequestOptions {
   readonly method?: string;
   readonly path: string;
--- /dev/null
+++ b/packages/host-node/src/__tests__/leave.test.ts
@@ -0,0 +1,98 @@
+import type { StandInObjectStore } from '@hickorybridge/stand-ins';
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import {
+  sendLeave,
+  sendReport,
+  sendRequest,
+  skipSequence,
+  startFleet,
+  startNode,
+  waitUntil,
+  type FleetMember,
+} from './fleet.js';
+
+/** A backend server takes no answer within this time for a missing one. */
+const acknowledgementMilliseconds = 1000;
+const graceMilliseconds = 8000;
+/** Longer than an idle node takes to stop. */
+const outageMilliseconds = 3000;
+
+function storedLeaving(store: StandInObjectStore, name: string): unknown {
+  return (store.specOf('hickorybridge-hosts', name) as { leaving?: unknown } | undefined)?.leaving;
+}
+
+/** Sends the last report from before the leave, which arrives late. */
+async function sendLateReport(member: FleetMember): Promise<void> {
+  skipSequence(-2);
+  await sendReport(member);
+  skipSequence(2);
+}
+
+describe('the acknowledgement of a leave', () => {
+  for (const [kind, send] of [
+    ['notice', sendLeave],
+    ['report', (member: FleetMember) => sendReport(member, { state: 'draining' })],
+  ] as const) {
+    it(`guards against the ${kind} of a leave that is forgotten when its node is killed`, async (t) => {
+      const { members, store } = await startFleet(t, ['one']);
+      const [one] = members;
+      assert.ok(one !== undefined);
+      store.faults.writeMilliseconds = 200;
+      assert.equal((await send(one)).status, 200);
+      assert.equal(storedLeaving(store, 'one'), true, 'only the process knew of the leave');
+    });
+  }
+
+  it('guards against an acknowledgement that comes too late because the store is away', async (t) => {
+    const { members, store } = await startFleet(t, ['one']);
+    const [one] = members;
+    assert.ok(one !== undefined);
+    store.faults.refuseWith = 503;
+    const sentAt = performance.now();
+    assert.equal((await sendLeave(one)).status, 200);
+    const took = performance.now() - sentAt;
+    assert.ok(took < acknowledgementMilliseconds, `acknowledged after ${took} ms`);
+  });
+
+  it('guards against a leave that a planned stop forgets while the store is away', async (t) => {
+    const { members, store } = await startFleet(t, ['one', 'two'], undefined, {
+      graceMilliseconds,
+    });
+    const [one, two] = members;
+    assert.ok(one !== undefined && two !== undefined);
+    store.faults.refuseWith = 503;
+    setTimeout(() => {
+      store.faults.refuseWith = undefined;
+    }, outageMilliseconds);
+    await sendLeave(one);
+    await one.node.stop();
+    const restarted = await startNode(t, one.settings);
+    await waitUntil(() => restarted.ready && restarted.hostCount === 2);
+    await sendLateReport(one);
+    await sleep(500);
+    for (const [index, { settings }] of [one, two, one, two, one, two].entries()) {
+      const path = `/reads/${index}`;
+      await sendRequest(settings.listeners.callers.port, { path, id: `r${index}` });
+    }
+    assert.deepEqual(one.backend.ran, []);
+    // Its stop would wait for the store, which is closed before it.
+    await restarted.stop();
+  });
+
+  it('guards against a leave that is forgotten because the restarted node had no report', async (t) => {
+    const { members, store } = await startFleet(t, ['one', 'two']);
+    const [one] = members;
+    assert.ok(one !== undefined);
+    await one.node.stop();
+    assert.equal(storedLeaving(store, 'one'), false);
+    const restarted = await startNode(t, one.settings);
+    await waitUntil(() => restarted.ready && restarted.hostCount === 2);
+    store.faults.writeMilliseconds = 200;
+    assert.equal((await sendLeave(one)).status, 200);
+    assert.equal(storedLeaving(store, 'one'), true, 'only the process knew of the leave');
+    await restarted.stop();
+  });
+});
--- a/packages/host-node/src/__tests__/plannedStop.test.ts
+++ b/packages/host-node/src/__tests__/plannedStop.test.ts
@@ -40,6 +40,7 @@
     settings: { current: { nodeId: 'n1', bounds: { graceMilliseconds: 10_000 } } },
     backendServers: { current: undefined, load: () => undefined },
     directory: { entry: () => undefined },
+    registration: { isCurrent: true },
     callers,
     pool,
     supervisor: disposable('supervisor', supervisorMilliseconds),
--- a/packages/host-node/src/backend/BackendServerRegistry.ts
+++ b/packages/host-node/src/backend/BackendServerRegistry.ts
@@ -11,6 +11,7 @@
 import type { Clock, HostSpeedModel } from '@hickorybridge/utils';
 
 import { IncarnationHistory, ReportVerdict } from './IncarnationHistory.js';
+import type { Leave } from './Leave.js';
 import { LocalBackendServer } from './LocalBackendServer.js';
 
 export interface BackendServerRegistryOptions {
@@ -42,6 +43,9 @@
 
   #current: LocalBackendServer | undefined;
 
+  /** The latest leave notice of a backend server that has not reported itself to this node. */
+  #earlyLeave: Leave | undefined;
+
   constructor(options: BackendServerRegistryOptions) {
     this.#options = options;
   }
@@ -89,6 +93,16 @@
   /** Handles a leave notice; `startedAt` is 0 when the notice names no incarnation. */
   handleLeave(backendServerId: string, startedAt: number): void {
     if (this.#history.recordLeave(backendServerId, startedAt)) this.#leaveCurrent();
+    if (this.#current !== undefined) return;
+    this.#earlyLeave = { backendServerId, startedAt };
+    this.#options.onCurrentChanged();
+  }
+
+  /** Whether the backend server of an entry has left, according to a notice without a report. */
+  hasLeftEarly({ backendServerId, startedAt = 0 }: HostEntry): boolean {
+    const leave = this.#earlyLeave;
+    if (leave?.backendServerId !== backendServerId) return false;
+    return leave.startedAt === 0 || leave.startedAt === startedAt;
   }
 
   /**
--- a/packages/host-node/src/control/ReportsListener.ts
+++ b/packages/host-node/src/control/ReportsListener.ts
@@ -16,23 +16,31 @@
 const requestTimeoutMilliseconds = 10_000;
 const maxHeadBytes = 16 * 1024;
 
+export interface ReportsListenerOptions {
+  readonly registry: Pick<BackendServerRegistry, 'handleLeave' | 'handleReport'>;
+  /**
+   * Waits until the store holds what the registry knows, for a limited time. The acknowledgement of
+   * a leave also binds the node that runs here after this one, which may get a late report.
+   */
+  readonly waitUntilStored: () => Promise<void>;
+  readonly account: ConnectionAccount;
+  readonly logger: Logger;
+}
+
 /** Receives the reports of the backend server on this host. */
 export class ReportsListener implements AsyncDisposable {
-  readonly #registry: BackendServerRegistry;
-
-  readonly #logger: Logger;
+  readonly #options: ReportsListenerOptions;
 
   readonly #server: Server;
 
-  constructor(registry: BackendServerRegistry, account: ConnectionAccount, logger: Logger) {
-    this.#registry = registry;
-    this.#logger = logger;
+  constructor(options: ReportsListenerOptions) {
+    this.#options = options;
     this.#server = createServer((request, response) => this.#handle(request, response));
     this.#server.headersTimeout = headTimeoutMilliseconds;
     this.#server.requestTimeout = requestTimeoutMilliseconds;
     this.#server.on('clientError', (_error, socket) => socket.destroy());
     limitConnections(this.#server, {
-      account,
+      account: options.account,
       listener: 'reports',
       maxHeadBytes: () => maxHeadBytes,
     });
@@ -52,6 +60,7 @@
   }
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { logger, registry, waitUntilStored } = this.#options;
     const call = request.method === 'POST' ? matchReportCall(request.url ?? '') : undefined;
     if (call === undefined) {
       request.resume();
@@ -64,19 +73,21 @@
       return;
     }
     if (call.type === 'leave') {
-      this.#registry.handleLeave(call.backendServerId, decodeLeaveStart(body));
+      registry.handleLeave(call.backendServerId, decodeLeaveStart(body));
+      await waitUntilStored();
       respond(response, 200);
       return;
     }
     const report = decodeReport(call.backendServerId, body);
     if (report === undefined) {
-      this.#logger.warn('report-malformed', 'ignored a report that cannot be decoded', {
+      logger.warn('report-malformed', 'ignored a report that cannot be decoded', {
         backendServer: call.backendServerId,
       });
       respond(response, 400);
       return;
     }
-    this.#registry.handleReport(report);
+    registry.handleReport(report);
+    if (report.draining) await waitUntilStored();
     respond(response, 200);
   }
 }
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -93,6 +93,9 @@
 // In a large fleet, a release changes several entries a second, each of which wakes every node.
 const hostsPauseMilliseconds = 1000;
 
+// Longest delay of the acknowledgement of a leave. A backend server waits 1 s for it.
+const leaveAcknowledgementMilliseconds = 700;
+
 // A request to a host that has become unreachable must be retried within its target latency.
 const liveness: PeerLiveness = {
   heartbeatWhenWaitingMilliseconds: 250,
@@ -353,6 +356,7 @@
     const { entry, version } = directory.stored(nodeId);
     if (entry !== undefined) backendServers.handleStoredEntry(entry);
     registration.seen(entry, version);
+    if (backendServers.current === undefined) node.register();
   });
   const createFollowRule = (documents: DocumentExchange, boundMilliseconds: number): FollowRule => {
     const maxAgeMilliseconds =
@@ -500,7 +504,12 @@
     onRefusals: (summary) => telemetry.recordRefusals(summary),
     logger,
   });
-  const reports = new ReportsListener(backendServers, account, logger);
+  const reports = new ReportsListener({
+    registry: backendServers,
+    waitUntilStored: () => registration.waitUntilCurrent(leaveAcknowledgementMilliseconds),
+    account,
+    logger,
+  });
   const readiness = new StatusListener(
     new Map([[readinessPath, () => ({ status: node.ready ? 200 : 503, text: '' })]]),
   );
--- a/packages/membership/src/HostRegistration.ts
+++ b/packages/membership/src/HostRegistration.ts
@@ -41,6 +41,8 @@
   /** Writes since then. */
   #attempts = 0;
 
+  readonly #waiters = new Set<() => void>();
+
   #wake = new AbortController();
 
   constructor(options: HostRegistrationOptions) {
@@ -74,6 +76,16 @@
     this.#wake.abort();
   }
 
+  /** Waits until the store holds the entry, but not longer than the limit. */
+  async waitUntilCurrent(limitMilliseconds: number): Promise<void> {
+    if (this.isCurrent) return;
+    const limit = new AbortController();
+    const waiter = () => limit.abort();
+    this.#waiters.add(waiter);
+    await this.#options.clock.sleep(limitMilliseconds, limit.signal);
+    this.#waiters.delete(waiter);
+  }
+
   /**
    * Takes in what the store was seen to hold, with version 0 if that is nothing. An entry that
    * another node has removed or overwritten is restored.
@@ -114,6 +126,7 @@
     }
     this.#pendingSince = undefined;
     this.#attempts = 0;
+    for (const waiter of this.#waiters) waiter();
   }
 
   async #sleepUntilWoken(signal: AbortSignal): Promise<void> {
--- a/packages/membership/src/__tests__/HostRegistration.test.ts
+++ b/packages/membership/src/__tests__/HostRegistration.test.ts
@@ -135,3 +135,19 @@
     ],
   );
 });
+
+test('guards against waiting for an entry longer than allowed, or after it was written', async (t) => {
+  const { registration, writes } = start(t, [
+    { type: 'unknown', detail: 'lost' },
+    { type: 'refused', current: undefined },
+  ]);
+  await registration.waitUntilCurrent(60_000);
+  registration.set(entry);
+  await registration.waitUntilCurrent(10);
+  assert.equal(registration.isCurrent, false);
+  assert.ok(registration.pendingMilliseconds >= 5, `${registration.pendingMilliseconds} ms`);
+  await registration.waitUntilCurrent(60_000);
+  assert.deepEqual(writes, ['put 0', 'put 0', 'put 0']);
+  assert.equal(registration.isCurrent, true);
+  assert.equal(registration.pendingMilliseconds, 0);
+});
--- a/packages/stand-ins/src/objectStore/StandInObjectStore.ts
+++ b/packages/stand-ins/src/objectStore/StandInObjectStore.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 import {
   closeHttp,
@@ -35,6 +36,8 @@
   silentWatches: boolean;
   /** Number of next writes that take effect but are not answered. */
   loseWriteAnswers: number;
+  /** How long a write takes, in milliseconds. */
+  writeMilliseconds: number;
   /** Age of what watches deliver that accept stale data, in milliseconds. */
   staleMilliseconds: number;
 }
@@ -56,6 +59,7 @@
     down: false,
     silentWatches: false,
     loseWriteAnswers: 0,
+    writeMilliseconds: 0,
     staleMilliseconds: 0,
   };
 
@@ -268,6 +272,7 @@
     };
     const name = named ?? body.metadata?.name ?? '';
     const key = `${kind}/${name}`;
+    if (this.faults.writeMilliseconds > 0) await sleep(this.faults.writeMilliseconds);
     const current = this.#objects.get(key);
     const expected = body.metadata?.rev ?? Number(url.searchParams.get('rev') ?? Number.NaN);
     const conflicts =
