Peers hold a leave that the store does not hold

Callers saw: requests at a backend server that has left, after its node acknowledged the leave while the store was away and was killed before the store was back, and a late report came. The stop of a node with a grace time shorter than the outage has the same effect.

While the store is away there is only the memory of the process.

Change: if the store does not hold the leave within 0.4 s, the node asks its connected peers to hold it and waits for the first, at most 0.3 s, so that the acknowledgement still comes within 1 s. A peer returns the leave when the node connects again, until the store holds it or a later backend server. While the store answers nothing is sent.

--- a/packages/host-node/src/__tests__/leave.test.ts
+++ b/packages/host-node/src/__tests__/leave.test.ts
@@ -17,6 +17,8 @@
 /** A backend server takes no answer within this time for a missing one. */
 const acknowledgementMilliseconds = 1000;
 const graceMilliseconds = 8000;
+/** Too short to do anything before the end, as with a kill. */
+const noGraceMilliseconds = 400;
 /** Longer than an idle node takes to stop. */
 const outageMilliseconds = 3000;
 
@@ -95,4 +97,27 @@
     assert.equal(storedLeaving(store, 'one'), true, 'only the process knew of the leave');
     await restarted.stop();
   });
+
+  it('guards against a leave that a kill forgets while the store is away', async (t) => {
+    const { members, store } = await startFleet(t, ['one', 'two', 'three'], undefined, {
+      graceMilliseconds: noGraceMilliseconds,
+    });
+    const [one] = members;
+    assert.ok(one !== undefined);
+    store.faults.refuseWith = 503;
+    assert.equal((await sendLeave(one)).status, 200);
+    await one.node.stop();
+    const restarted = await startNode(t, one.settings);
+    await waitUntil(() => restarted.ready);
+    store.faults.refuseWith = undefined;
+    await waitUntil(() => restarted.hostCount === 3);
+    await sendLateReport(one);
+    await sleep(500);
+    for (const [index, { settings }] of [...members, ...members].entries()) {
+      const path = `/reads/${index}`;
+      await sendRequest(settings.listeners.callers.port, { path, id: `r${index}` });
+    }
+    assert.deepEqual(one.backend.ran, []);
+    await waitUntil(() => storedLeaving(store, 'one') === true);
+  });
 });
--- a/packages/host-node/src/backend/BackendServerRegistry.ts
+++ b/packages/host-node/src/backend/BackendServerRegistry.ts
@@ -98,6 +98,19 @@
     this.#options.onCurrentChanged();
   }
 
+  /** The backend server that has announced that it leaves; `undefined` if none has. */
+  get leave(): Leave | undefined {
+    const current = this.#current;
+    if (current === undefined) return this.#earlyLeave;
+    return current.leaving ? current.report : undefined;
+  }
+
+  /** Takes in a leave that a peer has held since before this node was started. */
+  handleReturnedLeave({ backendServerId, startedAt }: Leave): void {
+    if (this.#current === undefined) this.handleLeave(backendServerId, startedAt);
+    else if (this.#history.recordStoredLeave(backendServerId, startedAt)) this.#leaveCurrent();
+  }
+
   /** Whether the backend server of an entry has left, according to a notice without a report. */
   hasLeftEarly({ backendServerId, startedAt = 0 }: HostEntry): boolean {
     const leave = this.#earlyLeave;
--- a/packages/host-node/src/control/ReportsListener.ts
+++ b/packages/host-node/src/control/ReportsListener.ts
@@ -19,10 +19,10 @@
 export interface ReportsListenerOptions {
   readonly registry: Pick<BackendServerRegistry, 'handleLeave' | 'handleReport'>;
   /**
-   * Waits until the store holds what the registry knows, for a limited time. The acknowledgement of
-   * a leave also binds the node that runs here after this one, which may get a late report.
+   * Waits until the store or a peer knows of a leave, for a limited time. Its acknowledgement also
+   * binds the node that runs here after this one, which may get a late report.
    */
-  readonly waitUntilStored: () => Promise<void>;
+  readonly waitUntilRecorded: () => Promise<void>;
   readonly account: ConnectionAccount;
   readonly logger: Logger;
 }
@@ -60,7 +60,7 @@
   }
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { logger, registry, waitUntilStored } = this.#options;
+    const { logger, registry, waitUntilRecorded } = this.#options;
     const call = request.method === 'POST' ? matchReportCall(request.url ?? '') : undefined;
     if (call === undefined) {
       request.resume();
@@ -74,7 +74,7 @@
     }
     if (call.type === 'leave') {
       registry.handleLeave(call.backendServerId, decodeLeaveStart(body));
-      await waitUntilStored();
+      await waitUntilRecorded();
       respond(response, 200);
       return;
     }
@@ -87,7 +87,7 @@
       return;
     }
     registry.handleReport(report);
-    if (report.draining) await waitUntilStored();
+    if (report.draining) await waitUntilRecorded();
     respond(response, 200);
   }
 }
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -49,6 +49,7 @@
 import { ConfigurationPeerSelector } from './control/ConfigurationPeerSelector.js';
 import { EvacuationReader } from './control/EvacuationReader.js';
 import { Evacuations } from './control/Evacuations.js';
+import { LeaveReplicas } from './control/LeaveReplicas.js';
 import { OccupancyReporter } from './control/OccupancyReporter.js';
 import { PeerConnectionManager } from './control/PeerConnectionManager.js';
 import { ReportsListener } from './control/ReportsListener.js';
@@ -93,8 +94,9 @@
 // In a large fleet, a release changes several entries a second, each of which wakes every node.
 const hostsPauseMilliseconds = 1000;
 
-// Longest delay of the acknowledgement of a leave. A backend server waits 1 s for it.
-const leaveAcknowledgementMilliseconds = 700;
+// Together the longest delay of the acknowledgement of a leave. A backend server waits 1 s for it.
+const leaveWriteMilliseconds = 400;
+const leaveReplicationMilliseconds = 300;
 
 // A request to a host that has become unreachable must be retried within its target latency.
 const liveness: PeerLiveness = {
@@ -137,6 +139,7 @@
   let router: RequestRouter;
   let choice: HostChoice;
   let loadProber: LoadProber;
+  let leaveReplicas: LeaveReplicas;
   let exchange: DocumentExchange;
   let configurationFollower: StoreFollower;
   let configurationCheck: StoreFollower;
@@ -191,7 +194,10 @@
     liveness,
     // A stopping node refuses the caller's next attempt, so that giving up early gains nothing.
     waitsForSilentPeers: () => node.stopping,
-    introduced: ({ identity }) => choice.loadOf(identity.nodeId).resetOnReconnect(),
+    introduced: ({ identity }) => {
+      choice.loadOf(identity.nodeId).resetOnReconnect();
+      leaveReplicas.handleConnected(identity.nodeId);
+    },
     localLoad: () => backendServers.load(),
     onLoad: (peer, report) => {
       choice.loadOf(peer).recordReport(report, clock.now());
@@ -202,6 +208,13 @@
     clock,
     logger,
   });
+  leaveReplicas = new LeaveReplicas({
+    channel: pool,
+    connectedPeers: () => pool.connectedPeers(),
+    storedEntry: (peer) => directory.entry(peer),
+    onReturned: (leave) => backendServers.handleReturnedLeave(leave),
+    clock,
+  });
   loadProber = new LoadProber({ requestLoad: (peer) => pool.requestLoad(peer), clock });
   const routeWorkEstimator = new RouteWorkEstimator();
   choice = new HostChoice({
@@ -347,6 +360,7 @@
   });
   directory.onChange(() => {
     choice.removeUnlistedHosts();
+    leaveReplicas.prune();
     brokerMembership.update({
       brokers: watchers.ofAllRegions(),
       hasStepped: (host) => directory.entry(host) !== undefined,
@@ -506,7 +520,12 @@
   });
   const reports = new ReportsListener({
     registry: backendServers,
-    waitUntilStored: () => registration.waitUntilCurrent(leaveAcknowledgementMilliseconds),
+    waitUntilRecorded: async () => {
+      await registration.waitUntilCurrent(leaveWriteMilliseconds);
+      const { leave } = backendServers;
+      if (leave === undefined || registration.isCurrent) return;
+      await leaveReplicas.replicate(leave, leaveReplicationMilliseconds);
+    },
     account,
     logger,
   });
