A stopping node refuses what it cannot answer before its end

Callers saw: a request whose usual work is longer than the rest of the grace time was passed on, ran until the node ended, and got a 504.

Cause: its deadline is shortened to the end of the node, but a host with a free slot starts a request without comparing its usual work with the deadline.

Change: the stopping node compares them itself and refuses at once, with 503 and Retry-After.

Test: CallersListener.test "guards against a request that usually takes longer than a stopping node runs"; on the former sources the request is passed on (502 of the stub in place of 503).

--- a/packages/host-node/src/__tests__/CallersListener.test.ts
+++ b/packages/host-node/src/__tests__/CallersListener.test.ts
@@ -19,6 +19,8 @@
 import type { RequestRouter } from '../routing/RequestRouter.js';
 import { freePorts, host, sendRequest } from './fleet.js';
 
+const expectedWorkMilliseconds = 100;
+
 /** Starts a listener over a stub router. */
 async function startListener(
   t: TestContext,
@@ -33,6 +35,7 @@
     configuration: { limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536 }, tenantsByKey },
     callerTimeoutEstimator: { estimateElapsed: () => 0 },
     chooseService: () => 'desk',
+    expectedWork: () => expectedWorkMilliseconds,
     findRoute,
     route,
   } as unknown as RequestRouter;
@@ -160,6 +163,17 @@
     assert.deepEqual(deadlines, [endsAt]);
   });
 
+  // Passed on, it would run until the node ends, and get a 504 in place of its answer.
+  it('guards against a request that usually takes longer than a stopping node runs', async (t) => {
+    const endsAt = systemClock.now() + expectedWorkMilliseconds / 2;
+    const { finished, send } = await startListener(t, { findRoute, route: notRouted }, endsAt);
+    const refusal = await send();
+    assert.equal(refusal.status, 503);
+    assert.ok(Number(refusal.headers['retry-after']) > 0);
+    const outcome = finished[0]?.outcome;
+    assert.equal(outcome?.type === 'failed' && outcome.reason, 'stopping');
+  });
+
   it('guards against a request that is cut off without an answer when the node ends', async (t) => {
     const route = async ({ signal }: CallerRequest): Promise<CallerOutcome> => {
       await once(signal, 'abort');
--- a/packages/host-node/src/__tests__/stoppingConnections.test.ts
+++ b/packages/host-node/src/__tests__/stoppingConnections.test.ts
@@ -22,6 +22,7 @@
     configuration: { limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536 } },
     callerTimeoutEstimator: { estimateElapsed: () => 0 },
     chooseService: () => 'desk',
+    expectedWork: () => 10,
     findRoute: () => ({ name: 'reads', timeoutMilliseconds: 5000, targetMilliseconds: 500 }),
     route,
   } as unknown as RequestRouter;
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -97,6 +97,15 @@
   detail: 'a fault of this node',
 };
 
+/** For a request that this process cannot answer before its end, or not surely. */
+const refusalBeforeEnd: FailedOutcome = {
+  type: 'failed',
+  reason: FailureReason.stopping,
+  mayHaveRun: false,
+  detail: 'this node is about to end',
+  returnMilliseconds: startupRetryMilliseconds,
+};
+
 /** Accepts HTTP requests from callers on this host, including its backend server. */
 export class CallersListener implements AsyncDisposable {
   readonly #options: CallersListenerOptions;
@@ -295,12 +304,7 @@
   #findRoute(request: IncomingMessage, requestId: string): RouteMatch | FailedOutcome {
     const { router } = this.#options;
     const { configuration } = router;
-    if (this.#stoppedAccepting) {
-      return {
-        ...failure(FailureReason.stopping, 'this node is about to end'),
-        returnMilliseconds: startupRetryMilliseconds,
-      };
-    }
+    if (this.#stoppedAccepting) return refusalBeforeEnd;
     if (configuration === undefined) {
       const detail = 'this node knows no configuration yet';
       return {
@@ -319,6 +323,7 @@
     if (route === undefined) {
       return failure(FailureReason.noRoute, `no route for host "${host}" and this path`);
     }
+    if (this.#endsBeforeAnswer(route)) return refusalBeforeEnd;
     // Backend servers reject such a request, so that it would only take a slot from others.
     if (requestId === '') return failure(FailureReason.badRequest, 'the request has no Request-Id');
     const isNestedCall = this.#options.isNestedCall(requestId);
@@ -338,6 +343,12 @@
     };
   }
 
+  /** Whether this node is likely to end before a request of the route is answered. */
+  #endsBeforeAnswer(route: Route): boolean {
+    const { clock, endsAt, router } = this.#options;
+    return clock.now() + router.expectedWork(route) > (endsAt() ?? Infinity);
+  }
+
   #toCallerRequest(options: RoutableRequest & { readonly body: RequestBody }): CallerRequest {
     const { arrivedAt, body, found, request, requestId, signal } = options;
     const { depth, route, service, tenant } = found;
--- a/packages/host-node/src/routing/RequestRouter.ts
+++ b/packages/host-node/src/routing/RequestRouter.ts
@@ -50,6 +50,11 @@
     return this.#options.routeWorkEstimator;
   }
 
+  /** Usual work of the requests of a route, in milliseconds. */
+  expectedWork({ name, targetMilliseconds }: Route): number {
+    return this.#options.routeWorkEstimator.expectedWork(name, targetMilliseconds);
+  }
+
   /** Applies a configuration. Returns false if it is not newer than the current one. */
   apply(configuration: RouteConfiguration): boolean {
     if (this.#configuration !== undefined && configuration.version <= this.#configuration.version) {
