--- a/packages/host-node/src/HostNode.ts
+++ b/packages/host-node/src/HostNode.ts
@@ -56,8 +56,9 @@
 // Part of the grace period that is reserved for sending responses before the process is killed.
 const shutdownMarginMilliseconds = 300;
 const exitMarginMilliseconds = 100;
-// Share of the grace period in which new requests are accepted. The rest is for running requests.
-const acceptingShare = 0.45;
+// The platform excuses a request that the end of the grace period cuts off only if it was sent in the
+// first 3 s, whatever the grace period. The rest is for requests that are read late.
+const acceptingMilliseconds = 2800;
 const shutdownPollMilliseconds = 20;
 
 /** Routes the requests of the callers on its host, and admits requests to its backend server. */
@@ -194,7 +195,7 @@
     };
     await waitUntil(
       (elapsed) =>
-        elapsed > limit * acceptingShare ||
+        elapsed > Math.min(acceptingMilliseconds, limit) ||
         (elapsed > readinessPropagationMilliseconds && this.#isIdle()),
     );
     // From here on a request is refused at once, and none starts that the exit would cut off.
--- a/packages/host-node/src/__tests__/plannedStop.test.ts
+++ b/packages/host-node/src/__tests__/plannedStop.test.ts
@@ -1,7 +1,8 @@
 import { silentLogger } from '@hickorybridge/logger';
-import { systemClock } from '@hickorybridge/utils';
+import { systemClock, type Clock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { setImmediate } from 'node:timers/promises';
 
 import { HostNode, type HostNodeComponents } from '../HostNode.js';
 
@@ -9,9 +10,34 @@
 /** One tenth of a second of real time, for the delays of timers. */
 const toleranceMilliseconds = 10_000;
 
-/** Starts the shutdown of a node with stub components and a clock that runs 100 times faster. */
-function stopNode({ supervisorMilliseconds = 1000, lateMilliseconds = 0 } = {}) {
+const fastClock: Clock = {
+  ...systemClock,
+  now: () => systemClock.now() * speed,
+  sleep: (milliseconds) => systemClock.sleep(milliseconds / speed),
+};
+
+/** A clock on which a wait takes exactly its time, and no real time. */
+function createVirtualClock(): Clock {
+  let now = 0;
+  return {
+    now: () => now,
+    wallTime: () => now,
+    sleep: async (milliseconds) => {
+      now += milliseconds;
+      await setImmediate();
+    },
+  };
+}
+
+/** Starts the shutdown of a node with stub components, on a clock that runs 100 times faster. */
+function stopNode({
+  supervisorMilliseconds = 1000,
+  lateMilliseconds = 0,
+  graceMilliseconds = 10_000,
+  clock = fastClock,
+} = {}) {
   const events: string[] = [];
+  let acceptedUntil: number | undefined;
   const state = { openRequests: 0, peerRequests: 0 };
   const disposable = (name: string, milliseconds = 0) => ({
     [Symbol.asyncDispose]: async () => {
@@ -24,7 +50,10 @@
     get open() {
       return state.openRequests;
     },
-    stopAccepting: () => events.push('stopped accepting'),
+    stopAccepting: () => {
+      events.push('stopped accepting');
+      acceptedUntil = clock.now();
+    },
     endOpenRequests: () => {
       if (state.openRequests > 0) events.push('ended open requests');
       state.openRequests = 0;
@@ -37,7 +66,7 @@
     },
   };
   const components = {
-    settings: { current: { nodeId: 'n1', bounds: { graceMilliseconds: 10_000 } } },
+    settings: { current: { nodeId: 'n1', bounds: { graceMilliseconds } } },
     backendServers: { current: undefined, load: () => undefined },
     directory: { entry: () => undefined },
     registration: { isCurrent: true },
@@ -45,19 +74,34 @@
     pool,
     supervisor: disposable('supervisor', supervisorMilliseconds),
     disposables: [callers, pool],
-    stallDetector: { unreadSince: () => systemClock.now() * speed - lateMilliseconds },
-    clock: {
-      ...systemClock,
-      now: () => systemClock.now() * speed,
-      sleep: (milliseconds: number) => systemClock.sleep(milliseconds / speed),
-    },
+    stallDetector: { unreadSince: () => clock.now() - lateMilliseconds },
+    clock,
     logger: silentLogger,
   } as unknown as HostNodeComponents;
   const node = new HostNode(components);
-  return { events, state, node, stopped: node.stop() };
+  return { events, state, node, stopped: node.stop(), acceptedUntil: () => acceptedUntil };
 }
 
+// "The backend was still at work in the last sixth of `grace` on a request that was sent no later
+// than 3 s after the SIGTERM" excuses an answer of the node in place of the backend server's.
+const excusedMilliseconds = 3000;
+const excusedShare = 5 / 6;
+
 describe('a planned stop', () => {
+  for (const graceMilliseconds of [2000, 4000, 6000, 7000, 10_000, 20_000, 30_000]) {
+    it(`guards against requests that a grace time of ${graceMilliseconds} ms cuts off without an excuse`, async () => {
+      const clock = createVirtualClock();
+      const { acceptedUntil, node, state, stopped } = stopNode({ clock, graceMilliseconds });
+      state.openRequests = 1;
+      await stopped;
+      const until = acceptedUntil() ?? Infinity;
+      assert.ok(until < excusedMilliseconds, `requests are accepted for ${until} ms`);
+      const endsAt = node.endsAt ?? 0;
+      assert.ok(endsAt >= graceMilliseconds * excusedShare, `requests are ended at ${endsAt} ms`);
+      assert.ok(endsAt < graceMilliseconds);
+    });
+  }
+
   it('guards against requests that are accepted while the process ends', async () => {
     const { events, stopped } = stopNode();
     await stopped;
