A stopping node keeps its listener open until its end

Callers saw: from 2.8 s after a SIGTERM on, new connections were refused, which says neither that the request did not run nor when to come back, and calls of requests that still ran at the host were refused with them, so that those requests failed.

Cause: the node closed its listener when it stopped to take requests.

Change: the listener stays open until the process ends. Requests of callers get 503 with Retry-After, and a call of a running request is served if its whole time ends before the node, so that nothing can be cut off.

Tests: CallersListener.test "guards against a refused connection in place of a refusal that says when to return" and "guards against a call of a running request that is refused although it ends in time" (and "... that may be cut off at the end"); on the commit before, all fail with ECONNREFUSED.

--- a/packages/host-node/src/__tests__/CallersListener.test.ts
+++ b/packages/host-node/src/__tests__/CallersListener.test.ts
@@ -26,9 +26,12 @@
   t: TestContext,
   { findRoute, route }: Pick<RequestRouter, 'findRoute' | 'route'>,
   endsAt?: number,
-  changes: Pick<CallersListenerOptions, 'quotas'> & { tenantsByKey?: Map<string, Tenant> } = {},
+  changes: Pick<CallersListenerOptions, 'quotas'> & {
+    tenantsByKey?: Map<string, Tenant>;
+    isNestedCall?: boolean;
+  } = {},
 ) {
-  const { quotas, tenantsByKey } = changes;
+  const { isNestedCall = false, quotas, tenantsByKey } = changes;
   const events: string[] = [];
   const finished: FinishedRequest[] = [];
   const router = {
@@ -42,7 +45,7 @@
   const listener = new CallersListener({
     router,
     service: () => 'desk',
-    isNestedCall: () => false,
+    isNestedCall: () => isNestedCall,
     isBelowRepeat: () => false,
     endsAt: () => endsAt,
     ...(quotas === undefined ? {} : { quotas }),
@@ -174,6 +177,32 @@
     assert.equal(outcome?.type === 'failed' && outcome.reason, 'stopping');
   });
 
+  it('guards against a refused connection in place of a refusal that says when to return', async (t) => {
+    const endsAt = systemClock.now() + 60_000;
+    const { listener, send } = await startListener(t, { findRoute, route: notRouted }, endsAt);
+    listener.stopAccepting();
+    const refusal = await send();
+    assert.equal(refusal.status, 503);
+    assert.ok(Number(refusal.headers['retry-after']) > 0);
+  });
+
+  // Without its calls, a request that is still running fails.
+  for (const [what, leftMilliseconds, status] of [
+    ['is refused although it ends in time', 1500, 200],
+    ['may be cut off at the end', 500, 503],
+  ] as const) {
+    it(`guards against a call of a running request that ${what}`, async (t) => {
+      const { listener, send } = await startListener(
+        t,
+        { findRoute, route: async () => answered('done') },
+        systemClock.now() + leftMilliseconds,
+        { isNestedCall: true },
+      );
+      listener.stopAccepting();
+      assert.equal((await send()).status, status);
+    });
+  }
+
   it('guards against a request that is cut off without an answer when the node ends', async (t) => {
     const route = async ({ signal }: CallerRequest): Promise<CallerOutcome> => {
       await once(signal, 'abort');
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -161,11 +161,12 @@
     this.#maxHeadBytes = limits.maxHeaderBytes + requestLineBytes;
   }
 
-  /** Refuses further requests, because their answers would come after the shutdown. */
+  /**
+   * Refuses further requests, because their answers might come after the shutdown. The listener stays
+   * open: a refusal tells callers when to return, and calls of running requests are still served.
+   */
   stopAccepting(): void {
-    if (this.#stoppedAccepting) return;
     this.#stoppedAccepting = true;
-    this.#server.close();
   }
 
   /**
@@ -304,7 +305,8 @@
   #findRoute(request: IncomingMessage, requestId: string): RouteMatch | FailedOutcome {
     const { router } = this.#options;
     const { configuration } = router;
-    if (this.#stoppedAccepting) return refusalBeforeEnd;
+    const isNestedCall = this.#options.isNestedCall(requestId);
+    if (this.#stoppedAccepting && !isNestedCall) return refusalBeforeEnd;
     if (configuration === undefined) {
       const detail = 'this node knows no configuration yet';
       return {
@@ -323,10 +325,9 @@
     if (route === undefined) {
       return failure(FailureReason.noRoute, `no route for host "${host}" and this path`);
     }
-    if (this.#endsBeforeAnswer(route)) return refusalBeforeEnd;
+    if (this.#endsBeforeAnswer(request, route)) return refusalBeforeEnd;
     // Backend servers reject such a request, so that it would only take a slot from others.
     if (requestId === '') return failure(FailureReason.badRequest, 'the request has no Request-Id');
-    const isNestedCall = this.#options.isNestedCall(requestId);
     const { authorization } = request.headers;
     const identity = identifyTenant({ configuration, route, authorization, isNestedCall });
     if (identity.type === 'unknown-key') {
@@ -343,10 +344,17 @@
     };
   }
 
-  /** Whether this node is likely to end before a request of the route is answered. */
-  #endsBeforeAnswer(route: Route): boolean {
+  /** Whether this node may end before a request of the route is answered. */
+  #endsBeforeAnswer(request: IncomingMessage, route: Route): boolean {
     const { clock, endsAt, router } = this.#options;
-    return clock.now() + router.expectedWork(route) > (endsAt() ?? Infinity);
+    const end = endsAt();
+    if (end === undefined) return false;
+    // Nothing excuses cutting off a request that came after this node stopped accepting, so that it
+    // needs its whole time, not only what its route usually takes.
+    const neededMilliseconds = this.#stoppedAccepting
+      ? Math.min(remainingMillisecondsOf(request), route.timeoutMilliseconds)
+      : router.expectedWork(route);
+    return clock.now() + neededMilliseconds > end;
   }
 
   #toCallerRequest(options: RoutableRequest & { readonly body: RequestBody }): CallerRequest {
