A held leave of an earlier start is dropped, also under the same id

A peer kept the leave of a backend server that had started again under its id, and returned it at each connection; the node ignored it. Without a connected peer the acknowledgement waited 0.3 s for nobody.

Test: LeaveReplicas.test "guards against returning a leave that is older than the present start under the same id"; found by reading.

--- a/packages/host-node/src/__tests__/LeaveReplicas.test.ts
+++ b/packages/host-node/src/__tests__/LeaveReplicas.test.ts
@@ -11,7 +11,10 @@
 const identity = { nodeId: 'n1', incarnation: 1 };
 
 /** Replicas of a node whose calls are recorded and answered as told. */
-function createReplicas(entry: object | undefined, answers = true) {
+function createReplicas(
+  entry: object | undefined,
+  { answers = true, peers = ['n2', 'n3'] }: { answers?: boolean; peers?: string[] } = {},
+) {
   const handlers = new Map<string, ControlHandler>();
   const calls: string[] = [];
   const returned: Leave[] = [];
@@ -24,7 +27,7 @@
         return answers ? { ok: true, value: {} } : { ok: false, error: { type: 'timeout' } };
       },
     },
-    connectedPeers: () => [{ nodeId: 'n2' }, { nodeId: 'n3' }],
+    connectedPeers: () => peers.map((nodeId) => ({ nodeId })),
     storedEntry: () => stored,
     onReturned: (each) => returned.push(each),
     clock: systemClock,
@@ -41,7 +44,8 @@
     const held = createReplicas(listed);
     await held.replicas.replicate(leave, 60_000);
     assert.deepEqual(held.calls, ['leaves/hold n2', 'leaves/hold n3']);
-    await createReplicas(listed, false).replicas.replicate(leave, 10);
+    await createReplicas(listed, { answers: false }).replicas.replicate(leave, 10);
+    await createReplicas(listed, { peers: [] }).replicas.replicate(leave, 60_000);
   });
 
   it('guards against a leave that a restarted node does not get back', () => {
@@ -57,6 +61,7 @@
   for (const [what, entry] of [
     ['the store holds', { ...listed, leaving: true }],
     ['a later backend server has replaced', { ...listed, backendServerId: 'b2', startedAt: 2000 }],
+    ['is older than the present start under the same id', { ...listed, startedAt: 2000 }],
     ['belongs to a host that is gone', undefined],
   ] as const) {
     it(`guards against returning a leave that ${what}`, () => {
--- a/packages/host-node/src/control/LeaveReplicas.ts
+++ b/packages/host-node/src/control/LeaveReplicas.ts
@@ -46,17 +46,19 @@
   /** Waits until a peer holds the leave, but not longer than the limit. */
   async replicate({ backendServerId, startedAt }: Leave, limitMilliseconds: number): Promise<void> {
     const { channel, clock, connectedPeers } = this.#options;
+    const peers = connectedPeers();
+    if (peers.length === 0) return;
     const isHeld = new AbortController();
     const hold = async (nodeId: string) => {
       const body = { backendServerId, startedAt };
       const reply = await channel.call(nodeId, holdCall, body, limitMilliseconds);
       if (reply.ok) isHeld.abort();
     };
-    for (const { nodeId } of connectedPeers()) hold(nodeId);
+    for (const { nodeId } of peers) hold(nodeId);
     await clock.sleep(limitMilliseconds, isHeld.signal);
   }
 
-  /** Returns the leave of a peer that has connected, unless the store holds it, or a later start. */
+  /** Returns its leave to a peer that has connected, if that still concerns its backend server. */
   handleConnected(nodeId: string): void {
     const leave = this.#held.get(nodeId);
     if (leave === undefined) return;
@@ -64,17 +66,21 @@
     else this.#options.channel.call(nodeId, returnCall, leave, returnTimeoutMilliseconds);
   }
 
-  /** Drops the leaves that the store holds, and those of hosts that are not listed any more. */
+  /** Drops the leaves that the store holds, and those of hosts and backend servers that are gone. */
   prune(): void {
     for (const [nodeId, leave] of this.#held) {
       if (this.#isOutdated(nodeId, leave)) this.#held.delete(nodeId);
     }
   }
 
+  /** Whether the store holds the leave or a later backend server, or does not list the host. */
   #isOutdated(nodeId: string, { backendServerId, startedAt }: Leave): boolean {
     const entry = this.#options.storedEntry(nodeId);
     if (entry === undefined || entry.leaving) return true;
-    return entry.backendServerId !== backendServerId && (entry.startedAt ?? 0) >= startedAt;
+    const { startedAt: storedStart = 0 } = entry;
+    if (entry.backendServerId !== backendServerId) return storedStart >= startedAt;
+    // A backend server may start again under its id.
+    return startedAt > 0 && storedStart > startedAt;
   }
 }
 
