--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -1,5 +1,5 @@
-// A client opens connections and sends the first request on each of them a little later. The node beside
-// it stands still meanwhile. When it goes on, it answers the requests with 408, and runs them.
+// Clients open connections and send the first request on each of them a little later, or its head in two
+// parts. The node beside them stands still meanwhile. When it goes on, it answers the requests with 408, and runs them.
 import { connect } from 'node:net';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -17,6 +17,7 @@
 const sendAtMilliseconds = 2950;
 const continueAtMilliseconds = 4080;
 const hostName = 'hulo84.example';
+const requestLine = 'POST /xapu221/ny95/2f HTTP/1.1\r\n';
 const promises = [408, 421, 429, 503];
 
 const record = new Record(path.dirname(fileURLToPath(import.meta.url)));
@@ -72,19 +73,29 @@
     );
   }
 
+  /** Sends the first line of a request; the rest follows with `send`. */
+  begin() {
+    this.hasBegun = true;
+    setTimeout(() => this.socket.write(requestLine), clientDelayMilliseconds);
+  }
+
   /** Sends one request. Gives the status of its answer; undefined if there is none in time. */
   send(id) {
     this.id = id;
     const head = [
-      'POST /xapu221/ny95/2f HTTP/1.1',
       `Host: ${hostName}`,
       `Request-Id: ${id}`,
       `Deadline-Ms: ${deadlineMilliseconds}`,
       'Content-Length: 9',
     ];
-    record.write(`client sends order ${id} on a connection of its own`);
+    record.write(
+      `client sends order ${id} ${this.hasBegun ? 'with a slow head' : 'on an unused connection'}`,
+    );
     setTimeout(
-      () => this.socket.write(`${head.join('\r\n')}\r\n\r\ncut order`),
+      () =>
+        this.socket.write(
+          `${this.hasBegun ? '' : requestLine}${head.join('\r\n')}\r\n\r\ncut order`,
+        ),
       clientDelayMilliseconds,
     );
     setTimeout(() => this.#end('the deadline has passed'), deadlineMilliseconds);
@@ -120,6 +131,8 @@
 for (let round = 1; round <= rounds; round += 1) {
   const openedAt = performance.now();
   const connections = Array.from({ length: connectionsPerRound }, () => new Connection(host));
+  // Half of the clients send the head in two parts, as slowly as `header_timeout` allows.
+  for (const connection of connections.slice(connectionsPerRound / 2)) connection.begin();
   record.write(`client opens ${connectionsPerRound} connections to ${host.name}`);
   await sleep(openedAt + freezeAtMilliseconds - performance.now());
   if (isTroubled) {
