--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -9,11 +9,23 @@
 
   #wakers = new Set();
 
+  #connections = new Set();
+
+  #silent = new WeakSet();
+
   constructor({ staleMilliseconds = 0 } = {}) {
     this.staleMilliseconds = staleMilliseconds;
     /** Called with each call as { method, url }; gives 'ok', 'silent', 'reset' or a status. */
     this.admit = () => 'ok';
-    this.server = createServer((request, response) => this.#handle(request, response));
+    this.server = createServer((request, response) => {
+      // An answer on a connection that has gone silent gets nowhere.
+      response.isSilent = () => this.#silent.has(request.socket);
+      this.#handle(request, response);
+    });
+    this.server.on('connection', (socket) => {
+      this.#connections.add(socket);
+      socket.once('close', () => this.#connections.delete(socket));
+    });
   }
 
   async start(port) {
@@ -32,6 +44,11 @@
     return this.#change(kind, name, spec, false);
   }
 
+  /** From now on nothing comes back on the connections that are open. They stay open. */
+  silenceOpenConnections() {
+    for (const socket of this.#connections) this.#silent.add(socket);
+  }
+
   get(kind, name) {
     return this.#latest.objects.get(`${kind}/${name}`);
   }
@@ -70,6 +87,7 @@
     } catch {
       return;
     }
+    if (response.isSilent()) return;
     const verdict = this.admit({ method: request.method, url: request.url });
     if (verdict === 'silent') return;
     if (verdict === 'reset') {
@@ -151,7 +169,7 @@
 }
 
 function send(response, status, body) {
-  if (response.destroyed) return;
+  if (response.destroyed || response.isSilent()) return;
   const text = JSON.stringify(body);
   response.writeHead(status, {
     'content-type': 'application/json',
