A request that arrives after its 408 does not run

Cause: the 408 ended only the sending direction of the connection. Its parser went on, so that a head which arrived within the next 250 ms, or while the 408 waited for the answer to an earlier request, was accepted. No stall is needed: a head that crosses the 408 on its way is enough.

A connection with a rejected head now passes on nothing more. What still arrives is read and dropped, since unread bytes would reset the connection and hide that the client closes it.

--- a/packages/host-node/src/__tests__/CallersListener.test.ts
+++ b/packages/host-node/src/__tests__/CallersListener.test.ts
@@ -1,6 +1,6 @@
 import { TokenBatch } from '@hickorybridge/coordination';
 import { createLogger } from '@hickorybridge/logger';
-import type { Tenant } from '@hickorybridge/types';
+import type { CallerLimits, Tenant } from '@hickorybridge/types';
 import { ConnectionAccount, systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
@@ -372,6 +372,69 @@
   });
 });
 
+/** Limits that add nothing to the margins of the listener, of 1 s each. */
+const shortestLimits: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 65_536,
+  headerTimeoutMilliseconds: 0,
+  idleTimeoutMilliseconds: 0,
+};
+const orderLine = 'POST /orders/1 HTTP/1.1\r\n';
+const orderHead = 'host: a.example\r\nrequest-id: x\r\ncontent-length: 0\r\n\r\n';
+
+/** A listener with the shortest limits, which counts the requests that it routes. */
+async function startCountingListener(t: TestContext) {
+  const counts = { routed: 0 };
+  const { listener, port } = await startListener(t, {
+    findRoute,
+    route: async () => {
+      counts.routed += 1;
+      return answered('done');
+    },
+  });
+  listener.applyLimits(shortestLimits);
+  return { counts, port };
+}
+
+describe('time limits of the connections of callers', () => {
+  it('guards against running a request whose head arrives after the 408', async (t) => {
+    const { counts, port } = await startCountingListener(t);
+    const socket = connect({ port, host, allowHalfOpen: true });
+    t.after(() => socket.destroy());
+    socket.write(orderLine);
+    const [answer] = (await once(socket, 'data')) as [Buffer];
+    assert.match(answer.toString(), /^HTTP\/1\.1 408 /);
+    socket.write(orderHead);
+    await systemClock.sleep(400);
+    assert.equal(counts.routed, 0);
+  });
+
+  it('guards against running a request whose head arrives while the 408 waits for an earlier answer', async (t) => {
+    const outcomes: ((outcome: CallerOutcome) => void)[] = [];
+    const { listener, port } = await startListener(t, {
+      findRoute,
+      route: () =>
+        new Promise((resolve) => {
+          outcomes.push(resolve);
+        }),
+    });
+    listener.applyLimits(shortestLimits);
+    const socket = connect({ port, host, allowHalfOpen: true });
+    t.after(() => socket.destroy());
+    const answers: Buffer[] = [];
+    socket.on('data', (part: Buffer) => answers.push(part));
+    socket.write(`${orderLine}${orderHead}${orderLine}`);
+    // The head times out after 1 to 2 s.
+    await systemClock.sleep(2500);
+    socket.write(orderHead);
+    await systemClock.sleep(50);
+    outcomes[0]?.(answered('first'));
+    await systemClock.sleep(50);
+    assert.match(Buffer.concat(answers).toString(), /first[^]*HTTP\/1\.1 408 /);
+    assert.equal(outcomes.length, 1);
+  });
+});
+
 function answered(body: string): CallerOutcome {
   return {
     type: 'answered',
--- a/packages/host-node/src/callers/HeadErrorResponder.ts
+++ b/packages/host-node/src/callers/HeadErrorResponder.ts
@@ -2,6 +2,7 @@
 import type { Duplex } from 'node:stream';
 
 import { FailureReason } from '../routing/CallerRequest.js';
+import { LimitedConnection } from './LimitedConnection.js';
 
 interface HeadFailure {
   readonly status: number;
@@ -41,10 +42,17 @@
     this.#lastResponses.set(response.req.socket, response);
   }
 
+  /** Whether a head of the connection was rejected, so that no later request on it may run. */
+  hasRejected(socket: Duplex): boolean {
+    return this.#rejected.has(socket);
+  }
+
   /** Answers once all earlier requests of the connection have their answers, and closes it. */
   reject(error: NodeJS.ErrnoException, socket: Duplex): void {
     if (this.#rejected.has(socket)) return;
     this.#rejected.add(socket);
+    // The status promises that the request does not run, but its head may arrive after it.
+    if (socket instanceof LimitedConnection) socket.discardInput();
     const last = this.#lastResponses.get(socket);
     if (!isHeadError(error) || (last !== undefined && !last.req.complete)) {
       socket.destroy();
--- a/packages/host-node/src/callers/LimitedConnection.ts
+++ b/packages/host-node/src/callers/LimitedConnection.ts
@@ -67,7 +67,8 @@
   /** Bytes passed on since the last request began. */
   #headBytes = 0;
 
-  #isRejected = false;
+  /** Whether nothing more is passed on. */
+  #isDiscarding = false;
 
   /** Bytes passed on since no request was open. */
   #passedBytes = 0;
@@ -123,6 +124,17 @@
     this.#passOn();
   }
 
+  /**
+   * Passes on nothing more. What still arrives is read and dropped: unread bytes would reset the
+   * connection when it is closed, and hide that the client closes it.
+   */
+  discardInput(): void {
+    this.#isDiscarding = true;
+    this.#pending = noData;
+    this.#socket.resume();
+    this.#account();
+  }
+
   /** Closes the connection for the account. */
   close(): void {
     this.destroy();
@@ -189,6 +201,7 @@
 
   #receive(chunk: Buffer): void {
     this.#share?.recordReceived(chunk.length);
+    if (this.#isDiscarding) return;
     this.#pending = this.#pending.length === 0 ? chunk : Buffer.concat([this.#pending, chunk]);
     this.#passOn();
     if (this.#pending.length === 0) return;
@@ -198,7 +211,7 @@
 
   /** Passes on one piece if the HTTP server wants it; it asks for the next one by `_read`. */
   #passOn(): void {
-    if (!this.#isWanted || this.destroyed || this.#isRejected) return;
+    if (!this.#isWanted || this.destroyed || this.#isDiscarding) return;
     if (this.#pending.length === 0) {
       if (this.#hasEnded) {
         this.#isWanted = false;
@@ -220,9 +233,8 @@
   }
 
   #reject(): void {
-    if (this.#isRejected || this.destroyed) return;
-    this.#isRejected = true;
-    this.#pending = noData;
+    if (this.#isDiscarding || this.destroyed) return;
+    this.discardInput();
     this.#socket.pause();
     this.#options.onHeadTooLarge(this);
   }
