Time limits of connections are judged after what has arrived was read

Cause: all timers that have become due during a stall run before the event loop reads its sockets. The check of the head's time of Node.js and the idle time of a connection judged what had not been read yet.

Both are now judged in the next turn of the event loop: a head that is complete by then is served, and a connection on which something has arrived is not idle.

--- a/packages/host-node/src/__tests__/CallersListener.test.ts
+++ b/packages/host-node/src/__tests__/CallersListener.test.ts
@@ -4,10 +4,11 @@
 import { ConnectionAccount, systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { connect } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { PassThrough } from 'node:stream';
 import { text } from 'node:stream/consumers';
 import { describe, it, type TestContext } from 'node:test';
+import { setImmediate as nextCheckPhase } from 'node:timers/promises';
 
 import {
   CallersListener,
@@ -382,6 +383,19 @@
 const orderLine = 'POST /orders/1 HTTP/1.1\r\n';
 const orderHead = 'host: a.example\r\nrequest-id: x\r\ncontent-length: 0\r\n\r\n';
 
+/**
+ * Writes while the event loop stands still. It runs the timers that have become due before it reads.
+ */
+async function writeDuringStall(
+  socket: Socket,
+  bytes: string,
+  milliseconds: number,
+): Promise<void> {
+  await nextCheckPhase();
+  socket.write(bytes);
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
 /** A listener with the shortest limits, which counts the requests that it routes. */
 async function startCountingListener(t: TestContext) {
   const counts = { routed: 0 };
@@ -397,6 +411,24 @@
 }
 
 describe('time limits of the connections of callers', () => {
+  for (const [kind, early] of [
+    ['an unused connection', ''],
+    ['a slow head', orderLine],
+  ] as const) {
+    it(`guards against a 408 for a request on ${kind} that arrived while the process stood still`, async (t) => {
+      const { counts, port } = await startCountingListener(t);
+      const socket = connect(port, host);
+      t.after(() => socket.destroy());
+      await once(socket, 'connect');
+      socket.write(early);
+      await systemClock.sleep(300);
+      await writeDuringStall(socket, `${orderLine}${orderHead}`.slice(early.length), 2200);
+      const [answer] = (await once(socket, 'data')) as [Buffer];
+      assert.match(answer.toString(), /^HTTP\/1\.1 200 /);
+      assert.equal(counts.routed, 1);
+    });
+  }
+
   it('guards against running a request whose head arrives after the 408', async (t) => {
     const { counts, port } = await startCountingListener(t);
     const socket = connect({ port, host, allowHalfOpen: true });
@@ -433,6 +465,19 @@
     assert.match(Buffer.concat(answers).toString(), /first[^]*HTTP\/1\.1 408 /);
     assert.equal(outcomes.length, 1);
   });
+
+  it('guards against a lost request that arrived on an idle connection while the process stood still', async (t) => {
+    const { counts, port } = await startCountingListener(t);
+    const socket = connect(port, host);
+    t.after(() => socket.destroy());
+    socket.write(`${orderLine}${orderHead}`);
+    await once(socket, 'data');
+    await systemClock.sleep(300);
+    await writeDuringStall(socket, `${orderLine}${orderHead}`, 2200);
+    const [answer] = (await once(socket, 'data')) as [Buffer];
+    assert.match(answer.toString(), /^HTTP\/1\.1 200 /);
+    assert.equal(counts.routed, 2);
+  });
 });
 
 function answered(body: string): CallerOutcome {
--- a/packages/host-node/src/callers/HeadErrorResponder.ts
+++ b/packages/host-node/src/callers/HeadErrorResponder.ts
@@ -10,6 +10,8 @@
   readonly detail: string;
 }
 
+/** Error of Node.js for a head that has not arrived within `headersTimeout`. */
+const headTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
 /** Failures that are answered with a status other than 400, by the error code of Node.js. */
 const failuresByCode: Readonly<Record<string, HeadFailure>> = {
   HPE_HEADER_OVERFLOW: {
@@ -17,7 +19,7 @@
     reason: FailureReason.headersTooLarge,
     detail: 'the headers are larger than allowed',
   },
-  ERR_HTTP_REQUEST_TIMEOUT: {
+  [headTimeoutCode]: {
     status: 408,
     reason: FailureReason.headersTimeout,
     detail: 'the head did not arrive in time',
@@ -49,6 +51,22 @@
 
   /** Answers once all earlier requests of the connection have their answers, and closes it. */
   reject(error: NodeJS.ErrnoException, socket: Duplex): void {
+    if (error.code === headTimeoutCode) this.#rejectUnlessArrived(error, socket);
+    else this.#rejectNow(error, socket);
+  }
+
+  /**
+   * Rejects a head once what has arrived on its connection was read. After a stall of the process,
+   * the check of Node.js comes before that, and the head may be complete.
+   */
+  #rejectUnlessArrived(error: NodeJS.ErrnoException, socket: Duplex): void {
+    const last = this.#lastResponses.get(socket);
+    setImmediate(() => {
+      if (this.#lastResponses.get(socket) === last) this.#rejectNow(error, socket);
+    });
+  }
+
+  #rejectNow(error: NodeJS.ErrnoException, socket: Duplex): void {
     if (this.#rejected.has(socket)) return;
     this.#rejected.add(socket);
     // The status promises that the request does not run, but its head may arrive after it.
--- a/packages/host-node/src/callers/LimitedConnection.ts
+++ b/packages/host-node/src/callers/LimitedConnection.ts
@@ -70,6 +70,9 @@
   /** Whether nothing more is passed on. */
   #isDiscarding = false;
 
+  /** Bytes read from the socket. */
+  #receivedBytes = 0;
+
   /** Bytes passed on since no request was open. */
   #passedBytes = 0;
 
@@ -91,7 +94,7 @@
       this.#hasEnded = true;
       this.#passOn();
     });
-    this.#socket.on('timeout', () => this.emit('timeout'));
+    this.#socket.on('timeout', () => this.#handleTimeout());
     this.#socket.on('error', (error) => this.destroy(error));
     this.#socket.once('close', () => this.destroy());
   }
@@ -199,7 +202,19 @@
     callback(error);
   }
 
+  /**
+   * Reports that the connection was idle for too long, unless something has arrived. After a stall of
+   * the process, the timer comes before that is read.
+   */
+  #handleTimeout(): void {
+    const received = this.#receivedBytes;
+    setImmediate(() => {
+      if (!this.destroyed && this.#receivedBytes === received) this.emit('timeout');
+    });
+  }
+
   #receive(chunk: Buffer): void {
+    this.#receivedBytes += chunk.length;
     this.#share?.recordReceived(chunk.length);
     if (this.#isDiscarding) return;
     this.#pending = this.#pending.length === 0 ? chunk : Buffer.concat([this.#pending, chunk]);
