A node reads its own entry itself after its start

A backend server leaves, its node acknowledges that and is killed.

Cause: the store held the leave, but a new process learnt of it only by the list of hosts, which may be seconds old. The old entry in that list equalled the entry that the node wanted to write, so nothing was written, and no conflict showed the difference.

A node now reads the entry of its own host from current data, once after its start and before its first write. A leave found in it counts for every report of that start that comes later, whatever a list shows. A list that is older than the known entry is ignored, also if it shows none: so far that led to a needless write, and a leave notice before the first report found no entry to mark. It costs one read for each start of a process.

The stand-in store can answer lists and watches that accept stale data from an earlier copy.

--- a/packages/host-node/src/HostNode.ts
+++ b/packages/host-node/src/HostNode.ts
@@ -223,8 +223,8 @@
 
   /** Marks the entry from before the start of this node, if its backend server left without a report. */
   #registerEarlyLeave(): void {
-    const { backendServers, directory, registration, settings } = this.#components;
-    const entry = directory.entry(settings.current.nodeId);
+    const { backendServers, registration } = this.#components;
+    const entry = registration.stored;
     if (entry === undefined || entry.leaving || !backendServers.hasLeftEarly(entry)) return;
     registration.set({ ...entry, leaving: true });
   }
--- a/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
+++ b/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
@@ -34,14 +34,9 @@
 };
 
 /** A registry of a node that has just been started. */
-function startRegistry(
-  t: TestContext,
-  hasLeft = false,
-  coldLimit?: ColdLimit,
-): BackendServerRegistry {
+function startRegistry(t: TestContext, coldLimit?: ColdLimit): BackendServerRegistry {
   const registry = new BackendServerRegistry({
     isLocalReport: () => true,
-    hasLeft: () => hasLeft,
     maxConnectionsOf: () => 10,
     coldLimitOf: () => coldLimit,
     drainMilliseconds: 500,
@@ -60,7 +55,16 @@
 // A report may be seconds late. These tests guard against one that a restarted node takes for news.
 describe('late reports after a restart of the node', () => {
   it('guards against using a backend server that left before the restart', (t) => {
-    const registry = startRegistry(t, true);
+    const registry = startRegistry(t);
+    registry.handleStoredEntry(storedEntry);
+    registry.handleReport(report);
+    assert.equal(isUsed(registry), false);
+  });
+
+  it('guards against using a backend server that a current read knows as leaving and a stale list does not', (t) => {
+    const registry = startRegistry(t);
+    registry.handleStoredEntry(storedEntry);
+    registry.handleStoredEntry({ ...storedEntry, leaving: false });
     registry.handleReport(report);
     assert.equal(isUsed(registry), false);
   });
@@ -167,7 +171,7 @@
   const isCold = (registry: BackendServerRegistry) => (registry.load()?.rampShare ?? 1) < 1;
 
   it('guards against full load on a backend server that reports later that it is cold', (t) => {
-    const registry = startRegistry(t, false, limit);
+    const registry = startRegistry(t, limit);
     registry.handleReport(report);
     assert.equal(isCold(registry), false);
     registry.handleReport({ ...report, sequence: 8, coldMilliseconds: 2000 });
@@ -177,7 +181,7 @@
   });
 
   it('start during traffic: guards against full load on a new incarnation that reports no cold time', (t) => {
-    const registry = startRegistry(t, false, limit);
+    const registry = startRegistry(t, limit);
     registry.handleReport(report);
     registry.handleReport({ ...report, sequence: 1, startedAt: 2000 });
     assert.equal(isCold(registry), true);
--- a/packages/host-node/src/__tests__/leave.test.ts
+++ b/packages/host-node/src/__tests__/leave.test.ts
@@ -26,11 +26,19 @@
   return (store.specOf('hickorybridge-hosts', name) as { leaving?: unknown } | undefined)?.leaving;
 }
 
-/** Sends the last report from before the leave, which arrives late. */
-async function sendLateReport(member: FleetMember): Promise<void> {
-  skipSequence(-2);
-  await sendReport(member);
-  skipSequence(2);
+/** Sends the last reports from before the leave, which arrive late. */
+async function sendLateReports(member: FleetMember, count = 1): Promise<void> {
+  skipSequence(-1 - count);
+  for (let sent = 0; sent < count; sent += 1) await sendReport(member);
+  skipSequence(1);
+}
+
+/** Sends a few requests to each node. */
+async function sendRequests(members: readonly FleetMember[]): Promise<void> {
+  for (const [index, { settings }] of [...members, ...members, ...members].entries()) {
+    const path = `/reads/${index}`;
+    await sendRequest(settings.listeners.callers.port, { path, id: `r${index}` });
+  }
 }
 
 describe('the acknowledgement of a leave', () => {
@@ -73,12 +81,9 @@
     await one.node.stop();
     const restarted = await startNode(t, one.settings);
     await waitUntil(() => restarted.ready && restarted.hostCount === 2);
-    await sendLateReport(one);
+    await sendLateReports(one);
     await sleep(500);
-    for (const [index, { settings }] of [one, two, one, two, one, two].entries()) {
-      const path = `/reads/${index}`;
-      await sendRequest(settings.listeners.callers.port, { path, id: `r${index}` });
-    }
+    await sendRequests([one, two]);
     assert.deepEqual(one.backend.ran, []);
     // Its stop would wait for the store, which is closed before it.
     await restarted.stop();
@@ -111,13 +116,29 @@
     await waitUntil(() => restarted.ready);
     store.faults.refuseWith = undefined;
     await waitUntil(() => restarted.hostCount === 3);
-    await sendLateReport(one);
+    await sendLateReports(one);
     await sleep(500);
-    for (const [index, { settings }] of [...members, ...members].entries()) {
-      const path = `/reads/${index}`;
-      await sendRequest(settings.listeners.callers.port, { path, id: `r${index}` });
-    }
+    await sendRequests(members);
     assert.deepEqual(one.backend.ran, []);
     await waitUntil(() => storedLeaving(store, 'one') === true);
   });
+
+  it('guards against a leave that a restarted node does not find because the list of hosts is stale', async (t) => {
+    const { members, store } = await startFleet(t, ['one', 'two'], undefined, {
+      graceMilliseconds: noGraceMilliseconds,
+    });
+    const [one] = members;
+    assert.ok(one !== undefined);
+    store.faults.staleCopy = store.copy();
+    assert.equal((await sendLeave(one)).status, 200);
+    await one.node.stop();
+    const restarted = await startNode(t, one.settings);
+    await waitUntil(() => restarted.ready && restarted.hostCount === 2);
+    await sendLateReports(one, 2);
+    await sleep(500);
+    await sendRequests(members);
+    assert.deepEqual(one.backend.ran, []);
+    assert.equal(storedLeaving(store, 'one'), true);
+    await restarted.stop();
+  });
 });
--- a/packages/host-node/src/backend/BackendServerRegistry.ts
+++ b/packages/host-node/src/backend/BackendServerRegistry.ts
@@ -17,11 +17,6 @@
 export interface BackendServerRegistryOptions {
   /** Whether a report describes a backend server of this host. */
   readonly isLocalReport: (report: BackendServerReport) => boolean;
-  /**
-   * Whether this incarnation is known to have left, as the store says. A restarted node may get a
-   * late report from before that.
-   */
-  readonly hasLeft: (report: BackendServerReport) => boolean;
   readonly maxConnectionsOf: (service: string) => number;
   /** Limit on the requests to a cold backend server; `undefined` if there is none. */
   readonly coldLimitOf: (service: string) => ColdLimit | undefined;
@@ -46,6 +41,9 @@
   /** The latest leave notice of a backend server that has not reported itself to this node. */
   #earlyLeave: Leave | undefined;
 
+  /** The latest leave that the store was seen to hold for this host. */
+  #storedLeave: Leave | undefined;
+
   constructor(options: BackendServerRegistryOptions) {
     this.#options = options;
   }
@@ -71,7 +69,7 @@
     }
     switch (this.#history.record(report)) {
       case ReportVerdict.newIncarnation: {
-        const hasLeft = this.#options.hasLeft(report);
+        const hasLeft = this.#isStoredAsLeaving(report);
         if (hasLeft) this.#history.recordLeave(report.backendServerId, report.startedAt);
         this.#replaceCurrent({ ...report, draining: report.draining || hasLeft });
         break;
@@ -123,7 +121,9 @@
    * the backend server left, and may read the store only after that report.
    */
   handleStoredEntry({ backendServerId, leaving, startedAt = -1 }: HostEntry): void {
-    if (leaving && this.#history.recordStoredLeave(backendServerId, startedAt)) {
+    if (!leaving) return;
+    this.#storedLeave = { backendServerId, startedAt };
+    if (this.#history.recordStoredLeave(backendServerId, startedAt)) {
       this.#leaveCurrent();
     }
   }
@@ -181,6 +181,11 @@
     await this.#current?.[Symbol.asyncDispose]();
   }
 
+  #isStoredAsLeaving({ backendServerId, startedAt }: BackendServerReport): boolean {
+    const leave = this.#storedLeave;
+    return leave?.backendServerId === backendServerId && leave.startedAt >= startedAt;
+  }
+
   #replaceCurrent(report: BackendServerReport): void {
     const { logger } = this.#options;
     const previous = this.#current;
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -166,11 +166,6 @@
         startMilliseconds: coldMilliseconds,
       };
     },
-    hasLeft: ({ backendServerId, startedAt }) => {
-      const { entry } = directory.stored(nodeId);
-      const isSame = entry?.backendServerId === backendServerId;
-      return isSame && entry.leaving && (entry.startedAt ?? -1) >= startedAt;
-    },
     drainMilliseconds: bounds.drainMilliseconds,
     reasonToRefuse: () => evacuations?.reasonToRefuse(location.failureDomain),
     onCurrentChanged: () => node.register(),
@@ -245,6 +240,8 @@
     clock,
     random: random.fork(),
     onFound: (entry) => backendServers.handleStoredEntry(entry),
+    // The backend server may have announced its leave before the entry was read.
+    onRead: () => node.register(),
     logger,
   });
   router = new RequestRouter({
@@ -367,9 +364,9 @@
       includesOwnHost: directory.entry(nodeId) !== undefined,
     });
     connectionManager.wake();
-    const { entry, version } = directory.stored(nodeId);
-    if (entry !== undefined) backendServers.handleStoredEntry(entry);
-    registration.seen(entry, version);
+    const listed = directory.stored(nodeId);
+    if (listed.entry !== undefined) backendServers.handleStoredEntry(listed.entry);
+    registration.seen(listed);
     if (backendServers.current === undefined) node.register();
   });
   const createFollowRule = (documents: DocumentExchange, boundMilliseconds: number): FollowRule => {
--- a/packages/membership/src/HostDirectory.ts
+++ b/packages/membership/src/HostDirectory.ts
@@ -10,6 +10,15 @@
   readonly version: number;
 }
 
+/** What a list of the store shows for a host. */
+export interface ListedEntry {
+  readonly entry: HostEntry | undefined;
+  /** Version of the object; 0 if there is none. */
+  readonly version: number;
+  /** Revision of the store from which the list was read. */
+  readonly revision: number;
+}
+
 const noEntries: readonly HostEntry[] = [];
 /** After a restore of the store, hosts that are alive write their entries again within this time. */
 const restoreGraceMilliseconds = 2000;
@@ -28,6 +37,9 @@
   /** The latest era in which entries from before it are still awaited. */
   #awaitedEra = 0;
 
+  /** Revision of the store that was read last. */
+  #revision = 0;
+
   #byService = new Map<string, readonly HostEntry[]>();
 
   constructor(logger: Logger) {
@@ -45,6 +57,7 @@
 
   /** Takes in what has changed in the store. */
   apply(result: WatchResult): void {
+    this.#revision = result.revision;
     const listed = new Set(result.changed.map(({ key }) => key));
     if (result.complete === true) {
       for (const key of [...this.#known.keys(), ...this.#unreadable.keys()]) {
@@ -68,12 +81,15 @@
   }
 
   /** What the store holds for a host: no entry if another writer left something unreadable. */
-  stored(nodeId: string): { readonly entry: HostEntry | undefined; readonly version: number } {
+  stored(nodeId: string): ListedEntry {
     const key = hostKey(nodeId);
     const known = this.#known.get(key);
     const unreadableVersion = this.#unreadable.get(key);
-    if (unreadableVersion !== undefined) return { entry: undefined, version: unreadableVersion };
-    return { entry: known?.entry, version: known?.version ?? 0 };
+    const revision = this.#revision;
+    if (unreadableVersion !== undefined) {
+      return { entry: undefined, version: unreadableVersion, revision };
+    }
+    return { entry: known?.entry, version: known?.version ?? 0, revision };
   }
 
   list(): HostEntry[] {
--- a/packages/membership/src/HostRegistration.ts
+++ b/packages/membership/src/HostRegistration.ts
@@ -1,16 +1,19 @@
 import type { Logger } from '@hickorybridge/logger';
-import type { RemovingStore, WriteOutcome } from '@hickorybridge/store';
+import type { RemovingStore, StoredObject, WriteOutcome } from '@hickorybridge/store';
 import type { HostEntry } from '@hickorybridge/types';
 import type { Clock, RandomSource } from '@hickorybridge/utils';
 
+import type { ListedEntry } from './HostDirectory.js';
 import { decodeHostEntry, encodeHostEntry, hostKey } from './hostEntryCodec.js';
 
 /** What the registration of this host needs. */
 export interface HostRegistrationOptions {
   readonly nodeId: string;
   readonly store: RemovingStore;
-  /** Called before an entry of this host that the node did not know of is overwritten. */
+  /** Called with an entry of this host that the node did not know of, before it is overwritten. */
   readonly onFound: (entry: HostEntry) => void;
+  /** Called once the store was asked for the entry itself after the start of the node. */
+  readonly onRead: (wasRegistered: boolean) => void;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
@@ -29,6 +32,9 @@
   /** A node that was just started does not know yet what its host offers, and leaves the entry. */
   #isDecided = false;
 
+  /** Whether the store was asked for the entry itself since the start of the node. */
+  #isRead = false;
+
   /** What it was last seen to hold: the text and its version. */
   #written: { readonly text: string | undefined; readonly version: number } | undefined;
 
@@ -57,11 +63,18 @@
   /** Whether the store holds the entry, as far as this node knows. */
   get isCurrent(): boolean {
     if (!this.#isDecided) return true;
+    if (!this.#isRead) return false;
     const wanted = this.#wantedText();
     if (this.#written === undefined) return wanted === undefined;
     return this.#written.text === wanted;
   }
 
+  /** The entry that the store was last seen to hold; `undefined` if that is none or not known. */
+  get stored(): HostEntry | undefined {
+    const text = this.#written?.text;
+    return text === undefined ? undefined : decodeHostEntry(text);
+  }
+
   /** For how long the store has not held the entry, in milliseconds; 0 if it does. */
   get pendingMilliseconds(): number {
     const since = this.#pendingSince;
@@ -78,7 +91,7 @@
 
   /** Waits until the store holds the entry, but not longer than the limit. */
   async waitUntilCurrent(limitMilliseconds: number): Promise<void> {
-    if (this.isCurrent) return;
+    if (this.isCurrent && this.#isRead) return;
     const limit = new AbortController();
     const waiter = () => limit.abort();
     this.#waiters.add(waiter);
@@ -87,20 +100,21 @@
   }
 
   /**
-   * Takes in what the store was seen to hold, with version 0 if that is nothing. An entry that
-   * another node has removed or overwritten is restored.
+   * Takes in what a list of the store shows. An entry that another node has removed or overwritten
+   * is restored. A stale list may show an older entry than is known, or none yet.
    */
-  seen(entry: HostEntry | undefined, version: number): void {
-    const known = this.#written;
-    if (known !== undefined && version > 0 && version < known.version) return;
+  seen({ entry, revision, version }: ListedEntry): void {
+    const known = this.#written?.version ?? 0;
+    if (version > 0 ? version < known : revision < known) return;
     const text = entry === undefined ? undefined : encodeHostEntry(entry);
     this.#written = { text, version };
     this.#update();
     if (text !== this.#wantedText()) this.#wake.abort();
   }
 
-  /** Writes until the signal aborts. */
+  /** Reads the entry, and then writes changes until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
+    await this.#readUntilAnswered(signal);
     let delay = firstRetryMilliseconds;
     while (!signal.aborted) {
       if (this.isCurrent) {
@@ -109,9 +123,45 @@
         continue;
       }
       if (await this.#write()) continue;
-      await this.#options.clock.sleep(delay * (0.5 + 0.5 * this.#options.random.next()), signal);
-      delay = Math.min(longestRetryMilliseconds, delay * 2);
+      delay = await this.#backOff(delay, signal);
+    }
+  }
+
+  /** Reads the entry itself: the list may be older than what a former process of this host wrote. */
+  async #readUntilAnswered(signal: AbortSignal): Promise<void> {
+    const { logger, nodeId, store } = this.#options;
+    let delay = firstRetryMilliseconds;
+    while (!signal.aborted) {
+      const result = await store.read(hostKey(nodeId));
+      if (result.ok) {
+        this.#takeRead(result.value);
+        return;
+      }
+      if (delay === firstRetryMilliseconds) {
+        logger.warn('host-entry-not-read', 'the entry of this host cannot be read', {
+          detail: result.error.detail,
+        });
+      }
+      delay = await this.#backOff(delay, signal);
+    }
+  }
+
+  #takeRead(object: StoredObject | undefined): void {
+    // The list of hosts may already have shown a later version.
+    if (object === undefined || (this.#written?.version ?? 0) <= object.version) {
+      this.#written = { text: object?.value, version: object?.version ?? 0 };
     }
+    this.#isRead = true;
+    if (object !== undefined) this.#reportFound(object.value);
+    this.#options.onRead(object !== undefined);
+    this.#update();
+  }
+
+  /** Waits for about the delay, and returns the next one. */
+  async #backOff(delay: number, signal: AbortSignal): Promise<number> {
+    const { clock, random } = this.#options;
+    await clock.sleep(delay * (0.5 + 0.5 * random.next()), signal);
+    return Math.min(longestRetryMilliseconds, delay * 2);
   }
 
   #wantedText(): string | undefined {
@@ -126,6 +176,7 @@
     }
     this.#pendingSince = undefined;
     this.#attempts = 0;
+    if (!this.#isRead) return;
     for (const waiter of this.#waiters) waiter();
   }
 
--- a/packages/membership/src/__tests__/HostDirectory.test.ts
+++ b/packages/membership/src/__tests__/HostDirectory.test.ts
@@ -72,9 +72,9 @@
     const overwritten = { key: hostKey('n1'), value: '', version: 2 };
     directory.apply({ revision: 2, changed: [overwritten], removed: [] });
     assert.equal(directory.entry('n1')?.backendServerId, 'b1', 'the last good entry stays in use');
-    assert.deepEqual(directory.stored('n1'), { entry: undefined, version: 2 });
+    assert.deepEqual(directory.stored('n1'), { entry: undefined, version: 2, revision: 2 });
     directory.apply({ revision: 3, changed: [storedEntry('n1', 3)], removed: [] });
-    assert.deepEqual(directory.stored('n1'), { entry, version: 3 });
+    assert.deepEqual(directory.stored('n1'), { entry, version: 3, revision: 3 });
   });
 });
 
--- a/packages/membership/src/__tests__/HostRegistration.test.ts
+++ b/packages/membership/src/__tests__/HostRegistration.test.ts
@@ -1,11 +1,17 @@
 import { createLogger } from '@hickorybridge/logger';
-import type { RemovingStore, WriteOutcome } from '@hickorybridge/store';
-import type { HostEntry } from '@hickorybridge/types';
+import type {
+  RemovingStore,
+  StoredObject,
+  StoreUnavailable,
+  WriteOutcome,
+} from '@hickorybridge/store';
+import { fail, succeed, type HostEntry, type Result } from '@hickorybridge/types';
 import { RandomSource, systemClock } from '@hickorybridge/utils';
 import assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import type { ListedEntry } from '../HostDirectory.js';
 import { HostRegistration } from '../HostRegistration.js';
 import { encodeHostEntry } from '../hostEntryCodec.js';
 
@@ -19,11 +25,25 @@
   leaving: false,
 };
 
+/** What a list that is as recent as the store shows, with version 0 for no entry. */
+function listed(shown: HostEntry | undefined, version: number): ListedEntry {
+  return { entry: shown, version, revision: Math.max(version, 1000) };
+}
+
+type Read = Result<StoredObject | undefined, StoreUnavailable>;
+
+interface StoreScript {
+  /** Answers a read of the entry; no entry by default. */
+  readonly read?: () => Read | Promise<Read>;
+  readonly onRead?: (wasRegistered: boolean) => void;
+}
+
 /** Starts a registration against a store that records its writes and answers as told. */
 function start(
   t: TestContext,
   answers: WriteOutcome[] = [],
   onFound: (found: HostEntry) => void = () => {},
+  { read = () => succeed(undefined), onRead = () => {} }: StoreScript = {},
 ) {
   const writes: string[] = [];
   const lines: Record<string, unknown>[] = [];
@@ -32,12 +52,14 @@
     return Promise.resolve(answers.shift() ?? { type: 'done', version: 10 + writes.length });
   };
   const store = {
+    read: async () => read(),
     writeConditional: (_key: string, _value: string, version: number) => answer(`put ${version}`),
     remove: (_key: string, version: number) => answer(`remove ${version}`),
   } as unknown as RemovingStore;
   const registration = new HostRegistration({
     nodeId: 'n1',
     store,
+    onRead,
     onFound,
     clock: systemClock,
     random: new RandomSource(2026),
@@ -58,8 +80,10 @@
 }
 
 test('guards against a restarted node that removes the entry of its host', async (t) => {
-  const { registration, writes } = start(t);
-  registration.seen(entry, 5);
+  const { registration, writes } = start(t, [], undefined, {
+    read: () => succeed({ key: 'h', value: encodeHostEntry(entry), version: 5 }),
+  });
+  registration.seen(listed(entry, 5));
   await sleep(30);
   assert.deepEqual(writes, []);
   registration.set(entry);
@@ -97,7 +121,7 @@
   const { registration, writes } = start(t);
   registration.set(entry);
   await sleep(30);
-  registration.seen(undefined, 0);
+  registration.seen(listed(undefined, 0));
   await sleep(30);
   assert.deepEqual(writes, ['put 0', 'put 0']);
 });
@@ -151,3 +175,52 @@
   assert.equal(registration.isCurrent, true);
   assert.equal(registration.pendingMilliseconds, 0);
 });
+
+test('guards against a leave that is not found because a stale list shows the wanted entry', async (t) => {
+  const leaving = { ...entry, leaving: true };
+  const found: HostEntry[] = [];
+  const read = () => succeed({ key: 'h', value: encodeHostEntry(leaving), version: 9 });
+  const { registration, writes } = start(
+    t,
+    [],
+    (stored) => {
+      found.push(stored);
+      registration.set(leaving);
+    },
+    { read },
+  );
+  registration.seen({ entry, version: 5, revision: 5 });
+  registration.set(entry);
+  assert.equal(registration.isCurrent, false, 'the list may be stale');
+  await sleep(30);
+  registration.seen({ entry, version: 5, revision: 7 });
+  assert.deepEqual(found, [leaving]);
+  assert.deepEqual(registration.stored, leaving);
+  assert.equal(registration.isCurrent, true);
+  assert.deepEqual(writes, []);
+});
+
+test('guards against a write that is repeated because a stale list does not show it yet', async (t) => {
+  const { registration, writes } = start(t);
+  registration.set(entry);
+  await sleep(30);
+  registration.seen({ entry: undefined, version: 0, revision: 5 });
+  await sleep(30);
+  assert.deepEqual(writes, ['put 0']);
+});
+
+test('guards against a leave that is acknowledged before the entry was read', async (t) => {
+  const answers: Read[] = [
+    fail({ type: 'store-unavailable', detail: 'down' }),
+    succeed({ key: 'h', value: encodeHostEntry(entry), version: 9 }),
+  ];
+  const { registration, writes } = start(t, [], undefined, {
+    read: () => answers.shift() ?? succeed(undefined),
+    // The node has got the notice meanwhile.
+    onRead: () => registration.set({ ...entry, leaving: true }),
+  });
+  await registration.waitUntilCurrent(10);
+  assert.deepEqual(writes, []);
+  await registration.waitUntilCurrent(60_000);
+  assert.deepEqual(writes, ['put 9']);
+});
--- a/packages/stand-ins/src/objectStore/StandInObjectStore.ts
+++ b/packages/stand-ins/src/objectStore/StandInObjectStore.ts
@@ -40,6 +40,8 @@
   writeMilliseconds: number;
   /** Age of what watches deliver that accept stale data, in milliseconds. */
   staleMilliseconds: number;
+  /** What lists and watches show that accept stale data; the present state if absent. */
+  staleCopy: ObjectStoreCopy | undefined;
 }
 
 /** What the stand-in holds at one moment. */
@@ -61,6 +63,7 @@
     loseWriteAnswers: 0,
     writeMilliseconds: 0,
     staleMilliseconds: 0,
+    staleCopy: undefined,
   };
 
   calls = 0;
@@ -200,17 +203,25 @@
       return;
     }
     const watch = url.searchParams.get('watch');
-    if (watch === null) this.#list(kind, url.searchParams.get('after') ?? '', response);
+    if (watch === null) this.#list(kind, url.searchParams, response);
     else await this.#watch(kind, Number(watch), url.searchParams, response);
   }
 
-  #list(kind: string, after: string, response: ServerResponse): void {
-    const all = [...this.#objects]
+  #list(kind: string, parameters: URLSearchParams, response: ServerResponse): void {
+    const after = parameters.get('after') ?? '';
+    const { objects, revision } = this.#copyFor(parameters);
+    const all = [...objects]
       .filter(([key, { metadata }]) => key.startsWith(`${kind}/`) && metadata.name > after)
       .map(([, object]) => object)
       .sort((first, second) => (first.metadata.name < second.metadata.name ? -1 : 1));
     const items = all.slice(0, pageSize);
-    sendJson(response, { items, has_more: all.length > pageSize, at: this.#revision });
+    sendJson(response, { items, has_more: all.length > pageSize, at: revision });
+  }
+
+  /** What a call sees, which may accept stale data. */
+  #copyFor(parameters: URLSearchParams): ObjectStoreCopy {
+    const stale = parameters.has('allow_stale') ? this.faults.staleCopy : undefined;
+    return stale ?? { objects: this.#objects, revision: this.#revision };
   }
 
   async #watch(
@@ -225,7 +236,10 @@
     const since = () =>
       this.#events.filter(
         ({ at, kind: eventKind, rev }) =>
-          eventKind === kind && rev > revision && at <= performance.now() - age,
+          eventKind === kind &&
+          rev > revision &&
+          rev <= this.#copyFor(parameters).revision &&
+          at <= performance.now() - age,
       );
     const endsAt = performance.now() + Number(parameters.get('wait_ms'));
     while (since().length === 0 && !this.#isGone(revision) && performance.now() < endsAt) {
@@ -240,7 +254,7 @@
       return;
     }
     const events = since().map(({ deleted, object }) => ({ deleted, object }));
-    sendJson(response, { events, at: this.#revision });
+    sendJson(response, { events, at: this.#copyFor(parameters).revision });
   }
 
   /** Whether no watch can continue from a revision: its history is dropped, or a restore undid it. */
