A started node uses a backend server after two reports in sequence

A backend server leaves while the store is down, and its node acknowledges that. All nodes are killed and started again.

Cause: only the memory of the processes held the leave, and a started process took a single report for proof that the backend server is ready.

A backend server that has left sends no reports, so that a second one in sequence, at no less than half of the interval that the settings state, shows that it has not left. A node now uses the first backend server after its start only then, whether or not the store answers. Reports and notices of a leave count at once. A host without an entry in the store had no former process that could acknowledge a leave, and its first report counts as before.

--- a/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
+++ b/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
@@ -33,19 +33,32 @@
   leaving: true,
 };
 
+const reportIntervalMilliseconds = 40;
+
+interface RegistryOptions {
+  readonly coldLimit?: ColdLimit;
+  /** Whether a former node of the host may have acknowledged a leave that the store does not hold. */
+  readonly wasRegistered?: boolean;
+}
+
 /** A registry of a node that has just been started. */
-function startRegistry(t: TestContext, coldLimit?: ColdLimit): BackendServerRegistry {
+function startRegistry(
+  t: TestContext,
+  { coldLimit, wasRegistered = false }: RegistryOptions = {},
+): BackendServerRegistry {
   const registry = new BackendServerRegistry({
     isLocalReport: () => true,
     maxConnectionsOf: () => 10,
     coldLimitOf: () => coldLimit,
     drainMilliseconds: 500,
+    reportIntervalMilliseconds,
     reasonToRefuse: () => undefined,
     onCurrentChanged: () => {},
     speed: new HostSpeedModel(),
     clock: systemClock,
     logger: silentLogger,
   });
+  if (!wasRegistered) registry.handleNewHost();
   t.after(() => registry[Symbol.asyncDispose]());
   return registry;
 }
@@ -95,6 +108,76 @@
   });
 });
 
+// The store was away when a former node of the host acknowledged a leave, and nobody remembers it.
+describe('reports after the start of a node whose host was registered', () => {
+  const next = { ...report, sequence: 8 };
+  const awaitNextReport = () => systemClock.sleep(reportIntervalMilliseconds);
+
+  it('guards against using a backend server because of one report, which may be late', async (t) => {
+    const registry = startRegistry(t, { wasRegistered: true });
+    registry.handleReport(report);
+    await awaitNextReport();
+    registry.handleReport(report);
+    registry.handleReport({ ...report, sequence: 6 });
+    assert.equal(registry.current, undefined);
+  });
+
+  it('guards against using a backend server because of two late reports that arrive together', async (t) => {
+    const registry = startRegistry(t, { wasRegistered: true });
+    registry.handleReport(report);
+    registry.handleReport(next);
+    assert.equal(registry.current, undefined);
+    await awaitNextReport();
+    registry.handleReport({ ...report, sequence: 9 });
+    assert.equal(isUsed(registry), true);
+  });
+
+  it('guards against a backend server that is not used after two reports in sequence', async (t) => {
+    const registry = startRegistry(t, { wasRegistered: true });
+    registry.handleReport(report);
+    await awaitNextReport();
+    registry.handleReport(next);
+    assert.equal(isUsed(registry), true);
+    registry.handleReport({ ...report, startedAt: 2000, sequence: 1 });
+    assert.equal(registry.current?.report.startedAt, 2000, 'the node saw its predecessor');
+  });
+
+  it('guards against one report each of two starts that count as two in sequence', async (t) => {
+    const registry = startRegistry(t, { wasRegistered: true });
+    registry.handleReport(report);
+    await awaitNextReport();
+    registry.handleReport({ ...next, startedAt: 2000 });
+    assert.equal(registry.current, undefined);
+  });
+
+  it('guards against a leave between two reports that is ignored', async (t) => {
+    for (const startedAt of [0, 1000]) {
+      const registry = startRegistry(t, { wasRegistered: true });
+      registry.handleReport(report);
+      registry.handleLeave('b1', startedAt);
+      await awaitNextReport();
+      registry.handleReport(next);
+      await awaitNextReport();
+      registry.handleReport({ ...report, sequence: 9 });
+      assert.equal(isUsed(registry), false);
+      assert.equal(registry.leave?.backendServerId, 'b1');
+    }
+  });
+
+  it('guards against a report of a leave that waits for a second one', (t) => {
+    const registry = startRegistry(t, { wasRegistered: true });
+    registry.handleReport({ ...report, draining: true });
+    assert.equal(registry.leave?.backendServerId, 'b1');
+  });
+
+  it('guards against a new host that waits for a second report', (t) => {
+    const registry = startRegistry(t, { wasRegistered: true });
+    registry.handleReport(report);
+    registry.handleNewHost();
+    assert.equal(isUsed(registry), true);
+  });
+});
+
 // The start of a backend server is read from a wall clock, which may step back between two starts.
 // These tests guard against a report of the later start that counts as outdated (DRAIN).
 describe('step of the clock: a backend server that starts again with an earlier start time', () => {
@@ -171,7 +254,7 @@
   const isCold = (registry: BackendServerRegistry) => (registry.load()?.rampShare ?? 1) < 1;
 
   it('guards against full load on a backend server that reports later that it is cold', (t) => {
-    const registry = startRegistry(t, limit);
+    const registry = startRegistry(t, { coldLimit: limit });
     registry.handleReport(report);
     assert.equal(isCold(registry), false);
     registry.handleReport({ ...report, sequence: 8, coldMilliseconds: 2000 });
@@ -181,7 +264,7 @@
   });
 
   it('start during traffic: guards against full load on a new incarnation that reports no cold time', (t) => {
-    const registry = startRegistry(t, limit);
+    const registry = startRegistry(t, { coldLimit: limit });
     registry.handleReport(report);
     registry.handleReport({ ...report, sequence: 1, startedAt: 2000 });
     assert.equal(isCold(registry), true);
--- a/packages/host-node/src/__tests__/fleet.ts
+++ b/packages/host-node/src/__tests__/fleet.ts
@@ -185,11 +185,12 @@
 export async function sendReport(
   { backend, settings }: FleetMember,
   changes: object = {},
+  born = 1,
 ): Promise<HttpResponse> {
   sequence += 1;
   const body = JSON.stringify({
     address: `${host}:${backend.port}`,
-    born: 1,
+    born,
     info: { service, version: 'v1', zone: 'd', slots: 4 },
     status: { state: 'ready', sequence, cold_time: '0ms', ...changes },
   });
@@ -198,10 +199,10 @@
 }
 
 /** Sends the notice of a backend server that leaves. */
-export function sendLeave({ backend, settings }: FleetMember): Promise<HttpResponse> {
+export function sendLeave({ backend, settings }: FleetMember, born = 1): Promise<HttpResponse> {
   const { port } = settings.listeners.reports;
   const path = `/v1/instances/${backend.id}/deregister`;
-  return sendRequest(port, { method: 'POST', path, body: JSON.stringify({ born: 1 }) });
+  return sendRequest(port, { method: 'POST', path, body: JSON.stringify({ born }) });
 }
 
 export interface SendRequestOptions {
--- a/packages/host-node/src/__tests__/leave.test.ts
+++ b/packages/host-node/src/__tests__/leave.test.ts
@@ -141,4 +141,23 @@
     assert.equal(storedLeaving(store, 'one'), true);
     await restarted.stop();
   });
+
+  it('guards against a leave that a kill of all nodes forgets while the store is away', async (t) => {
+    const { members, store } = await startFleet(t, ['one', 'two'], undefined, {
+      graceMilliseconds: noGraceMilliseconds,
+    });
+    const [one] = members;
+    assert.ok(one !== undefined);
+    store.faults.refuseWith = 503;
+    assert.equal((await sendLeave(one)).status, 200);
+    await Promise.all(members.map(({ node }) => node.stop()));
+    const nodes = await Promise.all(members.map(({ settings }) => startNode(t, settings)));
+    store.faults.refuseWith = undefined;
+    await waitUntil(() => nodes.every((node) => node.ready && node.hostCount === 2));
+    await sendLateReports(one);
+    await sleep(500);
+    await sendRequests(members);
+    assert.deepEqual(one.backend.ran, []);
+    await Promise.all(nodes.map((node) => node.stop()));
+  });
 });
--- a/packages/host-node/src/backend/BackendServerRegistry.ts
+++ b/packages/host-node/src/backend/BackendServerRegistry.ts
@@ -12,6 +12,7 @@
 
 import { IncarnationHistory, ReportVerdict } from './IncarnationHistory.js';
 import type { Leave } from './Leave.js';
+import { ReportConfirmation } from './ReportConfirmation.js';
 import { LocalBackendServer } from './LocalBackendServer.js';
 
 export interface BackendServerRegistryOptions {
@@ -21,6 +22,8 @@
   /** Limit on the requests to a cold backend server; `undefined` if there is none. */
   readonly coldLimitOf: (service: string) => ColdLimit | undefined;
   readonly drainMilliseconds: number;
+  /** Usual time between two reports of a backend server. */
+  readonly reportIntervalMilliseconds: number;
   /** Why requests may not reach the backend servers of this host at present, if so. */
   readonly reasonToRefuse: () => RefusalReason | undefined;
   /** Called when the current backend server is replaced, removed or starts to leave. */
@@ -41,11 +44,17 @@
   /** The latest leave notice of a backend server that has not reported itself to this node. */
   #earlyLeave: Leave | undefined;
 
+  readonly #confirmation: ReportConfirmation;
+
+  /** The latest report that is not confirmed by another one yet. */
+  #unconfirmed: BackendServerReport | undefined;
+
   /** The latest leave that the store was seen to hold for this host. */
   #storedLeave: Leave | undefined;
 
   constructor(options: BackendServerRegistryOptions) {
     this.#options = options;
+    this.#confirmation = new ReportConfirmation(options.reportIntervalMilliseconds);
   }
 
   get current(): LocalBackendServer | undefined {
@@ -67,6 +76,7 @@
       );
       return;
     }
+    if (this.#mayBeFromBeforeLeave(report)) return;
     switch (this.#history.record(report)) {
       case ReportVerdict.newIncarnation: {
         const hasLeft = this.#isStoredAsLeaving(report);
@@ -91,6 +101,7 @@
   /** Handles a leave notice; `startedAt` is 0 when the notice names no incarnation. */
   handleLeave(backendServerId: string, startedAt: number): void {
     if (this.#history.recordLeave(backendServerId, startedAt)) this.#leaveCurrent();
+    this.#dropUnconfirmed(backendServerId, startedAt);
     if (this.#current !== undefined) return;
     this.#earlyLeave = { backendServerId, startedAt };
     this.#options.onCurrentChanged();
@@ -128,6 +139,12 @@
     }
   }
 
+  /** Takes in that no former process of this host has registered it, or acknowledged a leave. */
+  handleNewHost(): void {
+    this.#confirmation.waive();
+    if (this.#unconfirmed !== undefined) this.handleReport(this.#unconfirmed);
+  }
+
   async execute(
     head: RequestHead,
     body: RequestBody,
@@ -181,6 +198,32 @@
     await this.#current?.[Symbol.asyncDispose]();
   }
 
+  /** Whether a report that names a backend server as ready has to be confirmed by another one. */
+  #mayBeFromBeforeLeave(report: BackendServerReport): boolean {
+    const { backendServerId, draining, sequence, startedAt } = report;
+    if (draining || this.#history.hasEnded(backendServerId, startedAt)) return false;
+    if (this.#confirmation.confirm(report, this.#options.clock.now())) {
+      this.#unconfirmed = undefined;
+      return false;
+    }
+    this.#unconfirmed = report;
+    this.#options.logger.info(
+      'report-unconfirmed',
+      'a first report after the start of this node may be from before a leave',
+      { backendServer: backendServerId, startedAt, sequence },
+    );
+    return true;
+  }
+
+  /** Drops an unconfirmed report of a backend server that leaves. */
+  #dropUnconfirmed(backendServerId: string, startedAt: number): void {
+    const report = this.#unconfirmed;
+    if (report?.backendServerId !== backendServerId) return;
+    if (startedAt !== 0 && startedAt !== report.startedAt) return;
+    this.#unconfirmed = undefined;
+    this.#history.recordLeave(backendServerId, report.startedAt);
+  }
+
   #isStoredAsLeaving({ backendServerId, startedAt }: BackendServerReport): boolean {
     const leave = this.#storedLeave;
     return leave?.backendServerId === backendServerId && leave.startedAt >= startedAt;
--- a/packages/host-node/src/backend/IncarnationHistory.ts
+++ b/packages/host-node/src/backend/IncarnationHistory.ts
@@ -105,6 +105,11 @@
     return this.#markLeaving(current, current.isLeaveUncertain);
   }
 
+  /** Whether an incarnation is known to have ended, or to leave without having been current. */
+  hasEnded(backendServerId: string, startedAt: number): boolean {
+    return this.#past.has(keyOf(backendServerId, startedAt));
+  }
+
   /** Records that the current incarnation has ended, as another one answers at its address. */
   recordEnd(): void {
     if (this.#current !== undefined) this.#remember(this.#current.key);
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -167,6 +167,7 @@
       };
     },
     drainMilliseconds: bounds.drainMilliseconds,
+    reportIntervalMilliseconds: settings.current.reportIntervalMilliseconds ?? 0,
     reasonToRefuse: () => evacuations?.reasonToRefuse(location.failureDomain),
     onCurrentChanged: () => node.register(),
     speed,
@@ -240,8 +241,11 @@
     clock,
     random: random.fork(),
     onFound: (entry) => backendServers.handleStoredEntry(entry),
-    // The backend server may have announced its leave before the entry was read.
-    onRead: () => node.register(),
+    onRead: (wasRegistered) => {
+      if (!wasRegistered) backendServers.handleNewHost();
+      // The backend server may have announced its leave before the entry was read.
+      node.register();
+    },
     logger,
   });
   router = new RequestRouter({
--- a/packages/types/src/hostSettings.ts
+++ b/packages/types/src/hostSettings.ts
@@ -15,6 +15,8 @@
   readonly listenRetryMilliseconds: number;
   readonly store: SocketAddress;
   readonly bounds: HostBounds;
+  /** Usual time between two reports of a backend server; absent if the platform does not state it. */
+  readonly reportIntervalMilliseconds?: number;
   /** Memory that the process may use, in bytes; absent if not limited. */
   readonly memoryBytes?: number;
   /** File descriptors that the process may use; absent if not limited. */
