A started node asks its backend server whether it serves

With the first report, a node now asks the health path of the service. "It returns 200 while the backend considers itself healthy and is not leaving" (PROTOCOL.md, Backends): a 200 with the expected id takes the place of the second report. Without it the node waits for that report, so that a failing health path does not take a backend server out of use. It costs one question for each start of a process.

--- a/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
+++ b/packages/host-node/src/__tests__/BackendServerRegistry.test.ts
@@ -39,18 +39,20 @@
   readonly coldLimit?: ColdLimit;
   /** Whether a former node of the host may have acknowledged a leave that the store does not hold. */
   readonly wasRegistered?: boolean;
+  readonly isServing?: () => Promise<boolean>;
 }
 
 /** A registry of a node that has just been started. */
 function startRegistry(
   t: TestContext,
-  { coldLimit, wasRegistered = false }: RegistryOptions = {},
+  { coldLimit, isServing = async () => false, wasRegistered = false }: RegistryOptions = {},
 ): BackendServerRegistry {
   const registry = new BackendServerRegistry({
     isLocalReport: () => true,
     maxConnectionsOf: () => 10,
     coldLimitOf: () => coldLimit,
     drainMilliseconds: 500,
+    isServing,
     reportIntervalMilliseconds,
     reasonToRefuse: () => undefined,
     onCurrentChanged: () => {},
@@ -170,6 +172,32 @@
     assert.equal(registry.leave?.backendServerId, 'b1');
   });
 
+  it('guards against a backend server that waits for its next report although it says that it serves', async (t) => {
+    const isServing = async () => true;
+    const registry = startRegistry(t, { wasRegistered: true, isServing });
+    registry.handleReport(report);
+    await systemClock.sleep(1);
+    assert.equal(isUsed(registry), true);
+  });
+
+  it('guards against using a backend server that announces its leave while it is asked', async (t) => {
+    const isServing = async () => true;
+    const registry = startRegistry(t, { wasRegistered: true, isServing });
+    registry.handleReport(report);
+    registry.handleLeave('b1', 1000);
+    await systemClock.sleep(1);
+    assert.equal(isUsed(registry), false);
+  });
+
+  it('guards against using a backend server that the store shows as leaving while it is asked', async (t) => {
+    const isServing = async () => true;
+    const registry = startRegistry(t, { wasRegistered: true, isServing });
+    registry.handleReport(report);
+    registry.handleStoredEntry(storedEntry);
+    await systemClock.sleep(1);
+    assert.equal(isUsed(registry), false);
+  });
+
   it('guards against a new host that waits for a second report', (t) => {
     const registry = startRegistry(t, { wasRegistered: true });
     registry.handleReport(report);
--- a/packages/host-node/src/backend/BackendServerRegistry.ts
+++ b/packages/host-node/src/backend/BackendServerRegistry.ts
@@ -22,6 +22,8 @@
   /** Limit on the requests to a cold backend server; `undefined` if there is none. */
   readonly coldLimitOf: (service: string) => ColdLimit | undefined;
   readonly drainMilliseconds: number;
+  /** Asks a backend server itself whether it is healthy and not leaving. */
+  readonly isServing: (report: BackendServerReport) => Promise<boolean>;
   /** Usual time between two reports of a backend server. */
   readonly reportIntervalMilliseconds: number;
   /** Why requests may not reach the backend servers of this host at present, if so. */
@@ -142,7 +144,7 @@
   /** Takes in that no former process of this host has registered it, or acknowledged a leave. */
   handleNewHost(): void {
     this.#confirmation.waive();
-    if (this.#unconfirmed !== undefined) this.handleReport(this.#unconfirmed);
+    if (this.#unconfirmed !== undefined) this.#useUnconfirmed(this.#unconfirmed);
   }
 
   async execute(
@@ -207,6 +209,7 @@
       return false;
     }
     this.#unconfirmed = report;
+    this.#askUnconfirmed(report);
     this.#options.logger.info(
       'report-unconfirmed',
       'a first report after the start of this node may be from before a leave',
@@ -215,6 +218,17 @@
     return true;
   }
 
+  /** Spares a backend server that is known to serve the wait for its next report. */
+  async #askUnconfirmed(report: BackendServerReport): Promise<void> {
+    const isServing = await this.#options.isServing(report);
+    if (isServing && this.#unconfirmed === report) this.#useUnconfirmed(report);
+  }
+
+  #useUnconfirmed(report: BackendServerReport): void {
+    this.#confirmation.waive();
+    this.handleReport(report);
+  }
+
   /** Drops an unconfirmed report of a backend server that leaves. */
   #dropUnconfirmed(backendServerId: string, startedAt: number): void {
     const report = this.#unconfirmed;
--- a/packages/host-node/src/backend/ReportConfirmation.ts
+++ b/packages/host-node/src/backend/ReportConfirmation.ts
@@ -28,7 +28,7 @@
     this.#minimumGapMilliseconds = reportIntervalMilliseconds * minimumGapShare;
   }
 
-  /** Records that no former process can have acknowledged a leave. */
+  /** Records that reports need no confirmation any more. */
   waive(): void {
     this.#isNeeded = false;
   }
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -43,6 +43,7 @@
 } from '@hickorybridge/utils';
 
 import { BackendServerRegistry } from './backend/BackendServerRegistry.js';
+import { isServing } from './backend/isServing.js';
 import { CallersListener } from './callers/CallersListener.js';
 import { clientLimits } from './callers/clientLimits.js';
 import { ConfigurationReceiver, ConfigurationSource } from './control/ConfigurationReceiver.js';
@@ -167,6 +168,10 @@
       };
     },
     drainMilliseconds: bounds.drainMilliseconds,
+    isServing: async ({ address, backendServerId, service }) => {
+      const path = router.configuration?.services.get(service)?.healthPath;
+      return path !== undefined && isServing({ address, backendServerId, path });
+    },
     reportIntervalMilliseconds: settings.current.reportIntervalMilliseconds ?? 0,
     reasonToRefuse: () => evacuations?.reasonToRefuse(location.failureDomain),
     onCurrentChanged: () => node.register(),
--- a/packages/types/src/routeConfiguration.ts
+++ b/packages/types/src/routeConfiguration.ts
@@ -34,6 +34,8 @@
 export interface ServiceDefinition {
   readonly name: string;
   readonly maxConnections: number;
+  /** Path at which a backend server says whether it is healthy and not leaving; absent if unknown. */
+  readonly healthPath?: string;
   /** How long a backend server stays cold after a start, in milliseconds; absent if unknown. */
   readonly coldMilliseconds?: number;
   /** Requests per second that a cold backend server can take; absent if unlimited. */
