A stale list does not replace a leave that was read from the entry itself

A started node read the leave of its backend server from the entry itself, and then a list of hosts that showed an earlier leave, of the start before. It kept only the one it was told last, so that two late reports put the backend server back into use.

The list is now compared with the known entry first, by version, and only the newer of both is taken in.

Evidence: the new test in leave.test fails without the change in createHostNode (the entry said ready) and passes.

--- a/packages/host-node/src/__tests__/leave.test.ts
+++ b/packages/host-node/src/__tests__/leave.test.ts
@@ -27,9 +27,9 @@
 }
 
 /** Sends the last reports from before the leave, which arrive late. */
-async function sendLateReports(member: FleetMember, count = 1): Promise<void> {
+async function sendLateReports(member: FleetMember, count = 1, born = 1): Promise<void> {
   skipSequence(-1 - count);
-  for (let sent = 0; sent < count; sent += 1) await sendReport(member);
+  for (let sent = 0; sent < count; sent += 1) await sendReport(member, {}, born);
   skipSequence(1);
 }
 
@@ -142,6 +142,31 @@
     await restarted.stop();
   });
 
+  it('guards against a leave that a restarted node forgets because a stale list shows an earlier one', async (t) => {
+    const { members, store } = await startFleet(t, ['one', 'two'], undefined, {
+      graceMilliseconds: noGraceMilliseconds,
+    });
+    const [one] = members;
+    assert.ok(one !== undefined);
+    await sendLeave(one);
+    store.faults.staleCopy = store.copy();
+    const born = 2000;
+    await sendReport(one, {}, born);
+    assert.equal((await sendLeave(one, born)).status, 200);
+    await one.node.stop();
+    const restarted = await startNode(t, one.settings);
+    await waitUntil(() => restarted.ready && restarted.hostCount === 2);
+    // The stale list is read again, after the entry itself.
+    store.compact();
+    await sleep(1500);
+    await sendLateReports(one, 2, born);
+    await sleep(500);
+    assert.equal(storedLeaving(store, 'one'), true, 'the late reports count');
+    await sendRequests(members);
+    assert.deepEqual(one.backend.ran, []);
+    await restarted.stop();
+  });
+
   it('guards against a leave that a kill of all nodes forgets while the store is away', async (t) => {
     const { members, store } = await startFleet(t, ['one', 'two'], undefined, {
       graceMilliseconds: noGraceMilliseconds,
--- a/packages/host-node/src/backend/BackendServerRegistry.ts
+++ b/packages/host-node/src/backend/BackendServerRegistry.ts
@@ -78,7 +78,7 @@
       );
       return;
     }
-    if (this.#mayBeFromBeforeLeave(report)) return;
+    if (this.#holdBack(report)) return;
     switch (this.#history.record(report)) {
       case ReportVerdict.newIncarnation: {
         const hasLeft = this.#isStoredAsLeaving(report);
@@ -200,8 +200,8 @@
     await this.#current?.[Symbol.asyncDispose]();
   }
 
-  /** Whether a report that names a backend server as ready has to be confirmed by another one. */
-  #mayBeFromBeforeLeave(report: BackendServerReport): boolean {
+  /** Keeps back a report that has to be confirmed, and returns whether it does. */
+  #holdBack(report: BackendServerReport): boolean {
     const { backendServerId, draining, sequence, startedAt } = report;
     if (draining || this.#history.hasEnded(backendServerId, startedAt)) return false;
     if (this.#confirmation.confirm(report, this.#options.clock.now())) {
--- a/packages/host-node/src/callers/CallersListener.ts
+++ b/packages/host-node/src/callers/CallersListener.ts
@@ -190,6 +190,7 @@
    * may end the connection, and then the request must not run.
    */
   #accept(request: IncomingMessage, response: ServerResponse): void {
+    // The refusal of an earlier head closes the connection.
     if (this.#headErrors.hasRejected(request.socket)) return;
     // The caller's time runs while its request lies unread.
     const arrivedAt = this.#options.stallDetector.unreadSince();
--- a/packages/host-node/src/createHostNode.ts
+++ b/packages/host-node/src/createHostNode.ts
@@ -373,9 +373,10 @@
       includesOwnHost: directory.entry(nodeId) !== undefined,
     });
     connectionManager.wake();
-    const listed = directory.stored(nodeId);
-    if (listed.entry !== undefined) backendServers.handleStoredEntry(listed.entry);
-    registration.seen(listed);
+    registration.seen(directory.stored(nodeId));
+    // The list may be older than the entry that was read itself.
+    const { stored } = registration;
+    if (stored !== undefined) backendServers.handleStoredEntry(stored);
     if (backendServers.current === undefined) node.register();
   });
   const createFollowRule = (documents: DocumentExchange, boundMilliseconds: number): FollowRule => {
