--- a/packages/host-node/src/__tests__/leave.property.test.ts
+++ b/packages/host-node/src/__tests__/leave.property.test.ts
@@ -4,6 +4,7 @@
 import { it, type TestContext } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import type { HostNode } from '../HostNode.js';
 import {
   sendLeave,
   sendReport,
@@ -13,7 +14,6 @@
   waitUntil,
   type FleetMember,
 } from './fleet.js';
-import type { HostNode } from '../HostNode.js';
 
 const seed = Number(process.env.FUZZ_SEED ?? 2026);
 const runs = Number(process.env.FUZZ_RUNS ?? 6);
